--- /dev/null
+++ b/src/kernel/builder.rs
@@ -0,0 +1,94 @@
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+use tracing::info;
+
+use super::running::Started;
+use super::{Kernel, KernelError, Registry, Result, Service};
+
+/// Gathers services and starts them in the order of their needs.
+#[derive(Debug, Default)]
+pub struct KernelBuilder {
+    services: Vec<Service>,
+}
+
+impl KernelBuilder {
+    /// Adds a service.
+    #[must_use]
+    pub fn with(mut self, service: Service) -> Self {
+        self.services.push(service);
+        self
+    }
+
+    /// Starts all services; those that had started are stopped again when one fails.
+    ///
+    /// # Errors
+    /// Names that clash, are missing or form a circle, and a service that fails to start.
+    pub async fn start(self) -> Result<Kernel> {
+        let ordered = order(self.services)?;
+        let mut kernel = Kernel::new(Registry::default());
+        for service in ordered {
+            let name = service.name.clone();
+            match (service.start)(kernel.registry.clone()).await {
+                Ok(stop) => {
+                    info!(event = "service_started", service = %name);
+                    kernel.started.push(Started { name, stop });
+                }
+                Err(cause) => {
+                    kernel.stop().await;
+                    return Err(KernelError::Start {
+                        name,
+                        cause: cause.into(),
+                    });
+                }
+            }
+        }
+        Ok(kernel)
+    }
+}
+
+/// Sorts services so that each stands behind all that it needs, else in the order given.
+fn order(services: Vec<Service>) -> Result<Vec<Service>> {
+    check_names(&services)?;
+    let mut waiting = services;
+    let mut placed = BTreeSet::new();
+    let mut ordered = Vec::with_capacity(waiting.len());
+    while !waiting.is_empty() {
+        let ready = waiting
+            .iter()
+            .position(|service| service.needs.iter().all(|need| placed.contains(need)));
+        let Some(ready) = ready else {
+            let names: Vec<_> = waiting
+                .iter()
+                .map(|service| service.name.as_str())
+                .collect();
+            return Err(KernelError::Circle {
+                names: names.join(", ").into(),
+            });
+        };
+        let service = waiting.remove(ready);
+        placed.insert(service.name.clone());
+        ordered.push(service);
+    }
+    Ok(ordered)
+}
+
+fn check_names(services: &[Service]) -> Result<()> {
+    let mut names: BTreeSet<SmolStr> = BTreeSet::new();
+    for service in services {
+        if !names.insert(service.name.clone()) {
+            return Err(KernelError::Duplicate {
+                name: service.name.clone(),
+            });
+        }
+    }
+    for service in services {
+        if let Some(missing) = service.needs.iter().find(|need| !names.contains(*need)) {
+            return Err(KernelError::Missing {
+                name: service.name.clone(),
+                missing: missing.clone(),
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/kernel/running.rs
@@ -0,0 +1,50 @@
+use std::fmt;
+
+use smol_str::SmolStr;
+use tracing::info;
+
+use super::{Registry, Stopper};
+
+pub(super) struct Started {
+    pub(super) name: SmolStr,
+    pub(super) stop: Stopper,
+}
+
+/// Running services.
+pub struct Kernel {
+    pub(super) registry: Registry,
+    pub(super) started: Vec<Started>,
+}
+
+impl Kernel {
+    pub(super) const fn new(registry: Registry) -> Self {
+        Self {
+            registry,
+            started: Vec::new(),
+        }
+    }
+
+    /// Where the services have published themselves.
+    #[must_use]
+    pub const fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Stops all services, the last started first.
+    pub async fn stop(mut self) {
+        while let Some(Started { name, stop }) = self.started.pop() {
+            stop().await;
+            self.registry.withdraw(&name);
+            info!(event = "service_stopped", service = %name);
+        }
+    }
+}
+
+impl fmt::Debug for Kernel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<_> = self.started.iter().map(|started| &started.name).collect();
+        f.debug_struct("Kernel")
+            .field("started", &names)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/kernel/service.rs
@@ -0,0 +1,47 @@
+use std::fmt;
+use std::pin::Pin;
+
+use smol_str::SmolStr;
+
+use super::Registry;
+
+/// What a starter or stopper runs.
+pub type ServiceFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+/// Starts a service, which publishes itself in the registry; the error is a sentence.
+pub type Starter = Box<dyn FnOnce(Registry) -> ServiceFuture<Result<Stopper, String>> + Send>;
+/// Stops a service and completes when nothing of it runs any more.
+pub type Stopper = Box<dyn FnOnce() -> ServiceFuture<()> + Send>;
+
+/// A service before it starts.
+pub struct Service {
+    /// Its name, under which it publishes itself.
+    pub name: SmolStr,
+    /// Names of services that must have started before it.
+    pub needs: Vec<SmolStr>,
+    /// Starts it.
+    pub start: Starter,
+}
+
+impl Service {
+    /// Describes a service by its name, its needs and the closure that starts it.
+    pub fn new<F, T>(name: &str, needs: &[&str], start: F) -> Self
+    where
+        F: FnOnce(Registry) -> T + Send + 'static,
+        T: Future<Output = Result<Stopper, String>> + Send + 'static,
+    {
+        Self {
+            name: SmolStr::new(name),
+            needs: needs.iter().map(SmolStr::new).collect(),
+            start: Box::new(move |registry| Box::pin(start(registry))),
+        }
+    }
+}
+
+impl fmt::Debug for Service {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Service")
+            .field("name", &self.name)
+            .field("needs", &self.needs)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! marjoramknot schedules multi-accelerator jobs and service requests under team guarantees.
+//!
+//! The decisions are pure cores (`scheduler`, `router`, `replica`, `release_note`,
+//! `request_ledger`); thin shells round them do the network and the files. docs/DESIGN.md tells why.
+
+#![deny(missing_docs, unsafe_code, unreachable_pub)]
+
+pub mod control;
+pub mod fleet;
+pub mod kernel;
+pub mod release_note;
+pub mod replica;
+pub mod request_ledger;
+pub mod scheduler;
+pub mod units;
--- /dev/null
+++ b/src/router/mod.rs
@@ -0,0 +1,2 @@
+//! Endpoint choice, slot shares, fair queues, retries and connection health: pure cores.
+//!
--- /dev/null
+++ b/src/units/time.rs
@@ -0,0 +1,121 @@
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Add, AddAssign, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds: a span, or a point on one process's monotonic clock.
+///
+/// Points of two processes are never compared; see docs/GLOSSARY.md.
+#[derive(
+    Add,
+    AddAssign,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    From,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// No time at all, or the start of a clock.
+    pub const ZERO: Self = Self(0);
+    /// Later than every point a clock reaches.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// The plain count of milliseconds.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The sum, [`Millis::MAX`] on overflow.
+    #[must_use]
+    pub const fn saturating_add(self, span: Self) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+
+    /// The time since `earlier`, zero where that is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The span with a tenth added, for two clocks that run at different rates.
+    #[must_use]
+    pub const fn with_clock_margin(self) -> Self {
+        Self(self.0.saturating_add(self.0.div_ceil(10)))
+    }
+
+    /// The span as a standard duration.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(span: Duration) -> Self {
+        Self(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_suffix("ms").unwrap_or(text).parse().map(Self)
+    }
+}
+
+/// Milliseconds since the Unix epoch by a leader's clock, as stamped into committed commands.
+///
+/// It only bounds how long records are kept; no lease or grant depends on it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    From,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(transparent)]
+pub struct WallMs(pub u64);
+
+impl WallMs {
+    /// The time since `earlier`, zero where that is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for WallMs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
