--- /dev/null
+++ b/src/replica/core/election.rs
@@ -0,0 +1,304 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::progress::{LeaderState, Progress, Transfer};
+use super::{Core, HardState, Role};
+use crate::replica::{Body, Node, Payload};
+use crate::units::{LogIndex, Millis, Term};
+
+impl Core {
+    /// Whether this replica leads its term.
+    #[must_use]
+    pub const fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Whether this replica leads and has applied a record of its own term, and so all earlier ones.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        match &self.role {
+            Role::Leader(state) => self.applied >= state.first_own,
+            _ => false,
+        }
+    }
+
+    /// Whether this replica leads and a quorum answered messages that it sent within the lease.
+    #[must_use]
+    pub fn has_quorum(&self, now: Millis) -> bool {
+        self.lease_until(now).is_some_and(|until| now < until)
+    }
+
+    /// Until when a leader may act on what a quorum has answered; none where it does not lead.
+    #[must_use]
+    pub fn lease_until(&self, now: Millis) -> Option<Millis> {
+        let sent = self.quorum_sent(now)?;
+        Some(sent.saturating_add(self.config.lease_ms()))
+    }
+
+    /// The latest time at which messages were sent that a quorum has answered.
+    fn quorum_sent(&self, now: Millis) -> Option<Millis> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        let own = &self.config.member.node;
+        let answered = self.voters().into_iter().map(|node| {
+            if node == *own {
+                return Some(now);
+            }
+            state.progress.get(&node).and_then(|p| p.acked_ms)
+        });
+        let mut times: Vec<_> = answered.collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.quorum() - 1).copied().flatten()
+    }
+
+    /// Steps down where no quorum has answered for one election time.
+    pub(super) fn check_quorum(&mut self, now: Millis) {
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let since = state.since_ms;
+        let last = self.quorum_sent(now).unwrap_or(since).max(since);
+        if now >= last.saturating_add(self.config.election_min_ms) {
+            self.step_down(now);
+        }
+    }
+
+    pub(super) fn step_down(&mut self, now: Millis) {
+        self.role = Role::Follower;
+        self.leader = None;
+        self.reset_election(now);
+    }
+
+    /// Enters a later term without a vote.
+    pub(super) fn enter_term(&mut self, term: Term, now: Millis) {
+        self.hard = HardState { term, vote: None };
+        self.unsaved.hard = Some(self.hard.clone());
+        self.leader = None;
+        if !matches!(self.role, Role::Follower) {
+            self.role = Role::Follower;
+            self.reset_election(now);
+        }
+    }
+
+    /// Follows the leader of the present term.
+    pub(super) fn follow(&mut self, leader: &Node, now: Millis) {
+        assert!(
+            !self.is_leader(),
+            "a term has one leader, so a leader hears no other of its own term"
+        );
+        self.role = Role::Follower;
+        if self.leader.as_ref() != Some(leader) {
+            self.leader = Some(leader.clone());
+        }
+        self.heard_leader_ms = Some(now);
+        self.reset_election(now);
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Millis) {
+        self.leader = None;
+        self.reset_election(now);
+        let own = self.config.member.node.clone();
+        let granted = BTreeSet::from([own.clone()]);
+        self.role = Role::PreCandidate { granted };
+        let body = Body::PreVote {
+            next_term: self.hard.term.next(),
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for node in self.voters().into_iter().filter(|node| *node != own) {
+            self.send(&node, body.clone());
+        }
+        self.count_pre_votes(now);
+    }
+
+    fn count_pre_votes(&mut self, now: Millis) {
+        if let Role::PreCandidate { granted } = &self.role
+            && self.is_quorum(granted)
+        {
+            self.start_election(false, now);
+        }
+    }
+
+    fn is_quorum(&self, nodes: &BTreeSet<Node>) -> bool {
+        let voters = self.voters();
+        let counted = voters.iter().filter(|node| nodes.contains(node)).count();
+        counted >= self.quorum()
+    }
+
+    fn start_election(&mut self, transfer: bool, now: Millis) {
+        let own = self.config.member.node.clone();
+        self.enter_term(self.hard.term.next(), now);
+        self.hard.vote = Some(own.clone());
+        self.unsaved.hard = Some(self.hard.clone());
+        self.role = Role::Candidate {
+            granted: BTreeSet::new(),
+        };
+        self.reset_election(now);
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        for node in self.voters().into_iter().filter(|node| *node != own) {
+            self.send_held(&node, body.clone());
+        }
+        self.send_held(&own, Body::VoteAnswer { granted: true });
+    }
+
+    /// Whether this replica keeps to a leader that it heard within the shortest election time.
+    fn keeps_leader(&self, now: Millis) -> bool {
+        if self.is_leader() {
+            return self.has_quorum(now);
+        }
+        let heard = self.heard_leader_ms;
+        heard.is_some_and(|at| now < at.saturating_add(self.config.election_min_ms))
+    }
+
+    fn up_to_date(&self, last: (Term, LogIndex)) -> bool {
+        last >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(super) fn hear_pre_vote(
+        &mut self,
+        from: &Node,
+        next_term: Term,
+        last: (Term, LogIndex),
+        now: Millis,
+    ) {
+        let possible = next_term > self.hard.term && self.up_to_date(last);
+        let granted = possible && !self.keeps_leader(now);
+        self.send(from, Body::PreVoteAnswer { next_term, granted });
+    }
+
+    pub(super) fn hear_pre_vote_answer(
+        &mut self,
+        from: Node,
+        term: Term,
+        next_term: Term,
+        granted: bool,
+        now: Millis,
+    ) {
+        if !granted && term > self.hard.term && !self.is_leader() {
+            self.enter_term(term, now);
+            return;
+        }
+        let expected = self.hard.term.next();
+        let Role::PreCandidate { granted: nodes } = &mut self.role else {
+            return;
+        };
+        if granted && next_term == expected {
+            nodes.insert(from);
+            self.count_pre_votes(now);
+        }
+    }
+
+    pub(super) fn hear_vote(
+        &mut self,
+        from: &Node,
+        term: Term,
+        last: (Term, LogIndex),
+        transfer: bool,
+        now: Millis,
+    ) {
+        if term < self.hard.term {
+            self.dropped.stale_term += 1;
+            return;
+        }
+        if !transfer && self.keeps_leader(now) {
+            return;
+        }
+        if term > self.hard.term {
+            self.enter_term(term, now);
+        }
+        let free = self.hard.vote.as_ref().is_none_or(|vote| vote == from);
+        let granted = free && self.leader.is_none() && !self.is_leader() && self.up_to_date(last);
+        if granted {
+            self.hard.vote = Some(from.clone());
+            self.unsaved.hard = Some(self.hard.clone());
+            self.reset_election(now);
+        }
+        self.send_held(from, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn hear_vote_answer(&mut self, from: Node, granted: bool, now: Millis) {
+        let voter = self.log.members().is_some_and(|m| m.contains(&from));
+        if !voter {
+            self.dropped.unknown_sender += 1;
+            return;
+        }
+        let Role::Candidate { granted: nodes } = &mut self.role else {
+            return;
+        };
+        if granted {
+            nodes.insert(from);
+        }
+        if let Role::Candidate { granted: nodes } = &self.role
+            && self.is_quorum(nodes)
+        {
+            self.lead(now);
+        }
+    }
+
+    fn lead(&mut self, now: Millis) {
+        let own = self.config.member.node.clone();
+        let next = self.log.last_index().next();
+        let others = self.voters().into_iter().filter(|node| *node != own);
+        let progress: BTreeMap<_, _> = others.map(|node| (node, Progress::new(next))).collect();
+        self.leader = Some(own);
+        self.role = Role::Leader(Box::new(LeaderState {
+            progress,
+            first_own: next,
+            since_ms: now,
+            transfer: None,
+            uncommitted_bytes: 0,
+        }));
+        self.append_own(Payload::Empty);
+    }
+
+    /// Starts a hand-over, or stops this replica from leading again.
+    pub(super) fn hand_over(&mut self, now: Millis) {
+        self.leaving = true;
+        let until_ms = now.saturating_add(self.config.election_min_ms);
+        if let Role::Leader(state) = &mut self.role {
+            state.transfer.get_or_insert(Transfer { until_ms });
+        }
+    }
+
+    /// Hands over once all is committed and applied and a voter holds all of it.
+    ///
+    /// The leader acts no more from then on, as the next one does not wait for its lease to end.
+    pub(super) fn finish_hand_over(&mut self, now: Millis) {
+        let last = self.log.last_index();
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let Some(transfer) = &state.transfer else {
+            return;
+        };
+        let voters = self.voters();
+        let ready = |node: &&Node| {
+            let progress = state.progress.get(*node);
+            progress.is_some_and(|p| p.matched == last && p.acked_ms.is_some())
+        };
+        let target = voters.iter().filter(ready).max_by_key(|node| {
+            let progress = state.progress.get(*node);
+            progress.and_then(|p| p.acked_ms)
+        });
+        let done = self.applied == last;
+        match target.cloned() {
+            Some(node) if done => {
+                self.send(&node, Body::TimeoutNow);
+                self.step_down(now);
+            }
+            _ if now >= transfer.until_ms && !self.alone() => self.step_down(now),
+            _ => {}
+        }
+    }
+
+    /// Starts an election as the leader asked.
+    pub(super) fn take_over(&mut self, now: Millis) {
+        if self.is_voter() && !self.is_leader() && !self.leaving {
+            self.start_election(true, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/core/formation.rs
@@ -0,0 +1,159 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{Core, Role};
+use crate::replica::{Body, Member, Membership, Message, Node, Snapshot, SnapshotMeta};
+use crate::units::{GroupId, LogIndex, Millis, ReplicaId, Term};
+
+/// How long a peer's word that it is blank counts.
+const BLANK_WORD_MS: Millis = Millis(2_000);
+
+/// What a replica without a group, or without a vote, keeps.
+#[derive(Debug, Default)]
+pub(super) struct Formation {
+    /// When it next asks its peers.
+    pub(super) ask_at_ms: Millis,
+    /// Peers that said that they are blank, and when.
+    pub(super) blank_peers: BTreeMap<Node, (Member, Millis)>,
+    /// Whether an earlier folder was damaged: then it never forms a new group.
+    pub(super) after_damage: bool,
+}
+
+impl Core {
+    fn ask_all(&mut self, body: &Body) {
+        for name in self.config.peers.clone() {
+            let message = self.message_by_name(name, body.clone());
+            self.out.push(super::Action::Send(message));
+        }
+    }
+
+    fn message_by_name(&self, name: ReplicaId, body: Body) -> Message {
+        Message {
+            group: self.group.clone(),
+            from: self.config.member.node.clone(),
+            to: name,
+            to_folder: None,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// A blank replica asks all configured peers whether they are blank too.
+    pub(super) fn ask_blank_peers(&mut self, now: Millis) {
+        if now < self.formation.ask_at_ms {
+            return;
+        }
+        self.formation.ask_at_ms = now.saturating_add(self.config.ask_ms);
+        self.ask_all(&Body::Hello);
+        self.form_group(now);
+    }
+
+    pub(super) fn ask_to_join(&mut self, now: Millis) {
+        if now < self.formation.ask_at_ms {
+            return;
+        }
+        self.formation.ask_at_ms = now.saturating_add(self.config.ask_ms);
+        let member = self.config.member.clone();
+        self.ask_all(&Body::Join(member));
+    }
+
+    fn hello_answer(&self) -> Body {
+        Body::HelloAnswer {
+            member: self.config.member.clone(),
+            blank: self.group.is_none() && !self.formation.after_damage,
+            members: self.log.members().cloned(),
+        }
+    }
+
+    pub(super) fn answer_hello(&mut self, from: &Node) {
+        let body = self.hello_answer();
+        self.send_held(from, body);
+    }
+
+    pub(super) fn hear_hello(
+        &mut self,
+        group: Option<GroupId>,
+        (member, blank): (Member, bool),
+        members: Option<Membership>,
+        now: Millis,
+    ) {
+        if self.group.is_some() {
+            return;
+        }
+        let configured = self.config.peers.contains(&member.node.name);
+        if !configured {
+            self.dropped.unknown_sender += 1;
+            return;
+        }
+        let Some(group) = group else {
+            let name = member.node.name.clone();
+            self.formation
+                .blank_peers
+                .retain(|node, _| node.name != name);
+            if blank {
+                self.formation
+                    .blank_peers
+                    .insert(member.node.clone(), (member, now));
+            }
+            self.form_group(now);
+            return;
+        };
+        self.group = Some(group.clone());
+        self.unsaved.group = Some(group);
+        self.formation.ask_at_ms = now;
+        if let Some(members) = members.filter(|m| m.contains(&self.config.member.node)) {
+            self.start_voting(members);
+            self.reset_election(now);
+        }
+    }
+
+    /// Forms the group where all configured peers are blank and this replica's name is the lowest.
+    fn form_group(&mut self, now: Millis) {
+        let own = self.config.member.clone();
+        let peers = &self.config.peers;
+        if self.formation.after_damage || peers.iter().any(|name| *name <= own.node.name) {
+            return;
+        }
+        let fresh = self.formation.blank_peers.values();
+        let fresh = fresh.filter(|(_, at)| now < at.saturating_add(BLANK_WORD_MS));
+        let blank: Vec<_> = fresh.map(|(member, _)| member.clone()).collect();
+        let all = peers
+            .iter()
+            .all(|p| blank.iter().any(|m| m.node.name == *p));
+        if !all {
+            return;
+        }
+        let name = format!("group-{}", own.node.folder);
+        let group: GroupId = name
+            .parse()
+            .expect("a folder id with a prefix is a group id");
+        let mut members = Membership { voters: vec![own] };
+        for member in blank {
+            members = members.with(member);
+        }
+        self.group = Some(group.clone());
+        self.unsaved.group = Some(group);
+        self.start_voting(members);
+        self.election_at_ms = now.saturating_add(self.config.ask_ms);
+        let body = self.hello_answer();
+        let own = self.config.member.node.clone();
+        for node in self.voters().into_iter().filter(|n| *n != own) {
+            self.send_held(&node, body.clone());
+        }
+    }
+
+    /// Becomes a voter of a new group, with an empty log.
+    fn start_voting(&mut self, members: Membership) {
+        let meta = SnapshotMeta {
+            index: LogIndex::ZERO,
+            term: Term::ZERO,
+            members,
+        };
+        let data = Vec::new();
+        let snapshot = Arc::new(Snapshot { meta, data });
+        self.log.reset(&snapshot);
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.unsaved.snapshot = Some(snapshot);
+        self.role = Role::Follower;
+    }
+}
--- /dev/null
+++ b/src/replica/core/log.rs
@@ -0,0 +1,162 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::replica::{Entry, Membership, Payload, Snapshot};
+use crate::units::{LogIndex, Term};
+
+/// The part of the log that is kept in memory, and the voters that it names.
+#[derive(Debug)]
+pub(super) struct Log {
+    prev_index: LogIndex,
+    prev_term: Term,
+    entries: VecDeque<Arc<Entry>>,
+    members: Vec<(LogIndex, Membership)>,
+}
+
+impl Log {
+    pub(super) fn new(snapshot: Option<&Snapshot>, entries: Vec<Arc<Entry>>) -> Self {
+        let mut log = Self {
+            prev_index: LogIndex::ZERO,
+            prev_term: Term::ZERO,
+            entries: VecDeque::new(),
+            members: Vec::new(),
+        };
+        if let Some(snapshot) = snapshot {
+            log.reset(snapshot);
+        }
+        let base = log.prev_index;
+        let (included, following): (Vec<_>, Vec<_>) =
+            entries.into_iter().partition(|e| e.index <= base);
+        log.retain(included.into());
+        for entry in following {
+            log.push(entry);
+        }
+        log
+    }
+
+    /// Forgets everything and starts after the snapshot.
+    pub(super) fn reset(&mut self, snapshot: &Snapshot) {
+        self.prev_index = snapshot.meta.index;
+        self.prev_term = snapshot.meta.term;
+        self.entries.clear();
+        self.members = vec![(snapshot.meta.index, snapshot.meta.members.clone())];
+    }
+
+    /// Puts records that the snapshot includes before the first one, for slow followers.
+    fn retain(&mut self, records: VecDeque<Arc<Entry>>) {
+        let Some(first) = records.front() else {
+            return;
+        };
+        // The term before the first record is unknown, so that record itself becomes the base.
+        self.prev_index = first.index;
+        self.prev_term = first.term;
+        self.entries = records;
+        self.entries.pop_front();
+    }
+
+    pub(super) fn first_index(&self) -> LogIndex {
+        self.prev_index.next()
+    }
+
+    pub(super) fn last_index(&self) -> LogIndex {
+        self.entries.back().map_or(self.prev_index, |e| e.index)
+    }
+
+    pub(super) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.prev_term, |e| e.term)
+    }
+
+    fn position(&self, index: LogIndex) -> Option<usize> {
+        let offset = index.get().checked_sub(self.prev_index.get() + 1)?;
+        usize::try_from(offset).ok()
+    }
+
+    pub(super) fn get(&self, index: LogIndex) -> Option<&Arc<Entry>> {
+        self.entries.get(self.position(index)?)
+    }
+
+    pub(super) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.prev_index {
+            return Some(self.prev_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// The records from `from` on, up to `max_bytes` but at least one.
+    pub(super) fn slice(&self, from: LogIndex, max_bytes: usize) -> Vec<Arc<Entry>> {
+        let Some(start) = self.position(from) else {
+            return Vec::new();
+        };
+        let mut bytes = 0_usize;
+        let mut records = Vec::new();
+        for entry in self.entries.iter().skip(start) {
+            bytes = bytes.saturating_add(entry.size());
+            if bytes > max_bytes && !records.is_empty() {
+                break;
+            }
+            records.push(Arc::clone(entry));
+        }
+        records
+    }
+
+    /// The records in `(after, to]`.
+    pub(super) fn range(&self, after: LogIndex, to: LogIndex) -> Vec<Arc<Entry>> {
+        let Some(start) = self.position(after.next()) else {
+            return Vec::new();
+        };
+        let tail = self.entries.iter().skip(start);
+        tail.take_while(|e| e.index <= to).cloned().collect()
+    }
+
+    pub(super) fn push(&mut self, entry: Arc<Entry>) {
+        assert_eq!(
+            entry.index,
+            self.last_index().next(),
+            "log records have consecutive positions"
+        );
+        if let Payload::Members(members) = &entry.payload {
+            self.members.push((entry.index, members.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the record at `index` and all after it.
+    pub(super) fn truncate(&mut self, index: LogIndex) {
+        if let Some(start) = self.position(index) {
+            self.entries.truncate(start);
+        }
+        while self.members.len() > 1 && self.members.last().is_some_and(|(at, _)| *at >= index) {
+            self.members.pop();
+        }
+    }
+
+    /// Drops records up to and with `index`, which a snapshot includes.
+    pub(super) fn compact(&mut self, index: LogIndex) {
+        while self.entries.front().is_some_and(|e| e.index <= index) {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.prev_index = entry.index;
+            self.prev_term = entry.term;
+        }
+        while self.members.len() > 1 && self.members[1].0 <= index {
+            self.members.remove(0);
+        }
+    }
+
+    /// The voters now in force; none on a node without any state.
+    pub(super) fn members(&self) -> Option<&Membership> {
+        self.members.last().map(|(_, members)| members)
+    }
+
+    /// The position of the record that named the voters now in force.
+    pub(super) fn members_index(&self) -> LogIndex {
+        self.members.last().map_or(LogIndex::ZERO, |(at, _)| *at)
+    }
+
+    /// The voters that were in force after the record at `index`.
+    pub(super) fn members_at(&self, index: LogIndex) -> Option<&Membership> {
+        let earlier = self.members.iter().rev().find(|(at, _)| *at <= index);
+        earlier.map(|(_, members)| members)
+    }
+}
--- /dev/null
+++ b/src/replica/core/mod.rs
@@ -0,0 +1,467 @@
+//! The consensus core: elections, log, snapshots and membership, without any input or output.
+//!
+//! Messages, time and the seed come in, [`Action`]s go out. A message that depends on something
+//! durable is held back until the shell says that the step is on the disk.
+
+mod election;
+mod formation;
+mod log;
+mod progress;
+mod repair;
+mod replication;
+mod snapshot;
+mod types;
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use self::formation::Formation;
+use self::log::Log;
+use self::progress::LeaderState;
+pub use self::repair::NodeState;
+pub use self::types::{Action, CoreConfig, Dropped, Event, HardState, Recovered, Refusal, Save};
+use super::{Body, Entry, Membership, Message, Node, Payload, Snapshot};
+use crate::units::{GroupId, LogIndex, Millis, Term};
+
+/// What the replica is doing.
+#[derive(Debug)]
+enum Role {
+    Follower,
+    PreCandidate { granted: BTreeSet<Node> },
+    Candidate { granted: BTreeSet<Node> },
+    Leader(Box<LeaderState>),
+}
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+struct Incoming {
+    snapshot: Snapshot,
+    total: u64,
+}
+
+/// One replica's consensus state.
+#[derive(Debug)]
+pub struct Core {
+    config: CoreConfig,
+    rng: StdRng,
+    group: Option<GroupId>,
+    hard: HardState,
+    role: Role,
+    leader: Option<Node>,
+    log: Log,
+    snapshot: Option<Arc<Snapshot>>,
+    incoming: Option<Incoming>,
+    /// A snapshot that is applied once it is on the disk.
+    installing: Option<(u64, Arc<Snapshot>)>,
+    commit: LogIndex,
+    applied: LogIndex,
+    applied_bytes: usize,
+    snapshot_asked: bool,
+    synced: LogIndex,
+    /// When the leader was last heard; a restart counts, as the promise to it may still stand.
+    heard_leader_ms: Option<Millis>,
+    election_at_ms: Millis,
+    formation: Formation,
+    disk_full: bool,
+    leaving: bool,
+    unsaved: Save,
+    sequence: u64,
+    persisted: u64,
+    /// The end of the log after each step that is not yet on the disk.
+    saving: VecDeque<(u64, LogIndex, Term)>,
+    held: VecDeque<(u64, Message)>,
+    held_now: Vec<Message>,
+    out: Vec<Action>,
+    dropped: Dropped,
+}
+
+impl Core {
+    /// Starts from what the disk holds.
+    #[must_use]
+    pub fn new(config: CoreConfig, recovered: Recovered, now: Millis) -> Self {
+        let rng = StdRng::seed_from_u64(config.seed);
+        let log = Log::new(recovered.snapshot.as_deref(), recovered.entries);
+        let base = recovered.snapshot.as_ref().map(|s| s.meta.index);
+        let commit = base.unwrap_or_default();
+        let formed = recovered.snapshot.is_some();
+        let mut core = Self {
+            rng,
+            group: recovered.group,
+            hard: recovered.hard,
+            role: Role::Follower,
+            leader: None,
+            synced: log.last_index(),
+            log,
+            snapshot: recovered.snapshot,
+            incoming: None,
+            installing: None,
+            commit,
+            applied: commit,
+            applied_bytes: 0,
+            snapshot_asked: false,
+            heard_leader_ms: formed.then_some(now),
+            election_at_ms: now,
+            formation: Formation {
+                ask_at_ms: now,
+                after_damage: recovered.after_damage,
+                ..Formation::default()
+            },
+            disk_full: false,
+            leaving: false,
+            unsaved: Save::default(),
+            sequence: 0,
+            persisted: 0,
+            saving: VecDeque::new(),
+            held: VecDeque::new(),
+            held_now: Vec::new(),
+            out: Vec::new(),
+            dropped: Dropped::default(),
+            config,
+        };
+        if core.alone() {
+            core.heard_leader_ms = None;
+        } else {
+            core.reset_election(now);
+        }
+        core
+    }
+
+    /// Handles one event and gives what has to be done.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Received(message) => self.receive(*message, now),
+            Event::Persisted { sequence } => self.saved(sequence, now),
+            Event::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
+            Event::DiskFull(full) => self.disk_full = full,
+            Event::HandOver => self.hand_over(now),
+        }
+        self.flush(now)
+    }
+
+    /// Takes a proposal; [`Core::flush`] then sends and saves all that were taken.
+    ///
+    /// # Errors
+    /// A [`Refusal`] means that the command will never be applied.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<LogIndex, Refusal> {
+        let limit = self.config.uncommitted_bytes.get();
+        let largest = self.config.append_bytes.get().max(limit / 2);
+        let Role::Leader(state) = &self.role else {
+            return Err(Refusal::NotLeader);
+        };
+        if state.transfer.is_some() || self.leaving {
+            return Err(Refusal::NotLeader);
+        }
+        if self.disk_full {
+            return Err(Refusal::DiskFull);
+        }
+        if command.len() as u64 > largest {
+            return Err(Refusal::TooLarge);
+        }
+        if state.uncommitted_bytes as u64 > limit {
+            return Err(Refusal::TooMuchWaiting);
+        }
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Sends what can be sent and gives all that has to be done.
+    pub fn flush(&mut self, now: Millis) -> Vec<Action> {
+        self.advance_commit(now);
+        self.replace_lost_members(now);
+        self.send_appends(now);
+        self.apply_committed();
+        self.finish_hand_over(now);
+        self.save_unsaved();
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Millis) {
+        match &self.role {
+            Role::Leader(_) => self.check_quorum(now),
+            _ if self.group.is_none() => self.ask_blank_peers(now),
+            _ if !self.is_voter() => self.ask_to_join(now),
+            _ if now >= self.election_at_ms && !self.leaving => self.start_pre_vote(now),
+            _ => {}
+        }
+    }
+
+    fn receive(&mut self, message: Message, now: Millis) {
+        if message.to != self.config.member.node.name {
+            self.dropped.other_receiver += 1;
+            return;
+        }
+        let folder = message.to_folder.as_ref();
+        if folder.is_some_and(|folder| *folder != self.config.member.node.folder) {
+            self.dropped.other_receiver += 1;
+            return;
+        }
+        match message.body {
+            Body::Hello => self.answer_hello(&message.from),
+            Body::HelloAnswer {
+                member,
+                blank,
+                members,
+            } => self.hear_hello(message.group, (member, blank), members, now),
+            _ if message.group.is_none() || message.group != self.group => {
+                self.dropped.other_group += 1;
+            }
+            _ if folder.is_none() && !matches!(message.body, Body::Join(_)) => {
+                self.dropped.other_receiver += 1;
+            }
+            Body::Join(member) => self.hear_join(member, now),
+            _ => self.receive_member(message, now),
+        }
+    }
+
+    fn receive_member(&mut self, message: Message, now: Millis) {
+        let (from, term) = (message.from, message.term);
+        match message.body {
+            Body::PreVote {
+                next_term,
+                last_index,
+                last_term,
+            } => self.hear_pre_vote(&from, next_term, (last_term, last_index), now),
+            Body::PreVoteAnswer { next_term, granted } => {
+                self.hear_pre_vote_answer(from, term, next_term, granted, now);
+            }
+            Body::Vote {
+                last_index,
+                last_term,
+                transfer,
+            } => self.hear_vote(&from, term, (last_term, last_index), transfer, now),
+            _ if term < self.hard.term => self.refuse_stale(&from, &message.body),
+            body => {
+                if term > self.hard.term {
+                    self.enter_term(term, now);
+                }
+                self.receive_current(from, body, now);
+            }
+        }
+    }
+
+    fn receive_current(&mut self, from: Node, body: Body, now: Millis) {
+        match body {
+            Body::VoteAnswer { granted } => self.hear_vote_answer(from, granted, now),
+            Body::Append {
+                prev_index,
+                prev_term,
+                entries,
+                commit,
+                sent_ms,
+            } => {
+                self.follow(&from, now);
+                let outcome = self.append_received(prev_index, prev_term, entries, commit);
+                self.send_held(&from, Body::AppendAnswer { outcome, sent_ms });
+            }
+            Body::AppendAnswer { outcome, sent_ms } => {
+                self.hear_append_answer(&from, &outcome, sent_ms, now);
+            }
+            Body::Chunk {
+                meta,
+                total,
+                offset,
+                data,
+                sent_ms,
+            } => {
+                self.follow(&from, now);
+                self.chunk_received(&from, meta, total, (offset, data), sent_ms);
+            }
+            Body::ChunkAnswer {
+                index,
+                offset,
+                sent_ms,
+            } => self.hear_chunk_answer(&from, index, offset, sent_ms, now),
+            Body::TimeoutNow => self.take_over(now),
+            Body::Hello
+            | Body::HelloAnswer { .. }
+            | Body::Join(_)
+            | Body::PreVote { .. }
+            | Body::PreVoteAnswer { .. }
+            | Body::Vote { .. } => {}
+        }
+    }
+
+    /// Tells a deposed leader of the present term, so that it steps down.
+    fn refuse_stale(&mut self, from: &Node, body: &Body) {
+        self.dropped.stale_term += 1;
+        if let Body::Append { sent_ms, .. } | Body::Chunk { sent_ms, .. } = *body {
+            let outcome = super::AppendOutcome::NeedsSnapshot;
+            self.send_held(from, Body::AppendAnswer { outcome, sent_ms });
+        }
+    }
+
+    fn saved(&mut self, sequence: u64, now: Millis) {
+        self.persisted = self.persisted.max(sequence);
+        while let Some((step, index, term)) = self.saving.front().copied() {
+            if step > sequence {
+                break;
+            }
+            self.saving.pop_front();
+            if self.log.term_at(index) == Some(term) {
+                self.synced = self.synced.max(index);
+            }
+        }
+        self.finish_install();
+        while self.held.front().is_some_and(|(step, _)| *step <= sequence) {
+            let Some((_, message)) = self.held.pop_front() else {
+                break;
+            };
+            self.release(message, now);
+        }
+    }
+
+    /// Sends a message, or takes it in where it is for this replica itself.
+    fn release(&mut self, message: Message, now: Millis) {
+        if message.to_folder.as_ref() == Some(&self.config.member.node.folder) {
+            if message.term == self.hard.term
+                && let Body::VoteAnswer { granted } = message.body
+            {
+                self.hear_vote_answer(message.from, granted, now);
+            }
+            return;
+        }
+        self.out.push(Action::Send(message));
+    }
+
+    fn save_unsaved(&mut self) {
+        if !self.unsaved.is_empty() {
+            self.sequence += 1;
+            let mut save = std::mem::take(&mut self.unsaved);
+            save.sequence = self.sequence;
+            let end = (self.log.last_index(), self.log.last_term());
+            self.saving.push_back((self.sequence, end.0, end.1));
+            if let Some((step, _)) = &mut self.installing
+                && *step == 0
+            {
+                *step = self.sequence;
+            }
+            self.out.push(Action::Save(save));
+        }
+        let sequence = self.sequence;
+        for message in std::mem::take(&mut self.held_now) {
+            if self.persisted >= sequence && !self.is_self(&message) {
+                self.out.push(Action::Send(message));
+            } else {
+                self.held.push_back((sequence, message));
+            }
+        }
+    }
+
+    fn is_self(&self, message: &Message) -> bool {
+        message.to_folder.as_ref() == Some(&self.config.member.node.folder)
+    }
+
+    fn message(&self, to: &Node, body: Body) -> Message {
+        Message {
+            group: self.group.clone(),
+            from: self.config.member.node.clone(),
+            to: to.name.clone(),
+            to_folder: Some(to.folder.clone()),
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    fn send(&mut self, to: &Node, body: Body) {
+        let message = self.message(to, body);
+        self.out.push(Action::Send(message));
+    }
+
+    /// Sends once everything that was decided so far is durable.
+    fn send_held(&mut self, to: &Node, body: Body) {
+        let message = self.message(to, body);
+        self.held_now.push(message);
+    }
+
+    fn apply_committed(&mut self) {
+        if self.commit <= self.applied || self.installing.is_some() {
+            return;
+        }
+        let records = self.log.range(self.applied, self.commit);
+        let Some(last) = records.last() else {
+            return;
+        };
+        self.applied = last.index;
+        let bytes = records.iter().map(|e| e.size()).sum::<usize>();
+        self.applied_bytes = self.applied_bytes.saturating_add(bytes);
+        self.out.push(Action::Apply(records));
+        self.ask_for_snapshot();
+    }
+
+    fn reset_election(&mut self, now: Millis) {
+        let least = self.config.election_min_ms.get();
+        let most = self.config.election_max_ms.get().max(least + 1);
+        let wait = self.rng.random_range(least..most);
+        self.election_at_ms = now.saturating_add(Millis(wait));
+    }
+
+    /// Whether this replica is the only voter.
+    fn alone(&self) -> bool {
+        self.is_voter() && self.log.members().is_some_and(|m| m.voters.len() == 1)
+    }
+
+    fn is_voter(&self) -> bool {
+        let node = &self.config.member.node;
+        self.log.members().is_some_and(|m| m.contains(node))
+    }
+
+    fn voters(&self) -> Vec<Node> {
+        let members = self.log.members().map_or(&[][..], |m| &m.voters);
+        members.iter().map(|m| m.node.clone()).collect()
+    }
+
+    fn quorum(&self) -> usize {
+        self.log.members().map_or(usize::MAX, Membership::quorum)
+    }
+
+    /// The last record that is applied.
+    #[must_use]
+    pub const fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The last record that is known to be committed.
+    #[must_use]
+    pub const fn committed(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// The present term.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// The group, where the replica belongs to one.
+    #[must_use]
+    pub const fn group(&self) -> Option<&GroupId> {
+        self.group.as_ref()
+    }
+
+    /// The known leader.
+    #[must_use]
+    pub const fn leader(&self) -> Option<&Node> {
+        self.leader.as_ref()
+    }
+
+    /// The voters now in force.
+    #[must_use]
+    pub fn members(&self) -> Option<&Membership> {
+        self.log.members()
+    }
+
+    /// The record at a position, where it is kept in memory.
+    #[must_use]
+    pub fn entry(&self, index: LogIndex) -> Option<&Arc<Entry>> {
+        self.log.get(index)
+    }
+
+    /// Messages that were dropped.
+    #[must_use]
+    pub const fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+}
--- /dev/null
+++ b/src/replica/core/progress.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::replica::{Member, Node, Snapshot};
+use crate::units::{LogIndex, Millis};
+
+/// A snapshot on its way to a follower.
+#[derive(Clone, Debug)]
+pub(super) struct SnapshotSend {
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) offset: u64,
+    pub(super) sent_ms: Millis,
+}
+
+/// What the leader knows of one follower or learner.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    /// The last record that is known to be synced there.
+    pub(super) matched: LogIndex,
+    /// The next record to send.
+    pub(super) next: LogIndex,
+    /// When the last message was sent.
+    pub(super) last_sent_ms: Option<Millis>,
+    /// When the newest answered message was sent, by the leader's clock.
+    pub(super) acked_ms: Option<Millis>,
+    /// When it was last heard.
+    pub(super) heard_ms: Option<Millis>,
+    /// The snapshot that it is being sent.
+    pub(super) snapshot: Option<SnapshotSend>,
+    /// Its addresses, where it is a learner.
+    pub(super) learner: Option<Member>,
+}
+
+impl Progress {
+    pub(super) const fn new(next: LogIndex) -> Self {
+        Self {
+            matched: LogIndex::ZERO,
+            next,
+            last_sent_ms: None,
+            acked_ms: None,
+            heard_ms: None,
+            snapshot: None,
+            learner: None,
+        }
+    }
+
+    pub(super) fn heard(&mut self, sent_ms: Millis, now: Millis) {
+        self.acked_ms = self.acked_ms.max(Some(sent_ms.min(now)));
+        self.heard_ms = Some(now);
+    }
+}
+
+/// A planned hand-over.
+#[derive(Clone, Debug)]
+pub(super) struct Transfer {
+    pub(super) until_ms: Millis,
+}
+
+/// What only a leader keeps.
+#[derive(Clone, Debug)]
+pub(super) struct LeaderState {
+    pub(super) progress: BTreeMap<Node, Progress>,
+    /// The first record of the leader's own term.
+    pub(super) first_own: LogIndex,
+    pub(super) since_ms: Millis,
+    pub(super) transfer: Option<Transfer>,
+    pub(super) uncommitted_bytes: usize,
+}
--- /dev/null
+++ b/src/replica/core/snapshot.rs
@@ -0,0 +1,219 @@
+use std::sync::Arc;
+
+use super::progress::SnapshotSend;
+use super::{Core, Incoming, Role};
+use crate::replica::{AppendOutcome, Body, Node, Snapshot, SnapshotMeta};
+use crate::units::{LogIndex, Millis};
+
+/// Largest snapshot in bytes that a follower takes in.
+const MAX_SNAPSHOT_BYTES: u64 = 256 * 1024 * 1024;
+
+impl Core {
+    /// Asks for a snapshot where enough records were applied since the last one.
+    pub(super) fn ask_for_snapshot(&mut self) {
+        let base = self
+            .snapshot
+            .as_ref()
+            .map_or(LogIndex::ZERO, |s| s.meta.index);
+        let records = self.applied.saturating_sub(base).get();
+        let enough = records >= self.config.snapshot_records
+            || self.applied_bytes as u64 >= self.config.snapshot_bytes.get();
+        if enough && !self.snapshot_asked {
+            self.snapshot_asked = true;
+            let index = self.applied;
+            self.out.push(super::Action::TakeSnapshot { index });
+        }
+    }
+
+    pub(super) fn snapshot_taken(&mut self, index: LogIndex, data: Vec<u8>) {
+        self.snapshot_asked = false;
+        self.applied_bytes = 0;
+        let newer = self.snapshot.as_ref().is_none_or(|s| s.meta.index < index);
+        let (Some(term), Some(members)) = (self.log.term_at(index), self.log.members_at(index))
+        else {
+            return;
+        };
+        if !newer || index > self.applied {
+            return;
+        }
+        let meta = SnapshotMeta {
+            index,
+            term,
+            members: members.clone(),
+        };
+        let snapshot = Arc::new(Snapshot { meta, data });
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.unsaved.snapshot = Some(snapshot);
+        let compact_to = index.saturating_sub(LogIndex(self.config.retained_records));
+        if compact_to >= self.log.first_index() {
+            self.log.compact(compact_to);
+            self.unsaved.compact_to = Some(compact_to);
+        }
+    }
+
+    /// Starts to send a snapshot where the follower needs records that are gone.
+    pub(super) fn choose_snapshot(&mut self, node: &Node) {
+        let first = self.log.first_index();
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(node) else {
+            return;
+        };
+        if progress.next < first && progress.snapshot.is_none() {
+            progress.snapshot = Some(SnapshotSend {
+                snapshot,
+                offset: 0,
+                sent_ms: Millis::ZERO,
+            });
+        }
+    }
+
+    /// Sends the next piece of a snapshot where one is under way; false where none is.
+    pub(super) fn send_chunk(&mut self, node: &Node, now: Millis) -> bool {
+        let chunk_bytes = usize::try_from(self.config.chunk_bytes.get()).unwrap_or(usize::MAX);
+        let heartbeat = self.config.heartbeat_ms;
+        let Role::Leader(state) = &mut self.role else {
+            return false;
+        };
+        let Some(progress) = state.progress.get_mut(node) else {
+            return false;
+        };
+        let Some(sending) = &mut progress.snapshot else {
+            return false;
+        };
+        let again = now >= sending.sent_ms.saturating_add(heartbeat);
+        if sending.sent_ms != Millis::ZERO && !again {
+            return true;
+        }
+        sending.sent_ms = now.max(Millis(1));
+        progress.last_sent_ms = Some(now);
+        let data = &sending.snapshot.data;
+        let start = usize::try_from(sending.offset)
+            .unwrap_or(usize::MAX)
+            .min(data.len());
+        let end = start.saturating_add(chunk_bytes).min(data.len());
+        let body = Body::Chunk {
+            meta: sending.snapshot.meta.clone(),
+            total: data.len() as u64,
+            offset: start as u64,
+            data: data[start..end].to_vec(),
+            sent_ms: now,
+        };
+        self.send(node, body);
+        true
+    }
+
+    pub(super) fn hear_chunk_answer(
+        &mut self,
+        from: &Node,
+        index: LogIndex,
+        offset: u64,
+        sent_ms: Millis,
+        now: Millis,
+    ) {
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            self.dropped.unknown_sender += 1;
+            return;
+        };
+        progress.heard(sent_ms, now);
+        let Some(sending) = &mut progress.snapshot else {
+            return;
+        };
+        if sending.snapshot.meta.index == index && offset != sending.offset {
+            sending.offset = offset;
+            sending.sent_ms = Millis::ZERO;
+        }
+    }
+
+    pub(super) fn chunk_received(
+        &mut self,
+        from: &Node,
+        meta: SnapshotMeta,
+        total: u64,
+        (offset, data): (u64, Vec<u8>),
+        sent_ms: Millis,
+    ) {
+        let index = meta.index;
+        let known = index <= self.commit || self.log.term_at(index) == Some(meta.term);
+        let formed = self.log.members().is_some();
+        if formed && known {
+            self.commit = self.commit.max(index);
+            let outcome = AppendOutcome::Matched(index);
+            self.send_held(from, Body::AppendAnswer { outcome, sent_ms });
+            return;
+        }
+        if total > MAX_SNAPSHOT_BYTES || self.installing.is_some() {
+            return;
+        }
+        let same = |i: &Incoming| i.snapshot.meta == meta && i.total == total;
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if same(&incoming) => incoming,
+            _ => Incoming {
+                snapshot: Snapshot {
+                    meta,
+                    data: Vec::new(),
+                },
+                total,
+            },
+        };
+        let received = &mut incoming.snapshot.data;
+        if offset == received.len() as u64 && offset + data.len() as u64 <= total {
+            received.extend_from_slice(&data);
+        }
+        let offset = received.len() as u64;
+        if offset == total {
+            self.install(incoming.snapshot);
+            let outcome = AppendOutcome::Matched(index);
+            self.send_held(from, Body::AppendAnswer { outcome, sent_ms });
+            return;
+        }
+        self.incoming = Some(incoming);
+        self.send_held(
+            from,
+            Body::ChunkAnswer {
+                index,
+                offset,
+                sent_ms,
+            },
+        );
+    }
+
+    /// Replaces the log by a snapshot; the state follows once it is on the disk.
+    fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        self.log.reset(&snapshot);
+        self.synced = LogIndex::ZERO;
+        self.commit = snapshot.meta.index;
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.unsaved.entries.clear();
+        self.unsaved.truncate_from = None;
+        self.unsaved.compact_to = None;
+        self.unsaved.reset_log = true;
+        self.unsaved.snapshot = Some(Arc::clone(&snapshot));
+        self.installing = Some((0, snapshot));
+    }
+
+    pub(super) fn finish_install(&mut self) {
+        let Some((step, snapshot)) = &self.installing else {
+            return;
+        };
+        if *step == 0 || *step > self.persisted {
+            return;
+        }
+        let snapshot = Arc::clone(snapshot);
+        self.installing = None;
+        self.applied = snapshot.meta.index;
+        self.applied_bytes = 0;
+        self.snapshot_asked = false;
+        if snapshot.meta.index > LogIndex::ZERO {
+            self.out.push(super::Action::Restore(snapshot));
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/files/identity.rs
@@ -0,0 +1,61 @@
+use std::io;
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+
+use super::folder::Folder;
+use super::frame::{frame, read_single};
+use super::slots::{Slot, write_slots};
+use crate::replica::core::HardState;
+use crate::units::{FolderId, GroupId, LogIndex, ReplicaId};
+
+/// The file that says whose folder it is; writing it makes the folder exist.
+pub(super) const IDENTITY_FILE: &str = "identity";
+
+/// Whose folder it is, and how far the replica has come.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct Identity {
+    pub(super) name: ReplicaId,
+    pub(super) folder: FolderId,
+    pub(super) group: Option<GroupId>,
+    /// Whether it holds a state: from then on a snapshot must be there.
+    pub(super) has_state: bool,
+    /// Whether an earlier folder of this replica was damaged: then it never forms a new group.
+    pub(super) after_damage: bool,
+}
+
+impl Identity {
+    /// A new identity with a folder id that was never used before.
+    pub(super) fn draw(name: ReplicaId) -> Self {
+        let number: u128 = rand::rng().random();
+        let folder = format!("f{number:032x}");
+        Self {
+            name,
+            folder: folder.parse().expect("hexadecimal digits are an id"),
+            group: None,
+            has_state: false,
+            after_damage: false,
+        }
+    }
+
+    /// Makes a new folder's first files; the identity comes last.
+    pub(super) fn create(&self, folder: &mut Folder) -> io::Result<Slot> {
+        let slot = Slot {
+            folder: self.folder.clone(),
+            sequence: 1,
+            hard: HardState::default(),
+            newest_segment: LogIndex::ZERO,
+        };
+        write_slots(folder, &slot)?;
+        self.save(folder)?;
+        Ok(slot)
+    }
+
+    pub(super) fn save(&self, folder: &mut Folder) -> io::Result<()> {
+        folder.replace(IDENTITY_FILE, &frame(self))
+    }
+
+    pub(super) fn read(content: &[u8]) -> Option<Self> {
+        read_single(content)
+    }
+}
--- /dev/null
+++ b/src/replica/files/log_files.rs
@@ -0,0 +1,196 @@
+use std::io;
+use std::sync::Arc;
+
+use super::folder::Folder;
+use super::frame::push_frame;
+use super::segment::{Loaded, Segment, load, segment_first};
+use crate::replica::Entry;
+use crate::units::{FolderId, LogIndex};
+
+/// The segment files of the log, oldest first.
+#[derive(Debug)]
+pub(super) struct LogFiles {
+    pub(super) segments: Vec<Segment>,
+    /// Records that are not yet on the disk.
+    unsynced: Vec<u8>,
+    unsynced_ends: Vec<u64>,
+    segment_bytes: u64,
+}
+
+/// The log as it was found.
+#[derive(Debug)]
+pub(super) enum LoadedLog {
+    /// Consecutive records.
+    Good(LogFiles, Vec<Arc<Entry>>),
+    /// Damaged, with the cause.
+    Damaged(&'static str),
+}
+
+impl LogFiles {
+    pub(super) const fn new(segment_bytes: u64) -> Self {
+        Self {
+            segments: Vec::new(),
+            unsynced: Vec::new(),
+            unsynced_ends: Vec::new(),
+            segment_bytes,
+        }
+    }
+
+    /// Reads all segments; only the newest one may end in an unfinished write, which is cut.
+    pub(super) fn load(
+        folder: &mut Folder,
+        id: &FolderId,
+        newest: LogIndex,
+        segment_bytes: u64,
+    ) -> io::Result<LoadedLog> {
+        let names = folder.list()?;
+        let firsts: Vec<_> = names
+            .iter()
+            .filter_map(|name| segment_first(name))
+            .collect();
+        if newest > LogIndex::ZERO && !firsts.contains(&newest) {
+            return Ok(LoadedLog::Damaged("the newest segment is missing"));
+        }
+        let mut log = Self::new(segment_bytes);
+        let mut entries = Vec::new();
+        for (position, first) in firsts.iter().enumerate() {
+            let is_last = position + 1 == firsts.len();
+            match log.load_segment(folder, id, *first, is_last)? {
+                Some(found) => entries.extend(found),
+                // A segment after the newest that is known was about to be made.
+                None if is_last && *first > newest => {
+                    folder.remove(&Segment::name_of(*first))?;
+                    folder.sync_folder()?;
+                }
+                None => return Ok(LoadedLog::Damaged("a segment is damaged")),
+            }
+        }
+        Ok(LoadedLog::Good(log, entries))
+    }
+
+    fn load_segment(
+        &mut self,
+        folder: &mut Folder,
+        id: &FolderId,
+        first: LogIndex,
+        is_last: bool,
+    ) -> io::Result<Option<Vec<Arc<Entry>>>> {
+        let name = Segment::name_of(first);
+        let content = folder.read(&name)?.unwrap_or_default();
+        if self
+            .segments
+            .last()
+            .is_some_and(|s| s.last().next() != first)
+        {
+            return Ok(None);
+        }
+        let (segment, entries, torn) = match load(&content, id, first) {
+            Loaded::Good {
+                segment,
+                entries,
+                torn,
+            } => (segment, entries, torn),
+            Loaded::Headless | Loaded::Damaged => return Ok(None),
+        };
+        if torn && !is_last {
+            return Ok(None);
+        }
+        if torn {
+            folder.cut(&name, segment.length)?;
+            folder.sync(&name)?;
+        }
+        self.segments.push(segment);
+        Ok(Some(entries))
+    }
+
+    /// Whether the next record needs a new segment.
+    pub(super) fn is_full(&self) -> bool {
+        let newest = self.segments.last();
+        newest.is_none_or(|s| s.length + self.unsynced.len() as u64 >= self.segment_bytes)
+    }
+
+    /// The position after the last record that was taken in; none on an empty log.
+    pub(super) fn next_index(&self) -> Option<LogIndex> {
+        let newest = self.segments.last()?;
+        let count = u64::try_from(self.unsynced_ends.len()).unwrap_or(u64::MAX);
+        Some(LogIndex(newest.last().next().get().saturating_add(count)))
+    }
+
+    /// Takes in a record that [`LogFiles::sync`] will write.
+    pub(super) fn push(&mut self, entry: &Entry) {
+        push_frame(&mut self.unsynced, entry);
+        self.unsynced_ends.push(self.unsynced.len() as u64);
+    }
+
+    /// Writes and syncs all records that were taken in, in one write and one sync.
+    ///
+    /// After an error the file is cut to what was synced before, and the call may be repeated.
+    pub(super) fn sync(&mut self, folder: &mut Folder) -> io::Result<()> {
+        if self.unsynced.is_empty() {
+            return Ok(());
+        }
+        let segment = self
+            .segments
+            .last_mut()
+            .expect("records are taken in only after a segment was made for them");
+        let name = segment.name();
+        let written = folder
+            .write(&name, segment.length, &self.unsynced)
+            .and_then(|()| folder.sync(&name));
+        if let Err(error) = written {
+            folder.cut(&name, segment.length)?;
+            return Err(error);
+        }
+        let start = segment.length;
+        let ends = self.unsynced_ends.drain(..);
+        segment.ends.extend(ends.map(|end| start + end));
+        segment.length = start + self.unsynced.len() as u64;
+        self.unsynced.clear();
+        Ok(())
+    }
+
+    /// Drops all records from `index` on; later segments go first, so that no gap can arise.
+    pub(super) fn truncate(&mut self, folder: &mut Folder, index: LogIndex) -> io::Result<()> {
+        while let Some(newest) = self.segments.last() {
+            if newest.first < index || self.segments.len() == 1 {
+                break;
+            }
+            let name = newest.name();
+            folder.remove(&name)?;
+            folder.sync_folder()?;
+            self.segments.pop();
+        }
+        match self.segments.last_mut() {
+            Some(newest) => newest.cut(folder, index),
+            None => Ok(()),
+        }
+    }
+
+    /// The segment that stays the newest when the log is cut at `index`.
+    pub(super) fn newest_after_cut(&self, index: LogIndex) -> LogIndex {
+        let kept = self.segments.iter().rev().find(|s| s.first < index);
+        let oldest = self.segments.first();
+        kept.or(oldest).map_or(LogIndex::ZERO, |s| s.first)
+    }
+
+    /// Removes all segments.
+    pub(super) fn reset(&mut self, folder: &mut Folder) -> io::Result<()> {
+        self.unsynced.clear();
+        self.unsynced_ends.clear();
+        while let Some(newest) = self.segments.pop() {
+            folder.remove(&newest.name())?;
+            folder.sync_folder()?;
+        }
+        Ok(())
+    }
+
+    /// Removes whole segments that hold nothing after `index`, oldest first.
+    pub(super) fn compact(&mut self, folder: &mut Folder, index: LogIndex) -> io::Result<()> {
+        while self.segments.len() > 1 && self.segments[0].last() <= index {
+            let oldest = self.segments.remove(0);
+            folder.remove(&oldest.name())?;
+            folder.sync_folder()?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/replica/files/mod.rs
@@ -0,0 +1,23 @@
+//! The files of a replica: log segments, term and vote, snapshot and identity.
+//!
+//! Every file names the folder it belongs to and is checked by a checksum. What an unfinished write
+//! leaves at the end of the log is cut; anything else that is damaged or missing retires the folder:
+//! the replica starts again under a new folder id and fetches the state from the others.
+
+mod folder;
+mod frame;
+mod identity;
+mod log_files;
+mod opening;
+mod segment;
+mod slots;
+mod store;
+
+use std::io;
+
+pub use folder::{FileAnswer, FileHook, FileOp, Folder};
+pub use opening::{Opened, open_store};
+pub use store::{Store, is_full};
+
+/// Result of a step on the files.
+pub type Result<T> = io::Result<T>;
--- /dev/null
+++ b/src/replica/files/opening.rs
@@ -0,0 +1,244 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::Result;
+use super::folder::Folder;
+use super::frame::read_single;
+use super::identity::{IDENTITY_FILE, Identity};
+use super::log_files::{LoadedLog, LogFiles};
+use super::slots::{SLOT_FILES, Slot, read_slots};
+use super::store::{RESERVE_FILE, SNAPSHOT_FILE, Store};
+use crate::replica::core::Recovered;
+use crate::replica::{Entry, Snapshot};
+use crate::units::{FolderId, GroupId, LogIndex, ReplicaId};
+
+/// How the names of files begin that a retired folder left behind for the operator.
+const RETIRED_PREFIX: &str = "retired-";
+
+/// A snapshot with the folder that it was written in.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct SnapshotFile {
+    pub(super) folder: FolderId,
+    pub(super) snapshot: Arc<Snapshot>,
+}
+
+/// An opened data folder.
+#[derive(Debug)]
+pub struct Opened {
+    /// The way to write.
+    pub store: Store,
+    /// The folder's id: a new one where the folder was blank or damaged.
+    pub folder: FolderId,
+    /// What the core starts from.
+    pub recovered: Recovered,
+    /// Why an earlier folder was retired just now.
+    pub damage: Option<&'static str>,
+}
+
+/// What reading the folder gave.
+enum Found {
+    Blank,
+    Good(Box<Good>),
+    Damaged {
+        cause: &'static str,
+        group: Option<GroupId>,
+    },
+}
+
+struct Good {
+    identity: Identity,
+    slot: Slot,
+    snapshot: Option<Arc<Snapshot>>,
+    log: LogFiles,
+    entries: Vec<Arc<Entry>>,
+}
+
+/// What a new folder begins with.
+#[derive(Default)]
+struct NewFolder {
+    group: Option<GroupId>,
+    after_damage: bool,
+}
+
+/// Opens a folder and checks all of it.
+///
+/// # Errors
+/// Those of the operating system; damage is no error but leads to a new folder id.
+pub fn open_store(mut folder: Folder, name: &ReplicaId, segment_bytes: u64) -> Result<Opened> {
+    let found = look(&mut folder, name, segment_bytes)?;
+    let (good, damage) = match found {
+        Found::Good(good) => (*good, None),
+        Found::Blank => (
+            renew(&mut folder, name, NewFolder::default(), segment_bytes)?,
+            None,
+        ),
+        Found::Damaged { cause, group } => {
+            let start = NewFolder {
+                group,
+                after_damage: true,
+            };
+            (renew(&mut folder, name, start, segment_bytes)?, Some(cause))
+        }
+    };
+    let recovered = Recovered {
+        group: good.identity.group.clone(),
+        hard: good.slot.hard.clone(),
+        snapshot: good.snapshot,
+        entries: good.entries,
+        after_damage: good.identity.after_damage,
+    };
+    let id = good.identity.folder.clone();
+    Ok(Opened {
+        store: Store::new(folder, good.identity, good.slot, good.log),
+        folder: id,
+        recovered,
+        damage,
+    })
+}
+
+/// Starts a new folder; the files of a damaged one are set aside under other names.
+fn renew(
+    folder: &mut Folder,
+    name: &ReplicaId,
+    start: NewFolder,
+    segment_bytes: u64,
+) -> Result<Good> {
+    for file in folder.list()? {
+        if file.starts_with(RETIRED_PREFIX) {
+            continue;
+        }
+        // The identity goes first: without it no other file is ever taken for this replica's.
+        if start.after_damage && file != RESERVE_FILE {
+            folder.rename(&file, &format!("{RETIRED_PREFIX}{file}"))?;
+        } else {
+            folder.remove(&file)?;
+        }
+        folder.sync_folder()?;
+    }
+    let mut identity = Identity::draw(name.clone());
+    identity.after_damage = start.after_damage;
+    identity.group = start.group;
+    let slot = identity.create(folder)?;
+    Ok(Good {
+        identity,
+        slot,
+        snapshot: None,
+        log: LogFiles::new(segment_bytes),
+        entries: Vec::new(),
+    })
+}
+
+fn look(folder: &mut Folder, name: &ReplicaId, segment_bytes: u64) -> Result<Found> {
+    let names = folder.list()?;
+    let Some(content) = folder.read(IDENTITY_FILE)? else {
+        return Ok(look_without_identity(&names));
+    };
+    let Some(identity) = Identity::read(&content) else {
+        return Ok(damaged("the identity is damaged", None));
+    };
+    if identity.name != *name {
+        return Ok(damaged("the folder is another replica's", None));
+    }
+    let group = identity.group.clone();
+    let Some(slot) = read_slots(folder, &identity.folder)? else {
+        return Ok(damaged("the term and vote are lost", group));
+    };
+    look_at_state(folder, identity, slot, segment_bytes)
+}
+
+fn damaged(cause: &'static str, group: Option<GroupId>) -> Found {
+    Found::Damaged { cause, group }
+}
+
+/// A folder without an identity is blank only where nothing but a first start was under way.
+fn look_without_identity(names: &[String]) -> Found {
+    let identity_tmp = format!("{IDENTITY_FILE}.tmp");
+    let of_first_start =
+        |name: &str| SLOT_FILES.contains(&name) || name == identity_tmp || name == RESERVE_FILE;
+    let retired = names.iter().any(|n| n.starts_with(RETIRED_PREFIX));
+    let mut others = names.iter().filter(|n| !n.starts_with(RETIRED_PREFIX));
+    if !retired && others.all(|name| of_first_start(name)) {
+        return Found::Blank;
+    }
+    damaged("the identity is missing", None)
+}
+
+fn look_at_state(
+    folder: &mut Folder,
+    identity: Identity,
+    slot: Slot,
+    segment_bytes: u64,
+) -> Result<Found> {
+    let group = identity.group.clone();
+    let snapshot = match folder.read(SNAPSHOT_FILE)? {
+        Some(content) => read_snapshot(&content, &identity.folder),
+        None if identity.has_state => return Ok(damaged("the snapshot is missing", group)),
+        None => None,
+    };
+    if identity.has_state && snapshot.is_none() {
+        return Ok(damaged("the snapshot is damaged", group));
+    }
+    // Before the identity says so, no state was ever acknowledged.
+    let snapshot = snapshot.filter(|_| identity.has_state);
+    let newest = slot.newest_segment;
+    let (log, entries) = match LogFiles::load(folder, &identity.folder, newest, segment_bytes)? {
+        LoadedLog::Good(log, entries) => (log, entries),
+        LoadedLog::Damaged(cause) => return Ok(damaged(cause, group)),
+    };
+    let mut good = Good {
+        identity,
+        slot,
+        snapshot,
+        log,
+        entries,
+    };
+    match Continuation::of(good.snapshot.as_deref(), &good.entries) {
+        Continuation::Continues => {}
+        Continuation::Stale => {
+            good.slot.newest_segment = LogIndex::ZERO;
+            good.slot.sequence += 1;
+            super::slots::write_slots(folder, &good.slot)?;
+            good.log.reset(folder)?;
+            good.entries.clear();
+        }
+        Continuation::Gap => return Ok(damaged("the log begins after the snapshot", group)),
+    }
+    Ok(Found::Good(Box::new(good)))
+}
+
+fn read_snapshot(content: &[u8], id: &FolderId) -> Option<Arc<Snapshot>> {
+    let file = read_single::<SnapshotFile>(content)?;
+    (file.folder == *id).then_some(file.snapshot)
+}
+
+/// How the log stands to the snapshot.
+enum Continuation {
+    Continues,
+    /// The snapshot replaced the log, and the crash came before the log was removed.
+    Stale,
+    Gap,
+}
+
+impl Continuation {
+    fn of(snapshot: Option<&Snapshot>, entries: &[Arc<Entry>]) -> Self {
+        let Some(first) = entries.first() else {
+            return Self::Continues;
+        };
+        let Some(meta) = snapshot.map(|s| &s.meta) else {
+            return Self::Stale;
+        };
+        if first.index == meta.index.next() {
+            return Self::Continues;
+        }
+        if first.index > meta.index {
+            return Self::Gap;
+        }
+        let same = |e: &Arc<Entry>| e.index == meta.index && e.term == meta.term;
+        if entries.iter().any(same) {
+            Self::Continues
+        } else {
+            Self::Stale
+        }
+    }
+}
--- /dev/null
+++ b/src/replica/files/store.rs
@@ -0,0 +1,196 @@
+use std::io;
+use std::sync::Arc;
+
+use super::Result;
+use super::folder::Folder;
+use super::frame::frame;
+use super::identity::Identity;
+use super::log_files::LogFiles;
+use super::opening::SnapshotFile;
+use super::segment::Segment;
+use super::slots::{Slot, write_slots};
+use crate::replica::core::Save;
+use crate::replica::{Entry, Snapshot};
+use crate::units::LogIndex;
+
+/// The file of the last snapshot.
+pub(super) const SNAPSHOT_FILE: &str = "snapshot";
+/// The file that keeps space for records that were taken before the disk was found full.
+pub(super) const RESERVE_FILE: &str = "reserve";
+/// The size of the reserve in bytes.
+const RESERVE_BYTES: usize = 2 * 1024 * 1024;
+
+/// Writes what the core asks to make durable.
+#[derive(Debug)]
+pub struct Store {
+    folder: Folder,
+    identity: Identity,
+    slot: Slot,
+    log: LogFiles,
+    has_reserve: bool,
+}
+
+impl Store {
+    pub(super) const fn new(folder: Folder, identity: Identity, slot: Slot, log: LogFiles) -> Self {
+        Self {
+            folder,
+            identity,
+            slot,
+            log,
+            has_reserve: false,
+        }
+    }
+
+    /// Takes in one step. Records become durable by [`Store::sync`], all else at once.
+    ///
+    /// A step that failed for lack of space may be repeated.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub fn apply(&mut self, save: &Save) -> Result<()> {
+        if save.snapshot.is_some() || save.truncate_from.is_some() || save.reset_log {
+            self.sync()?;
+        }
+        let taken = match &save.snapshot {
+            Some(snapshot) => self.save_snapshot(snapshot, save.reset_log)?,
+            None => true,
+        };
+        if save.reset_log {
+            self.reset_log()?;
+        }
+        if save.group.is_some() || (save.snapshot.is_some() && !self.identity.has_state) {
+            self.save_identity(save)?;
+        }
+        if let Some(index) = save.truncate_from {
+            self.truncate(index)?;
+        }
+        if let Some(hard) = &save.hard
+            && *hard != self.slot.hard
+        {
+            let mut slot = self.slot.clone();
+            slot.hard = hard.clone();
+            self.write_slot(slot)?;
+        }
+        for entry in &save.entries {
+            self.push(entry)?;
+        }
+        match save.compact_to {
+            Some(index) if taken => self.log.compact(&mut self.folder, index),
+            _ => Ok(()),
+        }
+    }
+
+    /// Makes all records durable that were taken in.
+    ///
+    /// # Errors
+    /// Those of the operating system; after one for lack of space the call may be repeated.
+    pub fn sync(&mut self) -> Result<()> {
+        self.log.sync(&mut self.folder)
+    }
+
+    fn push(&mut self, entry: &Arc<Entry>) -> Result<()> {
+        if self.log.next_index().is_some_and(|next| entry.index < next) {
+            // The step is repeated after a lack of space, and this record was taken in before.
+            return Ok(());
+        }
+        if self.log.is_full() {
+            self.sync()?;
+            let id = &self.identity.folder;
+            let segment = Segment::create(&mut self.folder, id, entry.index)?;
+            let mut slot = self.slot.clone();
+            slot.newest_segment = entry.index;
+            self.write_slot(slot)?;
+            self.log.segments.push(segment);
+        }
+        self.log.push(entry);
+        Ok(())
+    }
+
+    fn write_slot(&mut self, mut slot: Slot) -> Result<()> {
+        slot.sequence = self.slot.sequence + 1;
+        write_slots(&mut self.folder, &slot)?;
+        self.slot = slot;
+        Ok(())
+    }
+
+    /// Writes a snapshot; false where the disk is full and the old snapshot and log still serve.
+    fn save_snapshot(&mut self, snapshot: &Arc<Snapshot>, needed: bool) -> Result<bool> {
+        let content = frame(&SnapshotFile {
+            folder: self.identity.folder.clone(),
+            snapshot: Arc::clone(snapshot),
+        });
+        match self.folder.replace(SNAPSHOT_FILE, &content) {
+            Ok(()) => Ok(true),
+            Err(error) if is_full(&error) && !needed && self.identity.has_state => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn save_identity(&mut self, save: &Save) -> Result<()> {
+        let mut identity = self.identity.clone();
+        if save.group.is_some() {
+            identity.group.clone_from(&save.group);
+        }
+        identity.has_state |= save.snapshot.is_some();
+        identity.save(&mut self.folder)?;
+        self.identity = identity;
+        Ok(())
+    }
+
+    fn reset_log(&mut self) -> Result<()> {
+        let mut slot = self.slot.clone();
+        slot.newest_segment = LogIndex::ZERO;
+        self.write_slot(slot)?;
+        self.log.reset(&mut self.folder)
+    }
+
+    fn truncate(&mut self, index: LogIndex) -> Result<()> {
+        let newest_segment = self.log.newest_after_cut(index);
+        if newest_segment != self.slot.newest_segment {
+            let mut slot = self.slot.clone();
+            slot.newest_segment = newest_segment;
+            self.write_slot(slot)?;
+        }
+        self.log.truncate(&mut self.folder, index)
+    }
+
+    /// Gives up the reserve, so that records that were already taken find space.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub fn free_reserve(&mut self) -> Result<()> {
+        self.has_reserve = false;
+        self.folder.remove(RESERVE_FILE)?;
+        self.folder.sync_folder()
+    }
+
+    /// Makes sure that the reserve is there; false where the disk has no space for it.
+    ///
+    /// # Errors
+    /// Those of the operating system, but for lack of space.
+    pub fn fill_reserve(&mut self) -> Result<bool> {
+        if self.has_reserve {
+            return Ok(true);
+        }
+        let zeros = vec![0; RESERVE_BYTES];
+        let made = self
+            .folder
+            .write(RESERVE_FILE, 0, &zeros)
+            .and_then(|()| self.folder.sync(RESERVE_FILE));
+        match made {
+            Ok(()) => self.has_reserve = true,
+            Err(error) if is_full(&error) => self.free_reserve()?,
+            Err(error) => return Err(error),
+        }
+        Ok(self.has_reserve)
+    }
+}
+
+/// Whether an error says that the disk or the quota is full.
+#[must_use]
+pub fn is_full(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
+}
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -1,9 +1,11 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use super::lease::LeaseClock;
 use crate::control::GroupStatus;
 use crate::units::{LogIndex, ReplicaId, Term};
 
@@ -92,6 +94,7 @@
     proposals: mpsc::Sender<Proposal>,
     leadership: watch::Receiver<Leadership>,
     status: watch::Receiver<GroupStatus>,
+    lease: Option<Arc<LeaseClock>>,
 }
 
 impl Handle {
@@ -106,9 +109,29 @@
             proposals,
             leadership,
             status,
+            lease: None,
         }
     }
 
+    /// Lets [`Handle::has_quorum`] check the lease against the clock.
+    #[must_use]
+    pub fn with_lease(mut self, lease: Arc<LeaseClock>) -> Self {
+        self.lease = Some(lease);
+        self
+    }
+
+    /// Whether this replica leads, is up to date and holds its quorum lease at this moment.
+    ///
+    /// Unlike [`Leadership::has_quorum`] this is right also where the replica's task was held up.
+    #[must_use]
+    pub fn has_quorum(&self) -> bool {
+        let told = {
+            let leadership = self.leadership.borrow();
+            leadership.leads && leadership.has_quorum
+        };
+        told && self.lease.as_ref().is_none_or(|lease| lease.is_held())
+    }
+
     /// Proposes a command and waits until it is applied here.
     ///
     /// # Errors
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -2,9 +2,24 @@
 //!
 //! [`Handle`] is all that the rest of the program sees; the core behind it is pure.
 
+pub mod core;
+pub mod files;
 mod handle;
+mod lease;
+mod message;
+mod options;
+mod peer;
+mod runner;
+mod start;
+mod writer;
 
 pub use handle::{
     Applied, ApplyHook, Handle, Leadership, MachineHooks, Proposal, ProposeError, RestoreHook,
     Result, SnapshotHook,
 };
+pub use lease::LeaseClock;
+pub use message::{
+    AppendOutcome, Body, Entry, Member, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
+};
+pub use options::{Peer, ReplicaError, ReplicaOptions};
+pub use start::{bind, start, start_on};
--- /dev/null
+++ b/src/replica/options.rs
@@ -0,0 +1,90 @@
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bon::Builder;
+use thiserror::Error;
+use tokio::net::TcpListener;
+
+use crate::units::{Bytes, Millis, ReplicaId};
+
+/// Another replica as the settings name it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Its name.
+    pub name: ReplicaId,
+    /// Where its replica listens for the others.
+    pub peer_address: SocketAddr,
+    /// Where entries reach it.
+    pub control_address: SocketAddr,
+}
+
+/// How a replica runs.
+#[derive(Builder, Debug)]
+pub struct ReplicaOptions {
+    /// This replica's name.
+    pub name: ReplicaId,
+    /// Where it listens for the other replicas, unless `listener` is given.
+    pub listen: Option<SocketAddr>,
+    /// A bound listener for the other replicas, for example on port 0; see [`bind`](super::bind).
+    pub listener: Option<TcpListener>,
+    /// Where entries reach this replica; other replicas and entries are told of it.
+    pub control_address: SocketAddr,
+    /// The other voters; this replica may be among them and is passed over.
+    #[builder(default)]
+    pub peers: Vec<Peer>,
+    /// The data folder, used by no other process.
+    pub data_folder: PathBuf,
+    /// Seed of the election times; replicas should differ in it.
+    #[builder(default)]
+    pub seed: u64,
+    /// Shortest time without a leader after which an election starts.
+    #[builder(default = Millis(1_000))]
+    pub election_min_ms: Millis,
+    /// Longest such time.
+    #[builder(default = Millis(1_500))]
+    pub election_max_ms: Millis,
+    /// How often a leader sends to each follower at least.
+    #[builder(default = Millis(200))]
+    pub heartbeat_ms: Millis,
+    /// A snapshot is taken after this many records.
+    #[builder(default = 4_096)]
+    pub snapshot_records: u64,
+    /// A snapshot is taken after records of this many bytes.
+    #[builder(default = Bytes(4 * 1024 * 1024))]
+    pub snapshot_bytes: Bytes,
+    /// Records kept behind a snapshot for slow followers.
+    #[builder(default = 512)]
+    pub retained_records: u64,
+    /// A log file is followed by the next one from this size on.
+    #[builder(default = Bytes(4 * 1024 * 1024))]
+    pub segment_bytes: Bytes,
+    /// Most proposals that share one sync; 1 syncs each alone.
+    #[builder(default = 512)]
+    pub batch_records: usize,
+}
+
+/// Why a replica does not start.
+#[derive(Debug, Error)]
+pub enum ReplicaError {
+    /// Neither an address nor a listener was given.
+    #[error("neither a listen address nor a listener was given")]
+    NoListener,
+    /// The listener could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Another process uses the data folder.
+    #[error("another process uses the data folder")]
+    FolderInUse,
+    /// The data folder cannot be read or written.
+    #[error("the data folder cannot be used: {0}")]
+    Folder(io::Error),
+    /// The state in the data folder is whole but the state machine does not take it.
+    #[error("the snapshot in the data folder is of an unknown form")]
+    UnknownState,
+}
--- /dev/null
+++ b/src/replica/peer/link.rs
@@ -0,0 +1,171 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures::stream::{FuturesUnordered, StreamExt};
+use tarpc::client::{self, NewClient};
+use tarpc::context;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tracing::debug;
+
+use super::PeerApiClient;
+use crate::codec;
+use crate::replica::{Body, Message, Peer};
+use crate::units::ReplicaId;
+
+/// How long a delivery may stay unanswered before its connection is given up.
+const ANSWER_DEADLINE: Duration = Duration::from_millis(400);
+/// How long a dial may take.
+const DIAL_DEADLINE: Duration = Duration::from_millis(400);
+/// How long to wait after a dial that failed.
+const REDIAL_DELAY: Duration = Duration::from_millis(50);
+/// A connection without messages is closed after this time.
+const IDLE_CLOSE: Duration = Duration::from_secs(5);
+/// Messages that wait for one peer; more are dropped.
+const QUEUE_MESSAGES: usize = 1_024;
+/// Deliveries that may be on their way to one peer.
+const MAX_DELIVERIES: usize = 16;
+/// Roughly the most bytes in one delivery.
+const DELIVERY_BYTES: usize = 512 * 1024;
+
+/// The ways to all peers.
+#[derive(Debug)]
+pub(in crate::replica) struct Links {
+    queues: BTreeMap<ReplicaId, mpsc::Sender<Message>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Links {
+    pub(in crate::replica) fn start(peers: &[Peer]) -> Self {
+        let mut queues = BTreeMap::new();
+        let mut tasks = Vec::new();
+        for peer in peers {
+            let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
+            let link = Link {
+                address: peer.peer_address,
+                messages,
+            };
+            queues.insert(peer.name.clone(), queue);
+            tasks.push(tokio::spawn(link.run()));
+        }
+        Self { queues, tasks }
+    }
+
+    /// Queues a message; it is dropped where the queue is full.
+    pub(in crate::replica) fn send(&self, message: Message) {
+        let Some(queue) = self.queues.get(&message.to) else {
+            return;
+        };
+        if queue.try_send(message).is_err() {
+            metrics::counter!("replica_messages_dropped", "cause" => "queue_full").increment(1);
+        }
+    }
+}
+
+impl Drop for Links {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// A connection; dropping it closes it at once, also where the other end is silent.
+struct Connection {
+    client: PeerApiClient,
+    dispatch: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.dispatch.abort();
+    }
+}
+
+struct Link {
+    address: SocketAddr,
+    messages: mpsc::Receiver<Message>,
+}
+
+impl Link {
+    async fn run(mut self) {
+        while let Some(first) = self.messages.recv().await {
+            match self.dial().await {
+                Some(connection) => self.use_connection(connection, first).await,
+                None => tokio::time::sleep(REDIAL_DELAY).await,
+            }
+        }
+    }
+
+    async fn dial(&self) -> Option<Connection> {
+        let dialled = timeout(DIAL_DEADLINE, TcpStream::connect(self.address)).await;
+        let stream = dialled.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let NewClient { client, dispatch } =
+            PeerApiClient::new(client::Config::default(), codec::transport(stream));
+        let dispatch = tokio::spawn(async move {
+            if let Err(error) = dispatch.await {
+                debug!(event = "peer_connection_ended", %error);
+            }
+        });
+        Some(Connection { client, dispatch })
+    }
+
+    /// Sends over one connection until it fails, is silent, or is no longer needed.
+    async fn use_connection(&mut self, connection: Connection, first: Message) {
+        let mut deliveries = FuturesUnordered::new();
+        let batch = self.gather(first);
+        deliveries.push(deliver(&connection, batch));
+        loop {
+            tokio::select! {
+                Some(answered) = deliveries.next(), if !deliveries.is_empty() => {
+                    if !answered {
+                        metrics::counter!("replica_connections_closed").increment(1);
+                        return;
+                    }
+                }
+                next = timeout(IDLE_CLOSE, self.messages.recv()), if deliveries.len() < MAX_DELIVERIES => {
+                    match next {
+                        Ok(Some(message)) => {
+                            let batch = self.gather(message);
+                            deliveries.push(deliver(&connection, batch));
+                        }
+                        Ok(None) => return,
+                        Err(_elapsed) => return,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes what else is queued into one delivery, up to its size.
+    fn gather(&mut self, first: Message) -> Vec<Message> {
+        let mut bytes = size(&first);
+        let mut batch = vec![first];
+        while bytes < DELIVERY_BYTES {
+            let Ok(message) = self.messages.try_recv() else {
+                break;
+            };
+            bytes += size(&message);
+            batch.push(message);
+        }
+        batch
+    }
+}
+
+async fn deliver(connection: &Connection, batch: Vec<Message>) -> bool {
+    let mut context = context::current();
+    context.deadline = Instant::now() + ANSWER_DEADLINE;
+    connection.client.deliver(context, batch).await.is_ok()
+}
+
+fn size(message: &Message) -> usize {
+    match &message.body {
+        Body::Append { entries, .. } => entries.iter().map(|e| e.size()).sum(),
+        Body::Chunk { data, .. } => data.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/src/replica/peer/mod.rs
@@ -0,0 +1,19 @@
+//! Connections between replicas: messages travel one way, in order, over `tarpc`.
+//!
+//! The core bears lost messages, so a link that is silent is closed and dialled again, and what was
+//! on its way is dropped rather than waited for.
+
+mod link;
+mod server;
+
+pub(super) use link::Links;
+pub(super) use server::serve;
+
+use super::Message;
+
+/// What replicas call on each other.
+#[tarpc::service]
+pub(super) trait PeerApi {
+    /// Takes messages in order.
+    async fn deliver(messages: Vec<Message>);
+}
--- /dev/null
+++ b/src/replica/peer/server.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use tracing::debug;
+
+use super::PeerApi;
+use crate::codec;
+use crate::replica::Message;
+
+/// A connection that is silent for this long is closed.
+const IDLE_CLOSE: Duration = Duration::from_secs(10);
+/// Most connections at once; further ones wait to be accepted.
+const MAX_CONNECTIONS: usize = 64;
+/// How long to wait after an accept that failed, for example for lack of descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+#[derive(Clone)]
+struct Inbox {
+    messages: mpsc::Sender<Message>,
+}
+
+impl PeerApi for Inbox {
+    async fn deliver(self, _context: Context, messages: Vec<Message>) {
+        for message in messages {
+            if self.messages.try_send(message).is_err() {
+                metrics::counter!("replica_messages_dropped", "cause" => "inbox_full").increment(1);
+            }
+        }
+    }
+}
+
+/// Accepts connections of other replicas until the task is dropped.
+pub(in crate::replica) async fn serve(listener: TcpListener, messages: mpsc::Sender<Message>) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut connections = JoinSet::new();
+    loop {
+        let place = Arc::clone(&places).acquire_owned().await;
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, _address)) => {
+                let inbox = Inbox {
+                    messages: messages.clone(),
+                };
+                connections.spawn(async move {
+                    serve_connection(stream, inbox).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                debug!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Handles the requests of one connection one after the other, which keeps messages in order.
+async fn serve_connection(stream: TcpStream, inbox: Inbox) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let channel = BaseChannel::with_defaults(codec::transport(stream));
+    let mut requests = Box::pin(channel.requests());
+    while let Ok(Some(Ok(request))) = timeout(IDLE_CLOSE, requests.next()).await {
+        request.execute(inbox.clone().serve()).await;
+    }
+}
--- /dev/null
+++ b/src/replica/runner.rs
@@ -0,0 +1,277 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+use tracing::{error, info};
+
+use super::core::{Action, Core, Event, Refusal};
+use super::lease::LeaseClock;
+use super::peer::Links;
+use super::writer::{DiskEvent, Writer};
+use super::{
+    Applied, Entry, Leadership, MachineHooks, Message, Payload, Proposal, ProposeError, Result,
+};
+use crate::control::{GroupStatus, ReplicaStatus};
+use crate::units::{LogIndex, Millis, Term};
+
+/// How often the core is told that time has passed.
+const TICK: Duration = Duration::from_millis(20);
+/// How often the status for operators is renewed.
+const STATUS_INTERVAL: Millis = Millis(200);
+/// How long a planned stop waits for a hand-over.
+const STOP_BOUND: Millis = Millis(3_000);
+
+type Reply = oneshot::Sender<Result<Applied>>;
+
+/// The task of a replica: gives the core its events and carries out its actions.
+pub(super) struct Runner {
+    core: Core,
+    hooks: MachineHooks,
+    links: Links,
+    writer: Writer,
+    leadership: watch::Sender<Leadership>,
+    status: watch::Sender<GroupStatus>,
+    status_at: Millis,
+    lease: Arc<LeaseClock>,
+    waiting: BTreeMap<LogIndex, (Term, Reply)>,
+    batch_records: usize,
+    failed: bool,
+}
+
+impl Runner {
+    pub(super) fn new(
+        core: Core,
+        hooks: MachineHooks,
+        links: Links,
+        writer: Writer,
+        (leadership, status): (watch::Sender<Leadership>, watch::Sender<GroupStatus>),
+        origin: Instant,
+        batch_records: usize,
+    ) -> Self {
+        Self {
+            core,
+            hooks,
+            links,
+            writer,
+            leadership,
+            status,
+            status_at: Millis::ZERO,
+            lease: Arc::new(LeaseClock::new(origin)),
+            waiting: BTreeMap::new(),
+            batch_records,
+            failed: false,
+        }
+    }
+
+    pub(super) fn lease(&self) -> Arc<LeaseClock> {
+        Arc::clone(&self.lease)
+    }
+
+    pub(super) async fn run(
+        mut self,
+        mut proposals: mpsc::Receiver<Proposal>,
+        mut messages: mpsc::Receiver<Message>,
+        mut disk: mpsc::UnboundedReceiver<DiskEvent>,
+        shutdown: CancellationToken,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::new();
+        let mut stopping: Option<Millis> = None;
+        while !self.failed && !self.may_stop(stopping) {
+            tokio::select! {
+                () = shutdown.cancelled(), if stopping.is_none() => {
+                    stopping = Some(self.lease.now().saturating_add(STOP_BOUND));
+                    self.handle(Event::HandOver);
+                }
+                Some(event) = disk.recv() => self.disk_event(event),
+                Some(message) = messages.recv() => self.handle(Event::Received(Box::new(message))),
+                taken = proposals.recv_many(&mut batch, self.batch_records) => {
+                    if taken > 0 {
+                        self.propose(&mut batch);
+                    } else {
+                        // All handles are gone; the replica still serves its peers.
+                        tick.tick().await;
+                        self.handle(Event::Tick);
+                    }
+                }
+                _ = tick.tick() => self.handle(Event::Tick),
+            }
+            self.publish();
+        }
+        self.stop(proposals).await;
+    }
+
+    /// Whether a planned stop is complete: nothing waits, and another replica leads or may soon.
+    fn may_stop(&self, stopping: Option<Millis>) -> bool {
+        let Some(until) = stopping else {
+            return false;
+        };
+        let alone = self.core.members().is_none_or(|m| m.voters.len() <= 1);
+        let own = self.core.is_leader();
+        let handed_over = !own && self.core.leader().is_some();
+        let drained = self.waiting.is_empty() && (alone || handed_over);
+        drained || self.lease.now() >= until
+    }
+
+    async fn stop(mut self, mut proposals: mpsc::Receiver<Proposal>) {
+        self.lease.set(Millis::ZERO);
+        self.fail_waiting();
+        proposals.close();
+        while let Ok(proposal) = proposals.try_recv() {
+            answer(proposal.reply, Err(ProposeError::NotLeader));
+        }
+        self.leadership.send_replace(Leadership {
+            term: self.core.term(),
+            ..Leadership::default()
+        });
+        drop(self.links);
+        self.writer.finish().await;
+        info!(event = "replica_stopped", failed = self.failed);
+    }
+
+    fn disk_event(&mut self, event: DiskEvent) {
+        match event {
+            DiskEvent::Persisted(sequence) => self.handle(Event::Persisted { sequence }),
+            DiskEvent::Full(full) => self.handle(Event::DiskFull(full)),
+            DiskEvent::Failed(cause) => {
+                error!(event = "replica_failed", %cause);
+                self.failed = true;
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.lease.now();
+        let actions = self.core.handle(event, now);
+        self.perform(actions);
+    }
+
+    fn propose(&mut self, batch: &mut Vec<Proposal>) {
+        let now = self.lease.now();
+        for proposal in batch.drain(..) {
+            match self.core.propose(proposal.command) {
+                Ok(index) => {
+                    let term = self.core.term();
+                    self.waiting.insert(index, (term, proposal.reply));
+                }
+                Err(refusal) => answer(proposal.reply, Err(propose_error(refusal))),
+            }
+        }
+        let actions = self.core.flush(now);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(message) => self.links.send(message),
+                Action::Save(save) => self.writer.write(save),
+                Action::Apply(entries) => {
+                    for entry in entries {
+                        self.apply(&entry);
+                    }
+                }
+                Action::Restore(snapshot) => {
+                    if !(self.hooks.restore)(&snapshot.data) {
+                        error!(event = "unknown_state", index = %snapshot.meta.index);
+                        self.failed = true;
+                    }
+                }
+                Action::TakeSnapshot { index } => {
+                    let data = (self.hooks.snapshot)();
+                    info!(event = "snapshot_taken", index = %index, bytes = data.len());
+                    self.handle(Event::SnapshotTaken { index, data });
+                }
+            }
+        }
+        if !self.core.is_leader() && !self.waiting.is_empty() {
+            self.fail_waiting();
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let reply = match &entry.payload {
+            Payload::Command(command) => (self.hooks.apply)(entry.index, command),
+            Payload::Empty | Payload::Members(_) => Vec::new(),
+        };
+        let Some((term, waiting)) = self.waiting.remove(&entry.index) else {
+            return;
+        };
+        let index = entry.index;
+        let result = if term == entry.term {
+            Ok(Applied { index, reply })
+        } else {
+            Err(ProposeError::NotLeader)
+        };
+        answer(waiting, result);
+    }
+
+    fn fail_waiting(&mut self) {
+        for (_index, (_term, reply)) in std::mem::take(&mut self.waiting) {
+            answer(reply, Err(ProposeError::Uncertain));
+        }
+    }
+
+    /// Tells of leadership where it changed, and of the status from time to time.
+    fn publish(&mut self) {
+        let now = self.lease.now();
+        let until = self.core.lease_until(now).unwrap_or(Millis::ZERO);
+        self.lease.set(until);
+        let leader = self.core.leader();
+        let members = self.core.members();
+        let member = leader.and_then(|node| members.and_then(|m| m.get(node)));
+        let next = Leadership {
+            term: self.core.term(),
+            leader: leader.map(|node| node.name.clone()),
+            leader_address: member.map(|m| m.control_address),
+            leads: self.core.leads(),
+            has_quorum: self.core.has_quorum(now),
+        };
+        let changed = self.leadership.send_if_modified(|present| {
+            let differs = *present != next;
+            *present = next;
+            differs
+        });
+        if changed || now >= self.status_at {
+            self.status_at = now.saturating_add(STATUS_INTERVAL);
+            self.publish_status(now);
+        }
+    }
+
+    fn publish_status(&self, now: Millis) {
+        let replicas = self.core.node_states(now).into_iter();
+        let replicas = replicas.map(|state| ReplicaStatus {
+            replica: state.node.name,
+            folder: Some(state.node.folder),
+            voter: state.voter,
+            matched: state.matched,
+            silent_ms: state.silent_ms,
+        });
+        self.status.send_replace(GroupStatus {
+            term: self.core.term(),
+            leader: self.core.leader().map(|node| node.name.clone()),
+            committed: self.core.committed(),
+            replicas: replicas.collect(),
+        });
+    }
+}
+
+fn answer(reply: Reply, result: Result<Applied>) {
+    // The proposer may have given up waiting.
+    drop(reply.send(result));
+}
+
+fn propose_error(refusal: Refusal) -> ProposeError {
+    let reason = match refusal {
+        Refusal::NotLeader => return ProposeError::NotLeader,
+        Refusal::DiskFull => "the disk is full",
+        Refusal::TooMuchWaiting => "too many changes wait to be committed",
+        Refusal::TooLarge => "the change is too large",
+    };
+    ProposeError::Refused {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/replica/start.rs
@@ -0,0 +1,164 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+use tracing::{info, warn};
+
+use super::core::{Core, CoreConfig};
+use super::files::{Folder, Opened, open_store};
+use super::peer::{Links, serve};
+use super::runner::Runner;
+use super::writer::Writer;
+use super::{Handle, Leadership, MachineHooks, Member, Node, Peer, ReplicaError, ReplicaOptions};
+use crate::control::GroupStatus;
+use crate::units::{FolderId, LogIndex, Millis, Term};
+
+/// Proposals that wait to be taken.
+const PROPOSAL_QUEUE: usize = 1_024;
+/// Messages that wait to be taken; more are dropped, which the core bears.
+const INBOX_MESSAGES: usize = 4_096;
+
+/// Binds a listener for other replicas; port 0 lets the system choose.
+///
+/// # Errors
+/// Those of the operating system.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Starts a replica on its data folder.
+///
+/// When `shutdown` is cancelled a leader first finishes all proposals that it took and hands over;
+/// the returned task ends when nothing of the replica runs any more.
+///
+/// # Errors
+/// [`ReplicaError`] where the folder or the listener cannot be used.
+pub async fn start(
+    options: ReplicaOptions,
+    hooks: MachineHooks,
+    shutdown: CancellationToken,
+) -> Result<(Handle, JoinHandle<()>), ReplicaError> {
+    let path = options.data_folder.clone();
+    let opened = tokio::task::spawn_blocking(move || Folder::open(&path)).await;
+    let folder = opened.map_err(io::Error::other).flatten();
+    let folder = folder.map_err(|error| match error.kind() {
+        io::ErrorKind::ResourceBusy => ReplicaError::FolderInUse,
+        _ => ReplicaError::Folder(error),
+    })?;
+    start_on(options, folder, hooks, shutdown).await
+}
+
+/// Starts a replica on given files, for example a stand-in that loses what was not synced.
+///
+/// # Errors
+/// As [`start`].
+pub async fn start_on(
+    mut options: ReplicaOptions,
+    folder: Folder,
+    mut hooks: MachineHooks,
+    shutdown: CancellationToken,
+) -> Result<(Handle, JoinHandle<()>), ReplicaError> {
+    let listener = listener(&mut options).await?;
+    let name = options.name.clone();
+    let segment_bytes = options.segment_bytes.get();
+    let opening = tokio::task::spawn_blocking(move || open_store(folder, &name, segment_bytes));
+    let opened = opening.await.map_err(io::Error::other).flatten();
+    let opened = opened.map_err(ReplicaError::Folder)?;
+    restore(&opened, &mut hooks)?;
+    log_opened(&options, &opened);
+
+    let peers = other_peers(&options);
+    let config = core_config(&options, &peers, opened.folder);
+    let core = Core::new(config, opened.recovered, Millis::ZERO);
+    let (disk_sender, disk_events) = mpsc::unbounded_channel();
+    let writer = Writer::start(opened.store, options.batch_records, disk_sender)
+        .map_err(ReplicaError::Folder)?;
+    let (inbox, messages) = mpsc::channel(INBOX_MESSAGES);
+    let server = AbortOnDropHandle::new(tokio::spawn(serve(listener, inbox)));
+    let (proposal_sender, proposals) = mpsc::channel(PROPOSAL_QUEUE);
+    let (leadership, leadership_watch) = watch::channel(Leadership::default());
+    let (status, status_watch) = watch::channel(GroupStatus {
+        term: Term::ZERO,
+        leader: None,
+        committed: LogIndex::ZERO,
+        replicas: Vec::new(),
+    });
+    let runner = Runner::new(
+        core,
+        hooks,
+        Links::start(&peers),
+        writer,
+        (leadership, status),
+        Instant::now(),
+        options.batch_records.max(1),
+    );
+    let lease = runner.lease();
+    let run = async move {
+        runner.run(proposals, messages, disk_events, shutdown).await;
+        server.abort();
+        drop(server.await);
+    };
+    let handle = Handle::new(proposal_sender, leadership_watch, status_watch).with_lease(lease);
+    Ok((handle, tokio::spawn(run)))
+}
+
+async fn listener(options: &mut ReplicaOptions) -> Result<TcpListener, ReplicaError> {
+    if let Some(listener) = options.listener.take() {
+        return Ok(listener);
+    }
+    let address = options.listen.ok_or(ReplicaError::NoListener)?;
+    let bound = bind(address).await;
+    bound.map_err(|source| ReplicaError::Listen { address, source })
+}
+
+/// Gives the state machine the snapshot of the disk.
+fn restore(opened: &Opened, hooks: &mut MachineHooks) -> Result<(), ReplicaError> {
+    let Some(snapshot) = &opened.recovered.snapshot else {
+        return Ok(());
+    };
+    if snapshot.meta.index == LogIndex::ZERO || (hooks.restore)(&snapshot.data) {
+        Ok(())
+    } else {
+        Err(ReplicaError::UnknownState)
+    }
+}
+
+fn log_opened(options: &ReplicaOptions, opened: &Opened) {
+    let (name, folder) = (&options.name, &opened.folder);
+    if let Some(cause) = opened.damage {
+        warn!(event = "folder_retired", replica = %name, folder = %folder, cause);
+    }
+    let records = opened.recovered.entries.len();
+    info!(event = "replica_started", replica = %name, folder = %folder, records);
+}
+
+fn other_peers(options: &ReplicaOptions) -> Vec<Peer> {
+    let others = options.peers.iter().filter(|p| p.name != options.name);
+    others.cloned().collect()
+}
+
+fn core_config(options: &ReplicaOptions, peers: &[Peer], folder: FolderId) -> CoreConfig {
+    let member = Member {
+        node: Node {
+            name: options.name.clone(),
+            folder,
+        },
+        control_address: options.control_address,
+    };
+    CoreConfig::builder()
+        .member(member)
+        .peers(peers.iter().map(|p| p.name.clone()).collect())
+        .seed(options.seed)
+        .election_min_ms(options.election_min_ms)
+        .election_max_ms(options.election_max_ms)
+        .heartbeat_ms(options.heartbeat_ms)
+        .snapshot_records(options.snapshot_records)
+        .snapshot_bytes(options.snapshot_bytes)
+        .retained_records(options.retained_records)
+        .build()
+}
--- /dev/null
+++ b/tests/support/replica_group.rs
@@ -0,0 +1,253 @@
+//! A control group of real replicas on loopback, with a state machine that lists its commands.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use marjoramknot::replica::files::Folder;
+use marjoramknot::replica::{
+    Applied, Handle, MachineHooks, Peer, ProposeError, ReplicaOptions, bind, start, start_on,
+};
+use marjoramknot::units::LogIndex;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// The longest that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(12);
+
+/// The commands that a replica applied, in order.
+pub type Applications = Arc<Mutex<Vec<(LogIndex, Vec<u8>)>>>;
+
+/// One replica of the group.
+pub struct Member {
+    pub peer: Peer,
+    pub folder: PathBuf,
+    pub applied: Applications,
+    pub running: Option<Running>,
+}
+
+/// A replica that runs.
+pub struct Running {
+    pub handle: Handle,
+    pub task: JoinHandle<()>,
+    pub shutdown: CancellationToken,
+}
+
+/// A group and its folders.
+pub struct Group {
+    pub members: Vec<Member>,
+    pub snapshot_records: u64,
+    _folders: TempDir,
+}
+
+/// A machine that lists commands.
+pub fn list_machine(applied: &Applications) -> MachineHooks {
+    let (on_apply, on_snapshot, on_restore) = (
+        Arc::clone(applied),
+        Arc::clone(applied),
+        Arc::clone(applied),
+    );
+    MachineHooks {
+        apply: Box::new(move |index, command| {
+            on_apply
+                .lock()
+                .expect("no test thread panics")
+                .push((index, command.to_vec()));
+            command.to_vec()
+        }),
+        snapshot: Box::new(move || {
+            let list = on_snapshot.lock().expect("no test thread panics");
+            postcard::to_stdvec(&*list).expect("a list encodes")
+        }),
+        restore: Box::new(move |bytes| {
+            let Ok(list) = postcard::from_bytes(bytes) else {
+                return false;
+            };
+            *on_restore.lock().expect("no test thread panics") = list;
+            true
+        }),
+    }
+}
+
+impl Group {
+    /// Binds listeners for `count` replicas; none runs yet.
+    pub async fn bind(count: usize) -> (Self, Vec<TcpListener>) {
+        let folders = tempfile::tempdir().expect("a temporary folder can be made");
+        let mut members = Vec::new();
+        let mut listeners = Vec::new();
+        for position in 0..count {
+            let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+            let listener = listener.expect("loopback has free ports");
+            let address = listener
+                .local_addr()
+                .expect("a bound socket has an address");
+            let name = format!("replica-{position}");
+            members.push(Member {
+                folder: folders.path().join(&name),
+                peer: Peer {
+                    name: name.parse().expect("the name is an id"),
+                    peer_address: address,
+                    control_address: address,
+                },
+                applied: Applications::default(),
+                running: None,
+            });
+            listeners.push(listener);
+        }
+        let group = Self {
+            members,
+            snapshot_records: 4_096,
+            _folders: folders,
+        };
+        (group, listeners)
+    }
+
+    /// A group of which all replicas run.
+    pub async fn start(count: usize) -> Self {
+        let (mut group, listeners) = Self::bind(count).await;
+        for (position, listener) in listeners.into_iter().enumerate() {
+            group.run_on(position, listener).await;
+        }
+        group
+    }
+
+    pub fn options(&self, position: usize, listener: TcpListener) -> ReplicaOptions {
+        let member = &self.members[position];
+        ReplicaOptions::builder()
+            .name(member.peer.name.clone())
+            .listener(listener)
+            .control_address(member.peer.control_address)
+            .peers(self.members.iter().map(|m| m.peer.clone()).collect())
+            .data_folder(member.folder.clone())
+            .seed(position as u64 + 7)
+            .snapshot_records(self.snapshot_records)
+            .retained_records(self.snapshot_records / 4)
+            .build()
+    }
+
+    pub async fn run_on(&mut self, position: usize, listener: TcpListener) {
+        let options = self.options(position, listener);
+        self.run_with(position, options, None).await;
+    }
+
+    /// Runs a replica on given files, or on its real folder.
+    pub async fn run_with(
+        &mut self,
+        position: usize,
+        options: ReplicaOptions,
+        folder: Option<Folder>,
+    ) {
+        let shutdown = CancellationToken::new();
+        let applied = Applications::default();
+        let hooks = list_machine(&applied);
+        let started = match folder {
+            Some(folder) => start_on(options, folder, hooks, shutdown.clone()).await,
+            None => start(options, hooks, shutdown.clone()).await,
+        };
+        let (handle, task) = started.expect("the replica starts");
+        let member = &mut self.members[position];
+        member.applied = applied;
+        member.running = Some(Running {
+            handle,
+            task,
+            shutdown,
+        });
+    }
+
+    /// Runs a replica again on its old address.
+    pub async fn run(&mut self, position: usize) {
+        let address = self.members[position].peer.peer_address;
+        let listener = eventually("the old address is free", async || bind(address).await.ok());
+        let listener = listener.await;
+        // The thread that writes the files of a killed replica may hold its folder for a moment.
+        let folder = eventually("the old folder is free", async || {
+            Folder::open(&self.members[position].folder).ok()
+        });
+        let folder = folder.await;
+        let options = self.options(position, listener);
+        self.run_with(position, options, Some(folder)).await;
+    }
+
+    pub fn handle(&self, position: usize) -> &Handle {
+        let running = self.members[position].running.as_ref();
+        &running.expect("the replica runs").handle
+    }
+
+    /// Stops a replica as planned and waits until it has ended.
+    pub async fn stop(&mut self, position: usize) {
+        let running = self.members[position].running.take();
+        let running = running.expect("the replica runs");
+        running.shutdown.cancel();
+        let ended = timeout(PATIENCE, running.task).await;
+        ended
+            .expect("a planned stop ends in time")
+            .expect("the replica's task does not panic");
+    }
+
+    /// Ends a replica's task without any hand-over.
+    pub async fn kill(&mut self, position: usize) {
+        let running = self.members[position].running.take();
+        let running = running.expect("the replica runs");
+        running.task.abort();
+        drop(running.task.await);
+    }
+
+    /// The replica that leads with a quorum.
+    pub async fn leader(&self) -> usize {
+        eventually("a leader is there", async || {
+            (0..self.members.len()).find(|position| {
+                let running = self.members[*position].running.as_ref();
+                running.is_some_and(|running| running.handle.has_quorum())
+            })
+        })
+        .await
+    }
+
+    /// Proposes at whichever replica leads until the command is applied.
+    pub async fn propose(&self, command: &[u8]) -> Applied {
+        eventually("the command is applied", async || {
+            let leader = self.leader().await;
+            match self.handle(leader).propose(command.to_vec()).await {
+                Ok(applied) => Some(applied),
+                Err(ProposeError::NotLeader | ProposeError::Uncertain) => None,
+                Err(other) => panic!("the proposal failed: {other}"),
+            }
+        })
+        .await
+    }
+
+    /// The commands that a replica has applied.
+    pub fn commands(&self, position: usize) -> Vec<Vec<u8>> {
+        let applied = self.members[position].applied.lock();
+        let applied = applied.expect("no test thread panics");
+        applied.iter().map(|(_, command)| command.clone()).collect()
+    }
+
+    /// Waits until a replica has applied a command.
+    pub async fn wait_applied(&self, position: usize, command: &[u8]) {
+        eventually("the replica has applied the command", async || {
+            let commands = self.commands(position);
+            commands.iter().any(|c| c == command).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Repeats a check until it gives something.
+pub async fn eventually<T>(what: &str, check: impl AsyncFn() -> Option<T>) -> T {
+    let waited = timeout(PATIENCE, async {
+        loop {
+            if let Some(found) = check().await {
+                return found;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+    waited
+        .await
+        .unwrap_or_else(|_elapsed| panic!("not in time: {what}"))
+}
