--- /dev/null
+++ b/benches/capacity/slope.rs
@@ -0,0 +1,55 @@
+//! Least-squares slopes over repeated runs, with their spread.
+
+/// A measured line: `base + slope * size`, with the spread of the slope over the runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    /// The value at size zero.
+    pub base: f64,
+    /// What one more unit of size adds.
+    pub slope: f64,
+    /// Largest less smallest slope of the runs, in percent of the median slope.
+    pub spread_pct: f64,
+}
+
+impl Line {
+    /// The value at `size`.
+    pub fn at(&self, size: f64) -> f64 {
+        self.slope.mul_add(size, self.base)
+    }
+}
+
+/// Runs `measure` over `sizes` `runs` times and fits a line to each run; the median slope counts.
+pub fn measure(sizes: &[u32], runs: u32, mut measure: impl FnMut(u32) -> f64) -> Line {
+    let mut fits: Vec<(f64, f64)> = (0..runs)
+        .map(|_| {
+            let points: Vec<_> = sizes
+                .iter()
+                .map(|size| (f64::from(*size), measure(*size)))
+                .collect();
+            fit(&points)
+        })
+        .collect();
+    fits.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let (base, slope) = fits[fits.len() / 2];
+    let width = fits[fits.len() - 1].1 - fits[0].1;
+    let spread_pct = if slope.abs() > f64::EPSILON {
+        100.0 * width / slope.abs()
+    } else {
+        0.0
+    };
+    Line {
+        base,
+        slope,
+        spread_pct,
+    }
+}
+
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = f64::from(u32::try_from(points.len()).expect("a handful of points"));
+    let mean_x = points.iter().map(|p| p.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|p| p.1).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+    let variance: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    (slope.mul_add(-mean_x, mean_y), slope)
+}
