Release notes: parsing, validation, digest and applying

Operators need every fault of a refused note at once, so form faults are found field by field and state faults against the state that the note would make.

--- /dev/null
+++ b/src/release_note/apply.rs
@@ -0,0 +1,84 @@
+use std::collections::BTreeMap;
+
+use super::{EndpointRule, InForce, NoteItems, ReleaseNote, WithdrawnNames};
+use crate::units::{EndpointId, Revision};
+
+impl InForce {
+    /// Applies a valid note as a whole and takes its version and the revision that it makes.
+    ///
+    /// The note must have passed [`InForce::validate`] on this very state.
+    pub fn apply(&mut self, note: &ReleaseNote, revision: Revision) {
+        self.withdraw(&note.withdrawn);
+        self.define(&note.added);
+        self.define(&note.changed);
+        self.forget_idle_refusals();
+        self.note_version = note.version;
+        self.revision = revision;
+    }
+
+    /// The rule that accepts this endpoint: the one with the longest matching prefix.
+    #[must_use]
+    pub fn rule_for(&self, endpoint: &EndpointId) -> Option<&EndpointRule> {
+        if self.refused_endpoints.contains(endpoint) {
+            return None;
+        }
+        longest_match(&self.endpoint_rules, endpoint)
+    }
+
+    fn withdraw(&mut self, names: &WithdrawnNames) {
+        for team in &names.guarantees {
+            self.guarantees.remove(team);
+        }
+        for team in &names.teams {
+            self.teams.remove(team);
+        }
+        for service in &names.services {
+            self.services.remove(service);
+        }
+        for zone in &names.zones {
+            self.zones.remove(zone);
+        }
+        for endpoint in &names.endpoints {
+            if self.endpoint_rules.remove(endpoint).is_none() {
+                self.refused_endpoints.insert(endpoint.clone());
+            }
+        }
+    }
+
+    fn define(&mut self, items: &NoteItems) {
+        for team in &items.teams {
+            self.teams.insert(team.name.clone(), team.clone());
+        }
+        for guarantee in &items.guarantees {
+            self.guarantees
+                .insert(guarantee.team.clone(), guarantee.clone());
+        }
+        for zone in &items.zones {
+            self.zones.insert(zone.name.clone(), zone.clone());
+        }
+        for service in &items.services {
+            self.services.insert(service.name.clone(), service.clone());
+        }
+        for rule in &items.endpoints {
+            self.refused_endpoints.remove(&rule.prefix);
+            self.endpoint_rules.insert(rule.name.clone(), rule.clone());
+        }
+    }
+
+    /// A refusal says nothing once no rule accepts the endpoint, and would only pile up.
+    fn forget_idle_refusals(&mut self) {
+        let rules = &self.endpoint_rules;
+        self.refused_endpoints
+            .retain(|endpoint| longest_match(rules, endpoint).is_some());
+    }
+}
+
+pub(super) fn longest_match<'a>(
+    rules: &'a BTreeMap<EndpointId, EndpointRule>,
+    endpoint: &EndpointId,
+) -> Option<&'a EndpointRule> {
+    rules
+        .values()
+        .filter(|rule| endpoint.as_str().starts_with(rule.prefix.as_str()))
+        .max_by_key(|rule| rule.prefix.as_str().len())
+}
--- /dev/null
+++ b/src/release_note/digest.rs
@@ -0,0 +1,43 @@
+use std::fmt::Write as _;
+
+use sha2::{Digest as _, Sha256};
+
+use super::{Digest, NoteItems, ReleaseNote, WithdrawnNames};
+
+impl ReleaseNote {
+    /// The digest of the note's canonical form, in which every list is sorted by name.
+    ///
+    /// Comments, spacing, defaults that are spelt out and the order of items do not change it.
+    ///
+    /// # Panics
+    /// Never for a note that was built from its fields: those always encode.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let mut canonical = self.clone();
+        sort_items(&mut canonical.added);
+        sort_items(&mut canonical.changed);
+        sort_names(&mut canonical.withdrawn);
+        let bytes = postcard::to_allocvec(&canonical).expect("a note always encodes");
+        let mut text = String::with_capacity(64);
+        for byte in Sha256::digest(bytes) {
+            write!(text, "{byte:02x}").expect("writing to a string never fails");
+        }
+        Digest(text.into())
+    }
+}
+
+fn sort_items(items: &mut NoteItems) {
+    items.teams.sort_by(|a, b| a.name.cmp(&b.name));
+    items.guarantees.sort_by(|a, b| a.team.cmp(&b.team));
+    items.zones.sort_by(|a, b| a.name.cmp(&b.name));
+    items.services.sort_by(|a, b| a.name.cmp(&b.name));
+    items.endpoints.sort_by(|a, b| a.name.cmp(&b.name));
+}
+
+fn sort_names(names: &mut WithdrawnNames) {
+    names.teams.sort();
+    names.guarantees.sort();
+    names.zones.sort();
+    names.services.sort();
+    names.endpoints.sort();
+}
--- /dev/null
+++ b/src/release_note/shape.rs
@@ -0,0 +1,175 @@
+use std::collections::BTreeSet;
+
+use smol_str::{SmolStr, format_smolstr};
+
+use super::{
+    Adjacency, EndpointRule, GuaranteeSpec, NoteFault, NoteItems, ServiceSpec, TeamSpec, ZoneSpec,
+};
+use crate::units::{Accelerators, Millis};
+
+/// The most teams in force.
+pub(super) const TEAMS_MAX: usize = 2_000;
+/// The most availability zones in force.
+pub(super) const ZONES_MAX: usize = 200;
+/// The most racks in force, over all zones.
+pub(super) const RACKS_MAX: usize = 4_000;
+/// The most groups of guaranteed cells in force.
+pub(super) const CELL_GROUPS_MAX: usize = 4_000;
+/// The most services in force.
+pub(super) const SERVICES_MAX: usize = 2_000;
+/// The most endpoint rules in force.
+pub(super) const RULES_MAX: usize = 2_000;
+/// The most single endpoints that are withdrawn.
+pub(super) const REFUSED_MAX: usize = 10_000;
+
+const WORKERS_MAX: u32 = 1_000;
+const CELLS_MAX: u32 = 100_000;
+const ATTEMPTS_MAX: u32 = 100;
+const QUEUED_MAX: u32 = 1_000_000;
+const WEIGHT_MAX: u32 = 1_000;
+const SLOTS_MAX: u32 = 100_000;
+const MEMORY_MAX_MB: u64 = 1 << 30;
+const CORES_MAX: u32 = 10_000;
+const DEADLINE_MAX_MS: Millis = Millis(24 * 60 * 60 * 1_000);
+
+/// Checks each definition by itself.
+pub(super) fn check_items(items: &NoteItems, section: &str, faults: &mut Vec<NoteFault>) {
+    for (index, team) in items.teams.iter().enumerate() {
+        check_team(team, &format_smolstr!("{section}.teams[{index}]"), faults);
+    }
+    for (index, guarantee) in items.guarantees.iter().enumerate() {
+        let path = format_smolstr!("{section}.guarantees[{index}]");
+        check_guarantee(guarantee, &path, faults);
+    }
+    for (index, zone) in items.zones.iter().enumerate() {
+        check_zone(zone, &format_smolstr!("{section}.zones[{index}]"), faults);
+    }
+    for (index, service) in items.services.iter().enumerate() {
+        let path = format_smolstr!("{section}.services[{index}]");
+        check_service(service, &path, faults);
+    }
+    for (index, rule) in items.endpoints.iter().enumerate() {
+        let path = format_smolstr!("{section}.endpoints[{index}]");
+        check_rule(rule, &path, faults);
+    }
+}
+
+fn check_team(team: &TeamSpec, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    let memory = team.task_memory_max_mb.get();
+    let limits = [
+        (
+            "attempts_max",
+            team.attempts_max.into(),
+            ATTEMPTS_MAX.into(),
+        ),
+        (
+            "queued_jobs_max",
+            team.queued_jobs_max.into(),
+            QUEUED_MAX.into(),
+        ),
+        ("task_memory_max_mb", memory, MEMORY_MAX_MB),
+        (
+            "request_weight",
+            team.request_weight.into(),
+            WEIGHT_MAX.into(),
+        ),
+    ];
+    check_limits(&limits, path, faults);
+}
+
+fn check_guarantee(guarantee: &GuaranteeSpec, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    if guarantee.cells.is_empty() {
+        faults.push(NoteFault::new(
+            format_smolstr!("{path}.cells"),
+            "is empty, at least one group of cells is needed",
+        ));
+    }
+    for (index, cells) in guarantee.cells.iter().enumerate() {
+        let path = format_smolstr!("{path}.cells[{index}]");
+        check_limits(
+            &[("count", cells.count.into(), CELLS_MAX.into())],
+            &path,
+            faults,
+        );
+        let size = cells.accelerators.get();
+        if !matches!(size, 1 | 2 | 4 | 8) {
+            let fault = format_smolstr!("is {size}; 1, 2, 4 and 8 are allowed");
+            faults.push(NoteFault::new(
+                format_smolstr!("{path}.accelerators"),
+                fault,
+            ));
+        }
+        let total = u64::from(cells.count).saturating_mul(size.into());
+        if cells.adjacency == Adjacency::Worker && total > 8 {
+            let fault =
+                format_smolstr!("asks for {total} accelerators on one worker, which has 8 at most");
+            faults.push(NoteFault::new(path, fault));
+        }
+    }
+}
+
+fn check_zone(zone: &ZoneSpec, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    let mut names = BTreeSet::new();
+    for (index, rack) in zone.racks.iter().enumerate() {
+        let path = format_smolstr!("{path}.racks[{index}]");
+        if !names.insert(&rack.name) {
+            let fault = format_smolstr!("{} is named more than once", rack.name);
+            faults.push(NoteFault::new(format_smolstr!("{path}.name"), fault));
+        }
+        let limits = [
+            ("workers", rack.workers.into(), WORKERS_MAX.into()),
+            ("cores", rack.cores.get().into(), CORES_MAX.into()),
+            ("memory_mb", rack.memory_mb.get(), MEMORY_MAX_MB),
+        ];
+        check_limits(&limits, &path, faults);
+        check_rack_accelerators(rack.accelerators, &path, faults);
+    }
+}
+
+fn check_rack_accelerators(count: Accelerators, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    if !matches!(count.get(), 0 | 1 | 2 | 4 | 8) {
+        let fault = format_smolstr!("is {count}; 0, 1, 2, 4 and 8 are allowed");
+        faults.push(NoteFault::new(
+            format_smolstr!("{path}.accelerators"),
+            fault,
+        ));
+    }
+}
+
+fn check_service(service: &ServiceSpec, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    let deadline = service.deadline_max_ms.get();
+    let limits = [("deadline_max_ms", deadline, DEADLINE_MAX_MS.get())];
+    check_limits(&limits, path, faults);
+}
+
+fn check_rule(rule: &EndpointRule, path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    let limits = [
+        ("slots_max", rule.slots_max.get().into(), SLOTS_MAX.into()),
+        (
+            "connections_max",
+            rule.connections_max.get().into(),
+            SLOTS_MAX.into(),
+        ),
+    ];
+    check_limits(&limits, path, faults);
+    let mut zones = BTreeSet::new();
+    for (index, zone) in rule.zones.iter().enumerate() {
+        if !zones.insert(zone) {
+            let fault = format_smolstr!("{zone} is named more than once");
+            faults.push(NoteFault::new(
+                format_smolstr!("{path}.zones[{index}]"),
+                fault,
+            ));
+        }
+    }
+}
+
+/// Checks numbers that must be between 1 and their limit.
+fn check_limits(limits: &[(&str, u64, u64)], path: &SmolStr, faults: &mut Vec<NoteFault>) {
+    for (field, value, max) in limits {
+        if !(1..=*max).contains(value) {
+            let fault = format_smolstr!("is {value}; 1 to {max} are allowed");
+            faults.push(NoteFault::new(format_smolstr!("{path}.{field}"), fault));
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/notes.rs
@@ -0,0 +1,68 @@
+//! Release notes that several test files start from.
+
+#![allow(dead_code, reason = "each test file uses some of these")]
+
+use marjoramknot::release_note::{InForce, ReleaseNote};
+use marjoramknot::units::Revision;
+
+/// Two zones of two racks of three workers, two teams with guarantees, a service and its rule.
+pub const FIRST: &str = r#"
+version = 1
+[[added.teams]]
+name = "ponds"
+[[added.teams]]
+name = "regatta"
+[[added.guarantees]]
+team = "ponds"
+cells = [{ count = 3, accelerators = 8, adjacency = "rack" }]
+[[added.guarantees]]
+team = "regatta"
+cells = [{ count = 4, accelerators = 2, adjacency = "worker" }, { count = 2, accelerators = 4 }]
+[[added.zones]]
+name = "senec"
+racks = [
+  { name = "r1", workers = 3, accelerators = 8, cores = 32, memory_mb = 65536 },
+  { name = "r2", workers = 3, accelerators = 8, cores = 32, memory_mb = 65536 },
+]
+[[added.zones]]
+name = "nitra"
+racks = [{ name = "r1", workers = 2, accelerators = 4, cores = 32, memory_mb = 65536 }]
+[[added.services]]
+name = "booking"
+[[added.endpoints]]
+name = "runners"
+prefix = "booking-"
+service = "booking"
+zones = ["senec"]
+slots_max = 8
+connections_max = 64
+"#;
+
+/// Reads a note that is known to be well formed.
+pub fn note(text: &str) -> ReleaseNote {
+    ReleaseNote::parse(text).expect("the note is well formed")
+}
+
+/// The state that [`FIRST`] makes.
+pub fn first_state() -> InForce {
+    let mut state = InForce::default();
+    let first = note(FIRST);
+    assert_eq!(state.validate(&first), []);
+    state.apply(&first, Revision(1));
+    state
+}
+
+/// A note that only changes the service's deadline.
+pub fn deadline_note(version: u64, deadline_ms: u64) -> ReleaseNote {
+    note(&format!(
+        "version = {version}\n[[changed.services]]\nname = \"booking\"\ndeadline_max_ms = {deadline_ms}\n"
+    ))
+}
+
+/// A note that takes a zone out or brings it back.
+pub fn zone_note(version: u64, state: &str) -> ReleaseNote {
+    note(&format!(
+        "version = {version}\n[[changed.zones]]\nname = \"nitra\"\nstate = \"{state}\"\n\
+         racks = [{{ name = \"r1\", workers = 2, accelerators = 4, cores = 32, memory_mb = 65536 }}]\n"
+    ))
+}
