Request ledger: records of non-idempotent requests, at most once in a window

An id runs again only if no record outlives its resends, so the window is tied to when the id was made: made_ms is required, part of the request's identity, and the record stays until made_ms + WINDOW_MS. Tombstones were weighed and dropped: they grow with every id ever used.

Attempts are numbered (BeginRequest.sequence, FinishRequest.sequence): without it a delayed NotSent of an earlier attempt freed the record while the next one ran. BeginAnswer gets MadeAhead. EndpointUse and EndpointShare get held, abandoned and abandoned_seen, so that a new leader adopts shares and lost work keeps its slot.

--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -31,6 +31,15 @@
     pub leaving: bool,
 }
 
+/// Slots and connections of an endpoint, or a part of them.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointCapacity {
+    /// Request slots.
+    pub slots: Slots,
+    /// Connections.
+    pub connections: Slots,
+}
+
 /// What an entry uses of one endpoint.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndpointUse {
@@ -44,6 +53,13 @@
     pub connections: Slots,
     /// Requests that wait for this endpoint's service at this entry.
     pub waiting: u32,
+    /// The share that the entry obeys, which a new leader adopts.
+    pub held: EndpointCapacity,
+    /// Requests and connections given up in this incarnation that the endpoint may still hold; they
+    /// count as used until a share takes them over in its `abandoned_seen`.
+    pub abandoned: EndpointCapacity,
+    /// The `abandoned_seen` of the share that the entry obeys.
+    pub abandoned_seen: EndpointCapacity,
 }
 
 /// The leader's leave to start new work.
@@ -105,6 +121,8 @@
     pub connections: Slots,
     /// Whether the endpoint takes no new work.
     pub leaving: bool,
+    /// How much of what this entry has abandoned the leader has taken off this share.
+    pub abandoned_seen: EndpointCapacity,
 }
 
 /// Reports that an entry passes on at once, gathered for some milliseconds.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,8 +10,8 @@
 };
 pub use command::{Command, CommandBody, Reply};
 pub use exchange::{
-    EndpointShare, EndpointUse, EntryStatus, ExchangeAnswer, ExchangeRequest, Grant, ReportAnswer,
-    ReportBatch, StateUpdate,
+    EndpointCapacity, EndpointShare, EndpointUse, EntryStatus, ExchangeAnswer, ExchangeRequest,
+    Grant, ReportAnswer, ReportBatch, StateUpdate,
 };
 
 use crate::units::Millis;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod release_note;
 pub mod replica;
 pub mod request_ledger;
+pub mod router;
 pub mod scheduler;
 pub mod units;
--- a/src/request_ledger/record.rs
+++ b/src/request_ledger/record.rs
@@ -3,7 +3,7 @@
 use smol_str::SmolStr;
 
 use crate::units::{
-    EndpointId, EntryId, Incarnation, Millis, RequestId, ServiceName, TeamId, WallMs,
+    EndpointId, EntryId, Incarnation, Millis, RequestId, Sequence, ServiceName, TeamId, WallMs,
 };
 
 /// A request's identity: ids are unique within a team and service.
@@ -57,12 +57,16 @@
     pub key: RequestKey,
     /// Its content.
     pub content: ContentDigest,
-    /// When the caller made the id, so that an id older than the window is refused.
+    /// When the caller made the id, so that an id older than the window is refused. A resend names
+    /// the same time; a request without one is refused as too old, because its age is not known.
     pub made_ms: Option<WallMs>,
     /// The entry that will send it.
     pub entry: EntryId,
     /// The run of that entry's process.
     pub entry_incarnation: Incarnation,
+    /// Larger in each attempt that this run of the entry begins, so that a delayed or repeated call
+    /// is never taken for another attempt.
+    pub sequence: Sequence,
     /// The endpoint it will be sent to.
     pub endpoint: EndpointId,
     /// The run of that endpoint's process.
@@ -86,6 +90,8 @@
     ContentMismatch,
     /// The id is older than the window in which records are kept.
     TooOld,
+    /// The id claims to be made later than the leader's clock allows; nothing was recorded.
+    MadeAhead,
     /// The ledger is at its limit; nothing was recorded.
     Full,
 }
@@ -99,6 +105,8 @@
     pub entry: EntryId,
     /// The run of that entry's process.
     pub entry_incarnation: Incarnation,
+    /// The attempt's number, as in its begin.
+    pub sequence: Sequence,
     /// How it ended.
     pub state: RecordState,
 }
--- /dev/null
+++ b/src/router/divide.rs
@@ -0,0 +1,33 @@
+/// Divides `total` so that the smallest shares are largest (max-min), none above its need.
+///
+/// What is left after all needs is added to the smallest shares, so that an idle holder can start at
+/// once. `first` says who comes first among equals, which spreads remainders over endpoints.
+pub(super) fn divide(total: u32, needs: &[u32], first: usize) -> Vec<u32> {
+    let mut shares = vec![0; needs.len()];
+    let mut left = total;
+    while left > 0 && hand_out_one(&mut shares, first, |index, share| share < needs[index]) {
+        left -= 1;
+    }
+    while left > 0 && hand_out_one(&mut shares, first, |_index, _share| true) {
+        left -= 1;
+    }
+    shares
+}
+
+/// Adds one to the smallest share that may grow; false where none may.
+pub(super) fn hand_out_one(
+    shares: &mut [u32],
+    first: usize,
+    may_grow: impl Fn(usize, u32) -> bool,
+) -> bool {
+    let count = shares.len();
+    let smallest = (0..count)
+        .map(|offset| (first + offset) % count)
+        .filter(|&index| may_grow(index, shares[index]))
+        .min_by_key(|&index| shares[index]);
+    let Some(index) = smallest else {
+        return false;
+    };
+    shares[index] += 1;
+    true
+}
--- /dev/null
+++ b/src/router/share_book.rs
@@ -0,0 +1,415 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::{SmolStr, format_smolstr};
+
+use super::acceptance::accept;
+use super::shared_endpoint::{ANNOUNCEMENT_DELAY_MS, Holder, SharedEndpoint};
+use crate::control::{EndpointCapacity, EndpointShare, EndpointUse, ExchangeRequest, GRANT_MS};
+use crate::fleet::{ANNOUNCEMENT_MS, EndpointAnnouncement, EndpointAnswer};
+use crate::release_note::InForce;
+use crate::units::{EndpointId, EntryId, Incarnation, Millis, Sequence, ServiceName, Slots};
+
+/// How often an endpoint announces itself when nothing waits for its word.
+const RENEW_MS: Millis = Millis(2_000);
+/// The shortest time between two announcements that is asked for.
+const RENEW_MIN_MS: Millis = Millis(100);
+/// How long a silent endpoint is remembered.
+const FORGET_MS: Millis = Millis(60_000);
+/// Most endpoints known at once.
+const ENDPOINTS_MAX: usize = 4_096;
+
+/// One run of an entry's process, as the leader knows it.
+#[derive(Clone, Debug)]
+struct EntryRecord {
+    sequence: Sequence,
+    /// The version of the shares that it is given.
+    version: u64,
+    leaving: bool,
+    uses: Vec<EndpointUse>,
+    /// Whether it keeps the shares of the leader before, until their endpoints are known here.
+    frozen: bool,
+}
+
+/// Divides the slots and connections of announced endpoints among entries.
+///
+/// For each endpoint the most that all entries may use, and what lost ones may still use, never
+/// exceeds what it announced. A new book adopts the shares that entries say they hold; what is left
+/// is handed out when every grant of an earlier leader has ended and the endpoint shows it free.
+#[derive(Clone, Debug, Default)]
+pub struct ShareBook {
+    /// When every grant of an earlier leader has ended.
+    settles_ms: Option<Millis>,
+    settled: bool,
+    entries: BTreeMap<Holder, EntryRecord>,
+    endpoints: BTreeMap<EndpointId, SharedEndpoint>,
+    listed: BTreeMap<EndpointId, Listed>,
+}
+
+/// What entries are told of an endpoint besides its share.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Listed {
+    incarnation: Incarnation,
+    address: std::net::SocketAddr,
+}
+
+impl ShareBook {
+    /// A book for a leader that has just been elected.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an endpoint's announcement; a refused endpoint is not kept.
+    pub fn observe_announcement(
+        &mut self,
+        announcement: &EndpointAnnouncement,
+        in_force: &InForce,
+        now: Millis,
+    ) -> EndpointAnswer {
+        self.start(now);
+        if let Err(reason) = self.check(announcement, in_force, now) {
+            return EndpointAnswer::Refused { reason };
+        }
+        match self.endpoints.get_mut(&announcement.endpoint) {
+            Some(known) if is_newer(announcement, &known.announcement) => {
+                known.renew(announcement, now);
+            }
+            Some(_) => {}
+            None => self.add_endpoint(announcement, now),
+        }
+        EndpointAnswer::Accepted {
+            renew_ms: self.renew_ms(&announcement.endpoint, now),
+        }
+    }
+
+    /// Takes what an entry says of itself, and what it acknowledges.
+    pub fn observe_entry(&mut self, request: &ExchangeRequest, now: Millis) {
+        self.start(now);
+        let holder = Holder {
+            entry: request.entry.clone(),
+            incarnation: request.incarnation,
+        };
+        let settled = self.settled;
+        let is_new = !self.entries.contains_key(&holder);
+        let record = self.entries.entry(holder.clone()).or_insert(EntryRecord {
+            sequence: Sequence::ZERO,
+            version: request.shares_version,
+            leaving: false,
+            uses: Vec::new(),
+            frozen: true,
+        });
+        if !is_new && request.sequence <= record.sequence {
+            return;
+        }
+        if request.shares_version > record.version {
+            record.version = request.shares_version.saturating_add(1);
+        }
+        if is_new && settled {
+            record.frozen = false;
+            record.version = request.shares_version.saturating_add(1);
+        }
+        record.sequence = request.sequence;
+        record.leaving = request.leaving;
+        record.uses.clone_from(&request.uses);
+        let adopts = is_new && !settled;
+        self.take_uses(&holder, request, adopts, now);
+        if is_new {
+            self.mark_uneven();
+        }
+    }
+
+    /// Forgets an entry whose grant has certainly ended.
+    pub fn entry_expired(&mut self, entry: &EntryId, incarnation: Incarnation, now: Millis) {
+        self.start(now);
+        let holder = Holder {
+            entry: entry.clone(),
+            incarnation,
+        };
+        self.entries.remove(&holder);
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.lose_holder(&holder, now);
+        }
+    }
+
+    /// Moves shares towards demand; to be called at least every 100 ms and after each new note.
+    pub fn tick(&mut self, in_force: &InForce, now: Millis) {
+        self.start(now);
+        self.settle(now);
+        self.forget_silent(now);
+        let usable = self.usable(in_force, now);
+        let peers = self.peers(&usable);
+        let active: Vec<Holder> = self
+            .entries
+            .iter()
+            .filter(|(_, record)| !record.leaving && !record.frozen)
+            .map(|(holder, _)| holder.clone())
+            .collect();
+        let mut changed = self.relist(&usable);
+        for (id, endpoint) in &mut self.endpoints {
+            if !usable.contains(id) {
+                changed.append(&mut endpoint.withdraw_shares());
+            } else if self.settled {
+                let peers = peers.get(&endpoint.announcement.service).copied();
+                changed.append(&mut endpoint.rebalance(&active, peers.unwrap_or(1)));
+            }
+        }
+        self.raise_versions(&changed);
+    }
+
+    /// The shares of one entry; endpoints that take no new work are left out.
+    #[must_use]
+    pub fn shares_for(&self, entry: &EntryId, incarnation: Incarnation) -> Vec<EndpointShare> {
+        let holder = Holder {
+            entry: entry.clone(),
+            incarnation,
+        };
+        self.listed
+            .keys()
+            .filter_map(|id| self.endpoints.get(id))
+            .map(|endpoint| share_of(endpoint, &holder))
+            .collect()
+    }
+
+    /// The version of an entry's shares; an entry that names another one needs them anew.
+    #[must_use]
+    pub fn version(&self, entry: &EntryId, incarnation: Incarnation) -> u64 {
+        let holder = Holder {
+            entry: entry.clone(),
+            incarnation,
+        };
+        self.entries.get(&holder).map_or(0, |record| record.version)
+    }
+
+    /// The endpoints as they last announced themselves.
+    #[must_use]
+    pub fn endpoints(&self) -> Vec<EndpointAnnouncement> {
+        self.endpoints
+            .values()
+            .map(|endpoint| endpoint.announcement.clone())
+            .collect()
+    }
+
+    fn start(&mut self, now: Millis) {
+        self.settles_ms
+            .get_or_insert_with(|| now.saturating_add(GRANT_MS.with_clock_margin()));
+    }
+
+    fn check(
+        &self,
+        announcement: &EndpointAnnouncement,
+        in_force: &InForce,
+        now: Millis,
+    ) -> Result<(), SmolStr> {
+        accept(announcement, in_force)?;
+        let id = &announcement.endpoint;
+        if let Some(known) = self.endpoints.get(id) {
+            let known = known.announcement.incarnation;
+            if announcement.incarnation < known {
+                return Err(format_smolstr!(
+                    "incarnation {} of {id} has been replaced by {known}",
+                    announcement.incarnation
+                ));
+            }
+        } else if self.endpoints.len() >= ENDPOINTS_MAX {
+            return Err(format_smolstr!(
+                "{ENDPOINTS_MAX} endpoints are known already"
+            ));
+        }
+        let taken = self.endpoints.values().find(|other| {
+            other.announcement.address == announcement.address
+                && other.announcement.endpoint != *id
+                && !other.announcement.leaving
+                && now.since(other.heard_ms) <= ANNOUNCEMENT_MS
+        });
+        match taken {
+            Some(other) => Err(format_smolstr!(
+                "address {} belongs to endpoint {}",
+                announcement.address,
+                other.announcement.endpoint
+            )),
+            None => Ok(()),
+        }
+    }
+
+    fn add_endpoint(&mut self, announcement: &EndpointAnnouncement, now: Millis) {
+        let id = announcement.endpoint.clone();
+        self.endpoints
+            .insert(id.clone(), SharedEndpoint::new(announcement.clone(), now));
+        if self.settled {
+            return;
+        }
+        for (holder, record) in &mut self.entries {
+            let held = record.uses.iter().find(|held| held.endpoint == id);
+            if let Some((held, endpoint)) = held.zip(self.endpoints.get_mut(&id)) {
+                endpoint.adopt(holder, held);
+            }
+            unfreeze(record, &self.endpoints);
+        }
+    }
+
+    fn take_uses(&mut self, holder: &Holder, request: &ExchangeRequest, adopts: bool, now: Millis) {
+        let mut changed = BTreeSet::new();
+        for report in &request.uses {
+            let Some(endpoint) = self.endpoints.get_mut(&report.endpoint) else {
+                continue;
+            };
+            if adopts {
+                endpoint.adopt(holder, report);
+            }
+            if endpoint.observe_use(holder, report, request.shares_version, now) {
+                changed.insert(holder.clone());
+            }
+        }
+        self.acknowledge_unnamed(holder, request);
+        self.raise_versions(&changed);
+        if let Some(record) = self.entries.get_mut(holder) {
+            unfreeze(record, &self.endpoints);
+        }
+    }
+
+    /// An endpoint that the entry does not name is one that it does not use.
+    fn acknowledge_unnamed(&mut self, holder: &Holder, request: &ExchangeRequest) {
+        let named: BTreeSet<&EndpointId> = request.uses.iter().map(|u| &u.endpoint).collect();
+        for (id, endpoint) in &mut self.endpoints {
+            if !named.contains(id) {
+                endpoint.acknowledge_unused(holder, request.shares_version);
+            }
+        }
+    }
+
+    /// Ends the time in which grants of an earlier leader may still be alive.
+    fn settle(&mut self, now: Millis) {
+        let due = self.settles_ms.is_some_and(|settles_ms| now >= settles_ms);
+        if self.settled || !due {
+            return;
+        }
+        self.settled = true;
+        for record in self.entries.values_mut().filter(|record| record.frozen) {
+            record.frozen = false;
+            record.version = record.version.saturating_add(1);
+        }
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.distrust_unheld(now);
+        }
+    }
+
+    fn forget_silent(&mut self, now: Millis) {
+        self.endpoints
+            .retain(|_, endpoint| now.since(endpoint.heard_ms) <= FORGET_MS);
+    }
+
+    fn usable(&self, in_force: &InForce, now: Millis) -> BTreeSet<EndpointId> {
+        self.endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.is_usable(in_force, now))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    fn peers(&self, usable: &BTreeSet<EndpointId>) -> BTreeMap<ServiceName, u32> {
+        let mut peers = BTreeMap::new();
+        for endpoint in usable.iter().filter_map(|id| self.endpoints.get(id)) {
+            *peers
+                .entry(endpoint.announcement.service.clone())
+                .or_insert(0) += 1;
+        }
+        peers
+    }
+
+    /// Takes over which endpoints entries are told of; gives all entries where that changed.
+    fn relist(&mut self, usable: &BTreeSet<EndpointId>) -> BTreeSet<Holder> {
+        let listed: BTreeMap<EndpointId, Listed> = usable
+            .iter()
+            .filter_map(|id| Some((id.clone(), Listed::of(self.endpoints.get(id)?))))
+            .collect();
+        if listed == self.listed {
+            return BTreeSet::new();
+        }
+        self.listed = listed;
+        self.entries.keys().cloned().collect()
+    }
+
+    /// Gives holders a new version; until they acknowledge it they may use what they had.
+    fn raise_versions(&mut self, changed: &BTreeSet<Holder>) {
+        for holder in changed {
+            let Some(record) = self.entries.get_mut(holder) else {
+                continue;
+            };
+            let next = record.version.saturating_add(1);
+            if !record.frozen {
+                record.version = next;
+            }
+            for endpoint in self.endpoints.values_mut() {
+                if let Some(holding) = endpoint.holdings.get_mut(holder) {
+                    holding.publish(next);
+                }
+            }
+        }
+    }
+
+    fn mark_uneven(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.uneven = true;
+        }
+    }
+
+    fn renew_ms(&self, id: &EndpointId, now: Millis) -> Millis {
+        if !self.settled {
+            let settles_ms = self.settles_ms.unwrap_or(now);
+            let wait_ms = settles_ms.since(now).saturating_add(ANNOUNCEMENT_DELAY_MS);
+            return wait_ms.clamp(RENEW_MIN_MS, RENEW_MS);
+        }
+        let waits = self
+            .endpoints
+            .get(id)
+            .is_some_and(|endpoint| endpoint.limbo > 0 || endpoint.limbo_connections > 0);
+        if waits {
+            ANNOUNCEMENT_DELAY_MS
+        } else {
+            RENEW_MS
+        }
+    }
+}
+
+impl Listed {
+    fn of(endpoint: &SharedEndpoint) -> Self {
+        Self {
+            incarnation: endpoint.announcement.incarnation,
+            address: endpoint.announcement.address,
+        }
+    }
+}
+
+fn is_newer(announcement: &EndpointAnnouncement, known: &EndpointAnnouncement) -> bool {
+    (announcement.incarnation, announcement.sequence) > (known.incarnation, known.sequence)
+}
+
+/// Lets an entry have this leader's shares once all endpoints that it uses are known here.
+fn unfreeze(record: &mut EntryRecord, endpoints: &BTreeMap<EndpointId, SharedEndpoint>) {
+    let known = record
+        .uses
+        .iter()
+        .all(|held| endpoints.contains_key(&held.endpoint));
+    if record.frozen && known {
+        record.frozen = false;
+        record.version = record.version.saturating_add(1);
+    }
+}
+
+fn share_of(endpoint: &SharedEndpoint, holder: &Holder) -> EndpointShare {
+    let announced = &endpoint.announcement;
+    let holding = endpoint.holdings.get(holder);
+    let slots = holding.map_or(0, |holding| holding.told);
+    let connections = slots.saturating_mul(endpoint.connections_per_slot());
+    EndpointShare {
+        endpoint: announced.endpoint.clone(),
+        incarnation: announced.incarnation,
+        address: announced.address,
+        service: announced.service.clone(),
+        zone: announced.zone.clone(),
+        slots: Slots(slots),
+        connections: Slots(connections),
+        leaving: announced.leaving,
+        abandoned_seen: holding.map_or_else(EndpointCapacity::default, |h| h.abandoned_seen),
+    }
+}
--- /dev/null
+++ b/src/router/shared_endpoint.rs
@@ -0,0 +1,367 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::divide::divide;
+use crate::control::{EndpointCapacity, EndpointUse};
+use crate::fleet::{ANNOUNCEMENT_MS, EndpointAnnouncement};
+use crate::release_note::InForce;
+use crate::router::accept;
+use crate::units::{EntryId, Incarnation, Millis, Slots};
+
+/// How long an announcement may have travelled; an older one says nothing about work given up since.
+pub(super) const ANNOUNCEMENT_DELAY_MS: Millis = Millis(500);
+
+/// One run of an entry's process.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Holder {
+    pub(super) entry: EntryId,
+    pub(super) incarnation: Incarnation,
+}
+
+/// What one entry holds of an endpoint.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Holding {
+    /// The share in the holder's newest version.
+    pub(super) told: u32,
+    /// The most slots that it may use until it acknowledges a smaller share.
+    pub(super) may_use: u32,
+    /// The holder's version in which the share last changed.
+    pub(super) told_at: u64,
+    /// Whether the share changed since the holder's version was last raised.
+    pub(super) is_fresh: bool,
+    pub(super) used: EndpointCapacity,
+    pub(super) waiting: u32,
+    pub(super) abandoned_seen: EndpointCapacity,
+}
+
+/// An endpoint on the leader: what it announced and who holds how much of it.
+///
+/// Slots are divided in bundles of one slot with its part of the connections.
+#[derive(Clone, Debug)]
+pub(super) struct SharedEndpoint {
+    pub(super) announcement: EndpointAnnouncement,
+    pub(super) heard_ms: Millis,
+    pub(super) holdings: BTreeMap<Holder, Holding>,
+    /// Slots that lost holders may still use.
+    pub(super) limbo: u32,
+    /// Connections that lost holders may still have open.
+    pub(super) limbo_connections: u32,
+    pub(super) limbo_since_ms: Millis,
+    /// Whether holdings must be evened out although nobody lacks a slot.
+    pub(super) uneven: bool,
+    /// Where equal shares start to be handed out.
+    pub(super) rotation: usize,
+}
+
+impl SharedEndpoint {
+    pub(super) fn new(announcement: EndpointAnnouncement, now: Millis) -> Self {
+        let limbo = announcement.slots_used.get();
+        let limbo_connections = announcement.connections_used.get();
+        let rotation = announcement
+            .endpoint
+            .as_str()
+            .bytes()
+            .fold(0, |sum: usize, byte| {
+                sum.wrapping_mul(31).wrapping_add(usize::from(byte))
+            });
+        Self {
+            announcement,
+            heard_ms: now,
+            holdings: BTreeMap::new(),
+            limbo,
+            limbo_connections,
+            limbo_since_ms: now,
+            uneven: true,
+            rotation: rotation % 1_024,
+        }
+    }
+
+    /// Takes a newer announcement; what lost holders may still use falls to what is in use.
+    pub(super) fn renew(&mut self, announcement: &EndpointAnnouncement, now: Millis) {
+        let restarted = announcement.incarnation > self.announcement.incarnation;
+        let resized = announcement.slots != self.announcement.slots
+            || announcement.connections != self.announcement.connections;
+        self.announcement = announcement.clone();
+        self.heard_ms = now;
+        self.uneven |= resized;
+        if restarted {
+            self.forget_uses();
+        }
+        if restarted || now.since(self.limbo_since_ms) >= ANNOUNCEMENT_DELAY_MS {
+            self.limbo = self.limbo.min(announcement.slots_used.get());
+            self.limbo_connections = self
+                .limbo_connections
+                .min(announcement.connections_used.get());
+        }
+    }
+
+    /// The work of an earlier process has ended with it.
+    fn forget_uses(&mut self) {
+        for holding in self.holdings.values_mut() {
+            holding.used = EndpointCapacity::default();
+            holding.abandoned_seen = EndpointCapacity::default();
+        }
+    }
+
+    /// Takes an entry's report; true where its share changed.
+    pub(super) fn observe_use(
+        &mut self,
+        holder: &Holder,
+        report: &EndpointUse,
+        acknowledged: u64,
+        now: Millis,
+    ) -> bool {
+        if report.incarnation != self.announcement.incarnation {
+            return false;
+        }
+        let holding = self.holdings.entry(holder.clone()).or_default();
+        holding.used = EndpointCapacity {
+            slots: report.slots,
+            connections: report.connections,
+        };
+        holding.waiting = report.waiting;
+        let changed = self.take_over_abandoned(holder, report, now);
+        self.acknowledge(holder, acknowledged);
+        changed
+    }
+
+    /// Takes over the share that an earlier leader gave.
+    pub(super) fn adopt(&mut self, holder: &Holder, report: &EndpointUse) {
+        if report.incarnation != self.announcement.incarnation {
+            return;
+        }
+        let holding = self.holdings.entry(holder.clone()).or_default();
+        holding.told = report.held.slots.get();
+        holding.may_use = holding.told.max(report.slots.get());
+        holding.used = EndpointCapacity {
+            slots: report.slots,
+            connections: report.connections,
+        };
+        holding.waiting = report.waiting;
+        holding.abandoned_seen = report.abandoned_seen;
+    }
+
+    /// An endpoint that an entry no longer names has nothing of it in progress.
+    pub(super) fn acknowledge_unused(&mut self, holder: &Holder, acknowledged: u64) {
+        if let Some(holding) = self.holdings.get_mut(holder) {
+            holding.used = EndpointCapacity::default();
+            holding.waiting = 0;
+        }
+        self.acknowledge(holder, acknowledged);
+    }
+
+    /// Moves what an entry gave up from its share to what lost holders may still use.
+    fn take_over_abandoned(&mut self, holder: &Holder, report: &EndpointUse, now: Millis) -> bool {
+        let Some(holding) = self.holdings.get_mut(holder) else {
+            return false;
+        };
+        let slots = report
+            .abandoned
+            .slots
+            .saturating_sub(holding.abandoned_seen.slots);
+        let connections = report
+            .abandoned
+            .connections
+            .saturating_sub(holding.abandoned_seen.connections);
+        if slots == Slots::ZERO && connections == Slots::ZERO {
+            return false;
+        }
+        holding.abandoned_seen = report.abandoned;
+        holding.tell(holding.told.saturating_sub(slots.get()));
+        holding.may_use = holding.may_use.saturating_sub(slots.get());
+        holding.used.slots = holding.used.slots.saturating_sub(slots);
+        self.limbo = self.limbo.saturating_add(slots.get());
+        self.limbo_connections = self.limbo_connections.saturating_add(connections.get());
+        self.limbo_since_ms = now;
+        true
+    }
+
+    /// From its acknowledgement on a holder uses no more than its share and what is in progress.
+    fn acknowledge(&mut self, holder: &Holder, acknowledged: u64) {
+        if let Some(holding) = self.holdings.get_mut(holder)
+            && acknowledged >= holding.told_at
+            && !holding.is_fresh
+        {
+            holding.may_use = holding.told.max(holding.used.slots.get());
+        }
+    }
+
+    /// A lost holder's slots return only as the endpoint shows them free.
+    pub(super) fn lose_holder(&mut self, holder: &Holder, now: Millis) {
+        let per_slot = self.connections_per_slot();
+        let Some(holding) = self.holdings.remove(holder) else {
+            return;
+        };
+        let slots = holding.may_use;
+        let connections = slots
+            .saturating_mul(per_slot)
+            .max(holding.used.connections.get());
+        if slots == 0 && connections == 0 {
+            return;
+        }
+        self.limbo = self.limbo.saturating_add(slots);
+        self.limbo_connections = self.limbo_connections.saturating_add(connections);
+        self.limbo_since_ms = now;
+        self.uneven = true;
+    }
+
+    /// Slots that nobody else can account for: what an earlier leader may have given to holders
+    /// that were never heard of counts as in use until the endpoint shows it free.
+    pub(super) fn distrust_unheld(&mut self, now: Millis) {
+        let held: u32 = self.holdings.values().map(|holding| holding.may_use).sum();
+        self.limbo = self.slots().saturating_sub(held);
+        self.limbo_connections = self.limbo.saturating_mul(self.connections_per_slot());
+        self.limbo_since_ms = now;
+    }
+
+    /// Whether new work may go there at all.
+    pub(super) fn is_usable(&self, in_force: &InForce, now: Millis) -> bool {
+        let zone_in = crate::router::may_start_work(
+            &self.announcement.endpoint,
+            &self.announcement.zone,
+            in_force,
+        );
+        let heard = now.since(self.heard_ms) <= ANNOUNCEMENT_MS;
+        heard
+            && zone_in
+            && !self.announcement.leaving
+            && accept(&self.announcement, in_force).is_ok()
+    }
+
+    /// Slots that have a connection each.
+    pub(super) fn slots(&self) -> u32 {
+        let announced = &self.announcement;
+        announced.slots.get().min(announced.connections.get())
+    }
+
+    pub(super) fn connections_per_slot(&self) -> u32 {
+        let slots = self.announcement.slots.get().max(1);
+        (self.announcement.connections.get() / slots).max(1)
+    }
+
+    /// Slots that may be handed out now.
+    fn free_slots(&self) -> u32 {
+        let per_slot = self.connections_per_slot();
+        let mut slots = self.limbo;
+        let mut connections = self.limbo_connections;
+        for holding in self.holdings.values() {
+            let of_slots = holding.may_use.saturating_mul(per_slot);
+            slots = slots.saturating_add(holding.may_use);
+            connections = connections.saturating_add(of_slots.max(holding.used.connections.get()));
+        }
+        let free_connections = self
+            .announcement
+            .connections
+            .get()
+            .saturating_sub(connections);
+        let free = self.slots().saturating_sub(slots);
+        free.min(free_connections / per_slot)
+    }
+
+    /// Takes all shares away and gives those who had one.
+    pub(super) fn withdraw_shares(&mut self) -> BTreeSet<Holder> {
+        let mut changed = BTreeSet::new();
+        for (holder, holding) in &mut self.holdings {
+            if holding.told > 0 {
+                holding.tell(0);
+                changed.insert(holder.clone());
+            }
+        }
+        changed
+    }
+
+    /// Moves shares towards the needs of `active` holders and gives those whose share changed.
+    pub(super) fn rebalance(&mut self, active: &[Holder], peers: u32) -> BTreeSet<Holder> {
+        for holder in active {
+            self.holdings.entry(holder.clone()).or_default();
+        }
+        let mut changed = BTreeSet::new();
+        self.withdraw_inactive(active, &mut changed);
+        if active.is_empty() {
+            return changed;
+        }
+        let total = self.slots().saturating_sub(self.limbo);
+        let needs: Vec<u32> = active
+            .iter()
+            .map(|h| self.holdings[h].need(peers))
+            .collect();
+        let told: Vec<u32> = active.iter().map(|h| self.holdings[h].told).collect();
+        let lacking = needs.iter().zip(&told).any(|(need, told)| need > told);
+        let over = told.iter().sum::<u32>() > total;
+        let target = divide(total, &needs, self.rotation % active.len());
+        if lacking || over || self.uneven {
+            self.lower(active, &target, &mut changed);
+        }
+        self.uneven = false;
+        self.raise(active, &target, &mut changed);
+        changed
+    }
+
+    fn withdraw_inactive(&mut self, active: &[Holder], changed: &mut BTreeSet<Holder>) {
+        for (holder, holding) in &mut self.holdings {
+            if holding.told > 0 && !active.contains(holder) {
+                holding.tell(0);
+                changed.insert(holder.clone());
+            }
+        }
+    }
+
+    fn lower(&mut self, active: &[Holder], target: &[u32], changed: &mut BTreeSet<Holder>) {
+        for (holder, &wanted) in active.iter().zip(target) {
+            if let Some(holding) = self.holdings.get_mut(holder)
+                && wanted < holding.told
+            {
+                holding.tell(wanted);
+                changed.insert(holder.clone());
+            }
+        }
+    }
+
+    /// Hands out free slots, those most behind their target first, then the smallest.
+    fn raise(&mut self, active: &[Holder], target: &[u32], changed: &mut BTreeSet<Holder>) {
+        let mut free = self.free_slots();
+        while free > 0 {
+            let count = active.len();
+            let next = (0..count)
+                .map(|offset| (self.rotation + offset) % count)
+                .max_by_key(|&index| {
+                    let told = self.holdings[&active[index]].told;
+                    let behind = target[index].saturating_sub(told);
+                    (behind, u32::MAX - told, count - index)
+                });
+            let Some(index) = next else {
+                return;
+            };
+            let Some(holding) = self.holdings.get_mut(&active[index]) else {
+                return;
+            };
+            holding.tell(holding.told + 1);
+            if holding.told > holding.may_use {
+                holding.may_use = holding.told;
+                free -= 1;
+            }
+            changed.insert(active[index].clone());
+        }
+    }
+}
+
+impl Holding {
+    /// Changes the share; it counts from the holder's next version on.
+    fn tell(&mut self, told: u32) {
+        self.told = told;
+        self.is_fresh = true;
+    }
+
+    /// Notes the version in which a changed share stands for the first time.
+    pub(super) const fn publish(&mut self, version: u64) {
+        if self.is_fresh {
+            self.told_at = version;
+            self.is_fresh = false;
+        }
+    }
+
+    /// Slots that the holder could use now, counting its part of what waits for the service.
+    fn need(&self, peers: u32) -> u32 {
+        let waiting = self.waiting.div_ceil(peers.max(1));
+        self.used.slots.get().saturating_add(waiting)
+    }
+}
--- /dev/null
+++ b/tests/ledger_records.rs
@@ -0,0 +1,295 @@
+//! A non-idempotent id runs at most once, and its answer is given to every resend in the window.
+
+use marjoramknot::request_ledger::{
+    ANSWER_BYTES_MAX, BeginAnswer, BeginRequest, ContentDigest, FinishAnswer, FinishRequest,
+    Ledger, MADE_AHEAD_MS, RECORDS_MAX, RecordState, RequestKey, StoredAnswer, TEAM_PART,
+    WINDOW_MS,
+};
+use marjoramknot::units::{Incarnation, Millis, Sequence, WallMs};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const START: WallMs = WallMs(1_000_000_000);
+const DEADLINE_MS: Millis = Millis(10_000);
+
+fn key(team: &str, id: &str) -> RequestKey {
+    RequestKey {
+        team: team.parse().expect("the team is an id"),
+        service: "booking".parse().expect("the service is an id"),
+        id: id.parse().expect("the request is an id"),
+    }
+}
+
+fn begin(entry: &str, sequence: u64) -> BeginRequest {
+    BeginRequest {
+        key: key("senec", "r1"),
+        content: ContentDigest([7; 32]),
+        made_ms: Some(START),
+        entry: entry.parse().expect("the entry is an id"),
+        entry_incarnation: Incarnation(1),
+        sequence: Sequence(sequence),
+        endpoint: "booking-1".parse().expect("the endpoint is an id"),
+        endpoint_incarnation: Incarnation(1),
+        deadline_ms: DEADLINE_MS,
+    }
+}
+
+fn finish(begun: &BeginRequest, state: RecordState) -> FinishRequest {
+    FinishRequest {
+        key: begun.key.clone(),
+        entry: begun.entry.clone(),
+        entry_incarnation: begun.entry_incarnation,
+        sequence: begun.sequence,
+        state,
+    }
+}
+
+fn answer(text: &str) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: text.as_bytes().to_vec(),
+    }
+}
+
+fn at(offset_ms: u64) -> WallMs {
+    WallMs(START.0 + offset_ms)
+}
+
+/// A ledger in which entry `a` has begun the request and, where given, ended it.
+fn ledger_with(state: Option<RecordState>) -> Ledger {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.begin(&begin("a", 1), at(0)), BeginAnswer::Begun);
+    if let Some(state) = state {
+        let recorded = ledger.finish(&finish(&begin("a", 1), state), at(10));
+        assert_eq!(recorded, FinishAnswer::Recorded);
+    }
+    ledger
+}
+
+#[rstest]
+#[case(None, BeginAnswer::InProgress)]
+#[case(Some(RecordState::NotSent), BeginAnswer::Begun)]
+#[case(Some(RecordState::Unknown), BeginAnswer::Unknown)]
+#[case(
+    Some(RecordState::Answered(answer("slot 4"))),
+    BeginAnswer::Answered(answer("slot 4"))
+)]
+fn resend_elsewhere(#[case] state: Option<RecordState>, #[case] expected: BeginAnswer) {
+    let mut ledger = ledger_with(state);
+    assert_eq!(ledger.begin(&begin("b", 1), at(20)), expected);
+}
+
+#[rstest]
+#[case(None, BeginAnswer::Begun)]
+#[case(Some(RecordState::NotSent), BeginAnswer::InProgress)]
+fn delayed_begin(#[case] state: Option<RecordState>, #[case] expected: BeginAnswer) {
+    let mut ledger = ledger_with(state);
+    assert_eq!(ledger.begin(&begin("a", 1), at(20)), expected);
+}
+
+#[test]
+fn delayed_finish() {
+    let mut ledger = ledger_with(Some(RecordState::NotSent));
+    assert_eq!(ledger.begin(&begin("a", 2), at(20)), BeginAnswer::Begun);
+    let late = finish(&begin("a", 1), RecordState::NotSent);
+    assert_eq!(ledger.finish(&late, at(30)), FinishAnswer::NoSuchAttempt);
+    assert_eq!(
+        ledger.begin(&begin("b", 1), at(40)),
+        BeginAnswer::InProgress
+    );
+}
+
+#[rstest]
+#[case(|r: &mut BeginRequest| r.content = ContentDigest([8; 32]), BeginAnswer::ContentMismatch)]
+#[case(|r: &mut BeginRequest| r.made_ms = Some(at(1)), BeginAnswer::ContentMismatch)]
+#[case(|r: &mut BeginRequest| r.made_ms = None, BeginAnswer::TooOld)]
+#[case(|r: &mut BeginRequest| { r.key = key("senec", "r2"); r.made_ms = Some(WallMs(START.0 - WINDOW_MS.0)); }, BeginAnswer::TooOld)]
+#[case(|r: &mut BeginRequest| { r.key = key("senec", "r2"); r.made_ms = Some(at(MADE_AHEAD_MS.0 + 11)); }, BeginAnswer::MadeAhead)]
+#[case(|r: &mut BeginRequest| r.key = key("nitra", "r1"), BeginAnswer::Begun)]
+fn refused_begin(#[case] change: fn(&mut BeginRequest), #[case] expected: BeginAnswer) {
+    let mut ledger = ledger_with(Some(RecordState::Answered(answer("slot 4"))));
+    let mut request = begin("b", 1);
+    change(&mut request);
+    assert_eq!(ledger.begin(&request, at(0)), expected);
+}
+
+#[test]
+fn window_passes() {
+    let mut ledger = ledger_with(Some(RecordState::Answered(answer("slot 4"))));
+    let last = WINDOW_MS.0 - 1;
+    let given = ledger.begin(&begin("b", 1), at(last));
+    assert_eq!(given, BeginAnswer::Answered(answer("slot 4")));
+    ledger.expire(at(WINDOW_MS.0));
+    assert_eq!((ledger.records(), ledger.bytes()), (0, 0));
+    // The leader's clock may be set back; the ledger's never is.
+    assert_eq!(ledger.begin(&begin("b", 1), at(5)), BeginAnswer::TooOld);
+}
+
+#[test]
+fn dead_entry() {
+    let mut ledger = ledger_with(None);
+    ledger.expire(at(DEADLINE_MS.0));
+    assert_eq!(
+        ledger.begin(&begin("b", 1), at(DEADLINE_MS.0)),
+        BeginAnswer::InProgress
+    );
+    let later = at(DEADLINE_MS.with_clock_margin().0);
+    assert_eq!(ledger.begin(&begin("b", 1), later), BeginAnswer::Unknown);
+    let stands = ledger.finish(&finish(&begin("b", 1), RecordState::NotSent), later);
+    assert_eq!(stands, FinishAnswer::NoSuchAttempt);
+}
+
+#[rstest]
+#[case(
+    RecordState::Answered(answer("late")),
+    BeginAnswer::Answered(answer("late"))
+)]
+#[case(RecordState::NotSent, BeginAnswer::Begun)]
+fn late_word(#[case] state: RecordState, #[case] expected: BeginAnswer) {
+    let mut ledger = ledger_with(None);
+    let later = at(DEADLINE_MS.with_clock_margin().0);
+    ledger.expire(later);
+    let recorded = ledger.finish(&finish(&begin("a", 1), state), later);
+    assert_eq!(recorded, FinishAnswer::Recorded);
+    assert_eq!(ledger.begin(&begin("b", 1), later), expected);
+}
+
+#[rstest]
+#[case(RecordState::Unknown, RecordState::NotSent)]
+#[case(
+    RecordState::Answered(answer("first")),
+    RecordState::Answered(answer("second"))
+)]
+#[case(RecordState::Answered(answer("first")), RecordState::Unknown)]
+#[case(RecordState::NotSent, RecordState::Answered(answer("second")))]
+fn first_word_stands(#[case] first: RecordState, #[case] second: RecordState) {
+    let mut ledger = ledger_with(Some(first.clone()));
+    let stands = ledger.finish(&finish(&begin("a", 1), second), at(20));
+    assert_eq!(stands, FinishAnswer::Stands(first));
+}
+
+#[test]
+fn answer_too_large() {
+    let mut ledger = ledger_with(None);
+    let mut large = answer("");
+    large.body = vec![0; usize::try_from(ANSWER_BYTES_MAX).expect("it fits") + 1];
+    let stands = ledger.finish(
+        &finish(&begin("a", 1), RecordState::Answered(large)),
+        at(20),
+    );
+    assert_eq!(stands, FinishAnswer::Stands(RecordState::Unknown));
+}
+
+/// Begins and ends requests of `team` until the ledger refuses one; gives how many it took.
+fn fill(ledger: &mut Ledger, team: &str, state: Option<&RecordState>) -> u32 {
+    for number in 0..=RECORDS_MAX {
+        let mut request = begin("a", u64::from(number));
+        request.key = key(team, &format!("r{number}"));
+        if ledger.begin(&request, at(0)) == BeginAnswer::Full {
+            return number;
+        }
+        if let Some(state) = state {
+            ledger.finish(&finish(&request, state.clone()), at(0));
+        }
+    }
+    panic!("the ledger has no limit");
+}
+
+#[test]
+fn full_of_records() {
+    let mut ledger = Ledger::default();
+    assert_eq!(
+        fill(&mut ledger, "senec", Some(&RecordState::Unknown)),
+        RECORDS_MAX / TEAM_PART
+    );
+    // One team at its limit leaves the others theirs.
+    assert!(fill(&mut ledger, "nitra", Some(&RecordState::Unknown)) > RECORDS_MAX / 4);
+    ledger.expire(at(WINDOW_MS.0));
+    assert_eq!((ledger.records(), ledger.bytes()), (0, 0));
+}
+
+#[test]
+fn full_of_bytes() {
+    let mut ledger = Ledger::default();
+    let mut large = answer("");
+    large.body = vec![0; usize::try_from(ANSWER_BYTES_MAX).expect("it fits") - 16];
+    let large = RecordState::Answered(large);
+    let taken = fill(&mut ledger, "senec", Some(&large));
+    let begun = fill(&mut ledger, "nitra", None);
+    // An attempt in progress has room reserved for its answer, so both meet the same limit.
+    assert!(
+        begun.abs_diff(taken) <= 1,
+        "{taken} answered, {begun} in progress"
+    );
+}
+
+#[test]
+fn snapshot_round_trip() {
+    let mut ledger = ledger_with(Some(RecordState::Answered(answer("slot 4"))));
+    let bytes = postcard::to_stdvec(&ledger).expect("a ledger serializes");
+    let mut restored: Ledger = postcard::from_bytes(&bytes).expect("a ledger deserializes");
+    assert_eq!(restored, ledger);
+    let resend = begin("b", 1);
+    assert_eq!(
+        restored.begin(&resend, at(20)),
+        ledger.begin(&resend, at(20))
+    );
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin(usize),
+    Finish(usize, u8),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..3_usize).prop_map(Step::Begin),
+        (0..3_usize, 0..3_u8).prop_map(|(entry, state)| Step::Finish(entry, state)),
+        (0..WINDOW_MS.0 / 4).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// An attempt that may have been sent is the last one, whatever is lost, repeated or delayed.
+    #[test]
+    fn at_most_once(steps in prop::collection::vec(step(), 1..60)) {
+        let mut ledger = Ledger::default();
+        let (mut now, mut may_have_run) = (0, 0);
+        let mut open: [Option<BeginRequest>; 3] = [None, None, None];
+        for (number, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Begin(entry) if open[entry].is_none() => {
+                    let request = begin(["a", "b", "c"][entry], number as u64 + 1);
+                    if ledger.begin(&request, at(now)) == BeginAnswer::Begun {
+                        open[entry] = Some(request);
+                        may_have_run += 1;
+                    }
+                }
+                Step::Begin(_) => {}
+                Step::Finish(entry, 0) => {
+                    // The entry is sure that nothing was sent.
+                    if let Some(request) = open[entry].take() {
+                        ledger.finish(&finish(&request, RecordState::NotSent), at(now));
+                        may_have_run -= 1;
+                    }
+                }
+                Step::Finish(entry, 1) => {
+                    if let Some(request) = open[entry].as_ref() {
+                        ledger.finish(&finish(request, RecordState::Unknown), at(now));
+                    }
+                }
+                Step::Finish(entry, _) => {
+                    if let Some(request) = open[entry].as_ref() {
+                        let state = RecordState::Answered(answer("whole"));
+                        ledger.finish(&finish(request, state), at(now));
+                    }
+                }
+                Step::Wait(span) => now += span,
+            }
+            prop_assert!(may_have_run <= 1);
+        }
+    }
+}
