Control: the replicated state machine with notes and jobs

Job transitions apply only where attempt and phase fit; a started job that is not idempotent goes back to waiting only after an orderly stop with a checkpoint of each task, and no job that started ends as not run.

Ruled out: trusting the proposer alone, since a deposed leader's proposal may still be committed behind a new leader's.

--- /dev/null
+++ b/src/control/hooks.rs
@@ -0,0 +1,81 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::watch;
+use tracing::error;
+
+use super::{Command, Machine, Reply};
+use crate::replica::MachineHooks;
+use crate::units::LogIndex;
+
+/// The machine as it is shared between the replica's task, which applies, and its readers.
+#[derive(Clone, Debug)]
+pub struct SharedMachine {
+    machine: Arc<Mutex<Machine>>,
+    applied: watch::Sender<LogIndex>,
+}
+
+impl Default for SharedMachine {
+    fn default() -> Self {
+        Self::new(Machine::default())
+    }
+}
+
+impl SharedMachine {
+    /// Shares a machine.
+    #[must_use]
+    pub fn new(machine: Machine) -> Self {
+        let applied = watch::Sender::new(machine.applied());
+        Self {
+            machine: Arc::new(Mutex::new(machine)),
+            applied,
+        }
+    }
+
+    /// Reads the machine; the lock is held only while `read` runs.
+    pub fn read<T>(&self, read: impl FnOnce(&Machine) -> T) -> T {
+        read(&self.lock())
+    }
+
+    /// Tells of each applied record, also of those that other replicas proposed.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<LogIndex> {
+        self.applied.subscribe()
+    }
+
+    /// What the replica calls.
+    #[must_use]
+    pub fn hooks(&self) -> MachineHooks {
+        let (applies, snapshots, restores) = (self.clone(), self.clone(), self.clone());
+        MachineHooks {
+            apply: Box::new(move |index, bytes| applies.apply(index, bytes)),
+            snapshot: Box::new(move || snapshots.read(Machine::snapshot)),
+            restore: Box::new(move |bytes| restores.restore(bytes)),
+        }
+    }
+
+    fn apply(&self, index: LogIndex, bytes: &[u8]) -> Vec<u8> {
+        let reply = match postcard::from_bytes::<Command>(bytes) {
+            Ok(command) => self.lock().apply(index, &command),
+            Err(cause) => {
+                error!(event = "record_unreadable", %index, %cause);
+                Reply::Done
+            }
+        };
+        self.applied.send_replace(index);
+        postcard::to_allocvec(&reply).unwrap_or_default()
+    }
+
+    fn restore(&self, bytes: &[u8]) -> bool {
+        let Some(machine) = Machine::restore(bytes) else {
+            return false;
+        };
+        let applied = machine.applied();
+        *self.lock() = machine;
+        self.applied.send_replace(applied);
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Machine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/control/job_table.rs
@@ -0,0 +1,289 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::JobFilter;
+use crate::fleet::Checkpoint;
+use crate::scheduler::{
+    EndCause, JobKey, JobOutcome, JobPhase, JobRecord, JobSpec, JobTransition, Member,
+    NotRunReason, SubmitAnswer,
+};
+use crate::units::{Attempt, MemoryMb, Millis, TeamId, WallMs};
+
+/// How long an ended job is kept, so that a resubmission finds it.
+pub const ENDED_KEPT_MS: Millis = Millis(7 * 24 * 60 * 60 * 1_000);
+/// How many ended jobs are kept at most.
+pub const ENDED_KEPT: usize = 50_000;
+/// How many jobs may be unended at once, over all teams.
+pub const UNENDED_MAX: usize = 100_000;
+
+/// All jobs that have not ended, and those that ended a while ago.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct JobTable {
+    jobs: BTreeMap<JobKey, JobRecord>,
+    /// Ended jobs in the order in which they are forgotten.
+    ended: BTreeSet<(WallMs, JobKey)>,
+    /// Waiting jobs of each team.
+    waiting: BTreeMap<TeamId, u32>,
+    next_ordinal: u64,
+}
+
+impl JobTable {
+    pub(super) fn get(&self, key: &JobKey) -> Option<&JobRecord> {
+        self.jobs.get(key)
+    }
+
+    pub(super) fn waiting_in(&self, team: &TeamId) -> u32 {
+        self.waiting.get(team).copied().unwrap_or(0)
+    }
+
+    /// Jobs in the order of their submission.
+    pub(super) fn list(&self, filter: &JobFilter) -> Vec<&JobRecord> {
+        let wanted = |job: &&JobRecord| {
+            let of_team = filter
+                .team
+                .as_ref()
+                .is_none_or(|team| *team == job.spec.key.team);
+            of_team && !(filter.unended_only && is_ended(job))
+        };
+        let mut jobs: Vec<_> = self.jobs.values().filter(wanted).collect();
+        jobs.sort_by_key(|job| job.ordinal);
+        jobs.truncate(usize::try_from(filter.limit).unwrap_or(usize::MAX));
+        jobs
+    }
+
+    /// Accepts a job, or answers as its first submission was answered.
+    ///
+    /// `admit` decides on a job that is new, given how many of its team wait.
+    pub(super) fn submit(
+        &mut self,
+        spec: &JobSpec,
+        now: WallMs,
+        admit: impl FnOnce(u32) -> Result<(), NotRunReason>,
+    ) -> SubmitAnswer {
+        if let Some(known) = self.jobs.get(&spec.key) {
+            return if known.spec == *spec {
+                SubmitAnswer::Accepted
+            } else {
+                SubmitAnswer::IdTaken
+            };
+        }
+        if self.jobs.len().saturating_sub(self.ended.len()) >= UNENDED_MAX {
+            let reason = NotRunReason::QueueFull;
+            return SubmitAnswer::NotRun { reason };
+        }
+        if let Err(reason) = admit(self.waiting_in(&spec.key.team)) {
+            return SubmitAnswer::NotRun { reason };
+        }
+        let record = new_record(spec, now, self.next_ordinal);
+        self.next_ordinal = self.next_ordinal.saturating_add(1);
+        self.count_waiting(&record, 1);
+        self.jobs.insert(spec.key.clone(), record);
+        SubmitAnswer::Accepted
+    }
+
+    /// Applies a transition if it fits the job's attempt and phase; false where it changed nothing.
+    pub(super) fn apply(&mut self, transition: &JobTransition, now: WallMs) -> bool {
+        let Some(known) = self.jobs.get(key_of(transition)) else {
+            return false;
+        };
+        let mut job = known.clone();
+        let applied = match transition {
+            JobTransition::Placed {
+                attempt, members, ..
+            } => place(&mut job, *attempt, members),
+            JobTransition::Started { attempt, .. } => start(&mut job, *attempt),
+            JobTransition::Requeued {
+                attempt,
+                cause,
+                checkpoints,
+                attained_ms,
+                memory_mb,
+                ..
+            } => {
+                let left = Left {
+                    checkpoints,
+                    attained_ms: *attained_ms,
+                    memory_mb: *memory_mb,
+                };
+                requeue(&mut job, *attempt, cause, &left)
+            }
+            JobTransition::CancelRequested { .. } => request_cancel(&mut job),
+            JobTransition::Ended { outcome, .. } => end(&mut job, outcome, now),
+        };
+        if applied {
+            self.replace(job);
+        }
+        applied
+    }
+
+    /// Forgets ended jobs that are out of the window, the oldest first.
+    pub(super) fn expire(&mut self, now: WallMs) {
+        while let Some((ended_ms, _)) = self.ended.first() {
+            let is_old = now.since(*ended_ms) > ENDED_KEPT_MS;
+            if !is_old && self.ended.len() <= ENDED_KEPT {
+                break;
+            }
+            if let Some((_, key)) = self.ended.pop_first() {
+                self.jobs.remove(&key);
+            }
+        }
+    }
+
+    fn replace(&mut self, job: JobRecord) {
+        let key = job.spec.key.clone();
+        if let Some(before) = self.jobs.remove(&key) {
+            self.count_waiting(&before, -1);
+        }
+        self.count_waiting(&job, 1);
+        if let Some(ended_ms) = job.ended_ms {
+            self.ended.insert((ended_ms, key.clone()));
+        }
+        self.jobs.insert(key, job);
+    }
+
+    fn count_waiting(&mut self, job: &JobRecord, change: i32) {
+        if job.phase != JobPhase::Waiting {
+            return;
+        }
+        let team = &job.spec.key.team;
+        let count = self.waiting_in(team).saturating_add_signed(change);
+        if count == 0 {
+            self.waiting.remove(team);
+        } else {
+            self.waiting.insert(team.clone(), count);
+        }
+    }
+}
+
+/// What an attempt leaves for the next one.
+struct Left<'a> {
+    checkpoints: &'a [Checkpoint],
+    attained_ms: Millis,
+    memory_mb: MemoryMb,
+}
+
+pub(super) const fn is_ended(job: &JobRecord) -> bool {
+    matches!(job.phase, JobPhase::Ended { .. })
+}
+
+/// The job that a transition is about.
+pub(super) const fn key_of(transition: &JobTransition) -> &JobKey {
+    match transition {
+        JobTransition::Placed { job, .. }
+        | JobTransition::Started { job, .. }
+        | JobTransition::Requeued { job, .. }
+        | JobTransition::CancelRequested { job }
+        | JobTransition::Ended { job, .. } => job,
+    }
+}
+
+fn new_record(spec: &JobSpec, now: WallMs, ordinal: u64) -> JobRecord {
+    JobRecord {
+        spec: spec.clone(),
+        submitted_ms: now,
+        ordinal,
+        phase: JobPhase::Waiting,
+        attempt: Attempt::ZERO,
+        started_once: false,
+        cancel_requested: false,
+        checkpoints: Vec::new(),
+        attained_ms: Millis::ZERO,
+        memory_mb: spec.memory_mb,
+        ended_ms: None,
+    }
+}
+
+/// A new attempt needs a place for each task, or part of the gang would never run.
+fn place(job: &mut JobRecord, attempt: Attempt, members: &[Member]) -> bool {
+    let is_whole = members.len() == usize::try_from(job.spec.tasks).unwrap_or(usize::MAX)
+        && members
+            .iter()
+            .zip(0_u32..)
+            .all(|(member, index)| member.index.get() == index);
+    let fits = job.phase == JobPhase::Waiting
+        && attempt == job.attempt.next()
+        && attempt != job.attempt
+        && !job.cancel_requested
+        && is_whole;
+    if fits {
+        job.attempt = attempt;
+        job.phase = JobPhase::Placed {
+            members: members.to_vec(),
+        };
+    }
+    fits
+}
+
+fn start(job: &mut JobRecord, attempt: Attempt) -> bool {
+    if attempt != job.attempt || job.cancel_requested {
+        return false;
+    }
+    let JobPhase::Placed { members } = &job.phase else {
+        return false;
+    };
+    job.phase = JobPhase::Started {
+        members: members.clone(),
+    };
+    job.started_once = true;
+    true
+}
+
+fn requeue(job: &mut JobRecord, attempt: Attempt, cause: &EndCause, left: &Left<'_>) -> bool {
+    if attempt != job.attempt {
+        return false;
+    }
+    let may_requeue = match &job.phase {
+        JobPhase::Placed { .. } => true,
+        JobPhase::Started { .. } => job.spec.idempotent || may_resume(job, cause, left),
+        JobPhase::Waiting | JobPhase::Ended { .. } => false,
+    };
+    if !may_requeue {
+        return false;
+    }
+    job.phase = JobPhase::Waiting;
+    if !left.checkpoints.is_empty() {
+        job.checkpoints = left.checkpoints.to_vec();
+    }
+    job.attained_ms = job.attained_ms.max(left.attained_ms);
+    job.memory_mb = left.memory_mb;
+    true
+}
+
+/// A started job that is not idempotent goes on only from a whole set of checkpoints, after an
+/// orderly stop: anything else could run its work twice.
+fn may_resume(job: &JobRecord, cause: &EndCause, left: &Left<'_>) -> bool {
+    let is_orderly = matches!(
+        cause,
+        EndCause::Reclaimed | EndCause::ZoneOut | EndCause::Moved
+    );
+    let tasks = usize::try_from(job.spec.tasks).unwrap_or(usize::MAX);
+    is_orderly && left.checkpoints.len() == tasks
+}
+
+const fn request_cancel(job: &mut JobRecord) -> bool {
+    let fits = !is_ended(job) && !job.cancel_requested;
+    if fits {
+        job.cancel_requested = true;
+    }
+    fits
+}
+
+/// An outcome must be true of what the job did: "not run" never follows a start.
+fn end(job: &mut JobRecord, outcome: &JobOutcome, now: WallMs) -> bool {
+    let is_true = match outcome {
+        JobOutcome::NotRun { .. } => !job.started_once,
+        JobOutcome::Succeeded { .. } => matches!(job.phase, JobPhase::Started { .. }),
+        JobOutcome::Failed { .. } | JobOutcome::Cancelled | JobOutcome::Unknown { .. } => {
+            job.started_once
+        }
+    };
+    if is_ended(job) || !is_true {
+        return false;
+    }
+    job.phase = JobPhase::Ended {
+        outcome: outcome.clone(),
+    };
+    job.ended_ms = Some(now);
+    true
+}
--- /dev/null
+++ b/src/control/machine.rs
@@ -0,0 +1,159 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::job_table::JobTable;
+use super::note_history::NoteHistory;
+use super::{Command, CommandBody, JobFilter, Reply, StateUpdate};
+use crate::release_note::{Digest, InForce, NoteAnswer, ReleaseNote};
+use crate::request_ledger::Ledger;
+use crate::scheduler::{JobKey, JobRecord, JobSpec, NotRunReason, SubmitAnswer};
+use crate::units::{LogIndex, Revision, WallMs};
+
+/// The replicated state: what every replica holds after the same records.
+///
+/// It is pure: the same commands give the same state and replies on each replica, and a snapshot
+/// restores to the state that replaying the records would give.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Machine {
+    applied: LogIndex,
+    wall_ms: WallMs,
+    in_force: Arc<InForce>,
+    notes: NoteHistory,
+    jobs: JobTable,
+    ledger: Ledger,
+}
+
+impl Machine {
+    /// Applies the record at `index`; one at or below the last applied index changes nothing.
+    pub fn apply(&mut self, index: LogIndex, command: &Command) -> Reply {
+        if index <= self.applied {
+            return Reply::Done;
+        }
+        self.applied = index;
+        self.wall_ms = self.wall_ms.max(command.wall_ms);
+        let reply = self.apply_body(index, &command.body);
+        self.jobs.expire(self.wall_ms);
+        self.ledger.expire(self.wall_ms);
+        reply
+    }
+
+    /// Encodes the whole state.
+    ///
+    /// # Panics
+    /// Never: every state encodes.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).expect("a state always encodes")
+    }
+
+    /// Reads a state from a snapshot; none where the bytes are not one.
+    #[must_use]
+    pub fn restore(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// The last applied record.
+    #[must_use]
+    pub const fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The state's clock.
+    #[must_use]
+    pub const fn wall_ms(&self) -> WallMs {
+        self.wall_ms
+    }
+
+    /// The state in force.
+    #[must_use]
+    pub fn in_force(&self) -> Arc<InForce> {
+        Arc::clone(&self.in_force)
+    }
+
+    /// How an entry at `known` moves to the state in force.
+    #[must_use]
+    pub fn update_since(&self, known: Revision) -> StateUpdate {
+        self.notes.update_since(known, &self.in_force)
+    }
+
+    /// One job.
+    #[must_use]
+    pub fn job(&self, key: &JobKey) -> Option<&JobRecord> {
+        self.jobs.get(key)
+    }
+
+    /// Jobs in the order of their submission.
+    #[must_use]
+    pub fn jobs(&self, filter: &JobFilter) -> Vec<&JobRecord> {
+        self.jobs.list(filter)
+    }
+
+    /// All jobs that have not ended, in the order of their submission.
+    #[must_use]
+    pub fn unended_jobs(&self) -> Vec<JobRecord> {
+        let filter = JobFilter {
+            team: None,
+            unended_only: true,
+            limit: u32::MAX,
+        };
+        self.jobs.list(&filter).into_iter().cloned().collect()
+    }
+
+    fn apply_body(&mut self, index: LogIndex, body: &CommandBody) -> Reply {
+        match body {
+            CommandBody::ApplyNote { note, digest } => {
+                Reply::Note(self.apply_note(Revision(index.get()), note, digest))
+            }
+            CommandBody::BeginRequest(request) => {
+                Reply::Begin(self.ledger.begin(request, self.wall_ms))
+            }
+            CommandBody::FinishRequest(request) => {
+                Reply::Finish(self.ledger.finish(request, self.wall_ms))
+            }
+            CommandBody::SubmitJob(spec) => Reply::Submit(self.submit(spec)),
+            CommandBody::Job(transition) => Reply::Job {
+                applied: self.jobs.apply(transition, self.wall_ms),
+            },
+            CommandBody::Clock => Reply::Done,
+        }
+    }
+
+    fn apply_note(
+        &mut self,
+        revision: Revision,
+        note: &ReleaseNote,
+        digest: &Digest,
+    ) -> NoteAnswer {
+        let current = self.in_force.note_version;
+        if let Some(answer) = self.notes.earlier_answer(note.version, digest, current) {
+            return answer;
+        }
+        let faults = self.in_force.validate(note);
+        if !faults.is_empty() {
+            return NoteAnswer::Invalid { faults };
+        }
+        let after = self.in_force.revision;
+        Arc::make_mut(&mut self.in_force).apply(note, revision);
+        let note = Arc::new(note.clone());
+        self.notes.record(note, digest.clone(), after, revision);
+        NoteAnswer::Accepted { revision }
+    }
+
+    fn submit(&mut self, spec: &JobSpec) -> SubmitAnswer {
+        let in_force = Arc::clone(&self.in_force);
+        self.jobs.submit(spec, self.wall_ms, |waiting| {
+            admit(spec, &in_force, waiting)
+        })
+    }
+}
+
+/// Admits a job whose team exists and has room in its queue.
+fn admit(spec: &JobSpec, in_force: &InForce, waiting_in_team: u32) -> Result<(), NotRunReason> {
+    let team = in_force.teams.get(&spec.key.team);
+    let team = team.ok_or(NotRunReason::NoSuchTeam)?;
+    if waiting_in_team >= team.queued_jobs_max {
+        return Err(NotRunReason::QueueFull);
+    }
+    Ok(())
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,10 @@
 mod api;
 mod command;
 mod exchange;
+mod hooks;
+mod job_table;
+mod machine;
+mod note_history;
 
 pub use api::{
     ControlApi, ControlApiClient, ControlError, GroupStatus, JobFilter, JobView, ReplicaStatus,
@@ -13,6 +17,10 @@
     EndpointCapacity, EndpointShare, EndpointUse, EntryStatus, ExchangeAnswer, ExchangeRequest,
     Grant, ReportAnswer, ReportBatch, StateUpdate,
 };
+pub use hooks::SharedMachine;
+pub use job_table::{ENDED_KEPT, ENDED_KEPT_MS, UNENDED_MAX};
+pub use machine::Machine;
+pub use note_history::VERSIONS_KEPT;
 
 use crate::units::Millis;
 
--- /dev/null
+++ b/tests/control_machine.rs
@@ -0,0 +1,440 @@
+//! The replicated state: notes forward only, jobs strictly, snapshots equal to replay.
+
+#[path = "support/notes.rs"]
+mod notes;
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use marjoramknot::control::{
+    Command, CommandBody, JobFilter, Machine, Reply, SharedMachine, StateUpdate, VERSIONS_KEPT,
+};
+use marjoramknot::fleet::Checkpoint;
+use marjoramknot::release_note::{NoteAnswer, ReleaseNote};
+use marjoramknot::scheduler::{
+    EndCause, JobKey, JobOutcome, JobPhase, JobSpec, JobTransition, Member, NotRunReason,
+    SubmitAnswer,
+};
+use marjoramknot::units::{
+    Attempt, Incarnation, LogIndex, MemoryMb, Millis, NoteVersion, Revision, TaskIndex, WallMs,
+};
+use notes::{FIRST, deadline_note, note};
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// A machine with its log position.
+#[derive(Clone, Default)]
+struct Log {
+    machine: Machine,
+    records: Vec<Command>,
+}
+
+impl Log {
+    fn with_first_note() -> Self {
+        let mut log = Self::default();
+        let answer = log.note(&note(FIRST));
+        assert_matches!(answer, NoteAnswer::Accepted { .. });
+        log
+    }
+
+    fn apply(&mut self, body: CommandBody) -> Reply {
+        self.apply_at(WallMs(1_000), body)
+    }
+
+    fn apply_at(&mut self, wall_ms: WallMs, body: CommandBody) -> Reply {
+        let command = Command { wall_ms, body };
+        self.records.push(command.clone());
+        let index = LogIndex(self.records.len() as u64);
+        self.machine.apply(index, &command)
+    }
+
+    fn note(&mut self, note: &ReleaseNote) -> NoteAnswer {
+        let digest = note.digest();
+        let note = Box::new(note.clone());
+        match self.apply(CommandBody::ApplyNote { note, digest }) {
+            Reply::Note(answer) => answer,
+            other => panic!("a note gives a note's answer, not {other:?}"),
+        }
+    }
+
+    fn submit(&mut self, spec: &JobSpec) -> SubmitAnswer {
+        match self.apply(CommandBody::SubmitJob(Box::new(spec.clone()))) {
+            Reply::Submit(answer) => answer,
+            other => panic!("a submission gives its answer, not {other:?}"),
+        }
+    }
+
+    fn job(&mut self, transition: JobTransition) -> bool {
+        self.apply(CommandBody::Job(Box::new(transition))) == Reply::Job { applied: true }
+    }
+
+    /// The machine that replaying all records from the start gives.
+    fn replayed(&self) -> Machine {
+        let mut machine = Machine::default();
+        for (command, index) in self.records.iter().zip(1_u64..) {
+            machine.apply(LogIndex(index), command);
+        }
+        machine
+    }
+}
+
+fn key(id: &str) -> JobKey {
+    JobKey {
+        team: "ponds".parse().expect("an id"),
+        id: id.parse().expect("an id"),
+    }
+}
+
+fn spec(id: &str, idempotent: bool) -> JobSpec {
+    JobSpec {
+        key: key(id),
+        class: "rescore".parse().expect("an id"),
+        tasks: 2,
+        accelerators: 1.into(),
+        cores: 1.into(),
+        memory_mb: MemoryMb(1_024),
+        adjacency: marjoramknot::release_note::Adjacency::Rack,
+        idempotent,
+        urgent: false,
+        declared_run_ms: Millis(60_000),
+        deadline_ms: None,
+        payload: "".into(),
+    }
+}
+
+fn members(count: u32) -> Vec<Member> {
+    let member = |index| Member {
+        index: TaskIndex(index),
+        worker: "w1".parse().expect("an id"),
+        incarnation: Incarnation(1),
+    };
+    (0..count).map(member).collect()
+}
+
+fn placed(id: &str, attempt: u32) -> JobTransition {
+    JobTransition::Placed {
+        job: key(id),
+        attempt: Attempt(attempt),
+        members: members(2),
+    }
+}
+
+fn started(id: &str, attempt: u32) -> JobTransition {
+    JobTransition::Started {
+        job: key(id),
+        attempt: Attempt(attempt),
+    }
+}
+
+fn requeued(id: &str, attempt: u32, cause: EndCause, checkpoints: usize) -> JobTransition {
+    JobTransition::Requeued {
+        job: key(id),
+        attempt: Attempt(attempt),
+        cause,
+        checkpoints: vec![Checkpoint("c".into()); checkpoints],
+        attained_ms: Millis(5),
+        memory_mb: MemoryMb(2_048),
+    }
+}
+
+fn ended(id: &str, outcome: JobOutcome) -> JobTransition {
+    JobTransition::Ended {
+        job: key(id),
+        outcome,
+    }
+}
+
+fn not_run() -> JobOutcome {
+    JobOutcome::NotRun {
+        reason: NotRunReason::Cancelled,
+    }
+}
+
+#[test]
+fn racing_operators() {
+    let mut log = Log::with_first_note();
+    let (mine, theirs) = (deadline_note(2, 5_000), deadline_note(2, 7_000));
+    assert_eq!(
+        log.note(&mine),
+        NoteAnswer::Accepted {
+            revision: Revision(2)
+        }
+    );
+    assert_eq!(
+        log.note(&theirs),
+        NoteAnswer::VersionTaken {
+            digest: mine.digest(),
+            revision: Revision(2)
+        }
+    );
+    let state = log.machine.in_force();
+    assert_eq!(
+        state.services["booking"].deadline_max_ms,
+        Millis(5_000),
+        "the first note stands"
+    );
+}
+
+#[rstest]
+#[case::same_leader(false)]
+#[case::after_restart(true)]
+fn resent_note(#[case] restored: bool) {
+    let mut log = Log::with_first_note();
+    let mine = deadline_note(2, 5_000);
+    log.note(&mine);
+    for version in 3..300 {
+        log.note(&deadline_note(version, version));
+    }
+    if restored {
+        log.machine = Machine::restore(&log.machine.snapshot()).expect("a snapshot restores");
+    }
+    assert_eq!(
+        log.note(&mine),
+        NoteAnswer::AlreadyAccepted {
+            revision: Revision(2)
+        }
+    );
+    assert_eq!(
+        log.machine.in_force().services["booking"].deadline_max_ms,
+        Millis(299),
+        "an old note never comes back"
+    );
+}
+
+#[test]
+fn old_version() {
+    let mut log = Log::with_first_note();
+    let last = VERSIONS_KEPT as u64 + 10;
+    for version in 2..=last {
+        log.note(&deadline_note(version * 2, version));
+    }
+    let current = NoteVersion(last * 2);
+    assert_eq!(
+        log.note(&note(FIRST)),
+        NoteAnswer::Stale { current },
+        "its digest is forgotten"
+    );
+    assert_eq!(
+        log.note(&deadline_note(last * 2 - 1, 9)),
+        NoteAnswer::Stale { current },
+        "a skipped version never applies"
+    );
+}
+
+#[test]
+fn invalid_note() {
+    let mut log = Log::with_first_note();
+    let before = log.machine.in_force();
+    let half = note(
+        "version = 2\nadded.teams = [{ name = \"swap\" }]\nwithdrawn.services = [\"booking\", \"radio\"]",
+    );
+    let answer = log.note(&half);
+    let faults = assert_matches!(answer, NoteAnswer::Invalid { faults } => faults);
+    assert_eq!(faults.len(), 2, "{faults:?}");
+    assert_eq!(log.machine.in_force(), before, "nothing of it applies");
+    assert_matches!(
+        log.note(&deadline_note(2, 5_000)),
+        NoteAnswer::Accepted { .. },
+        "the version is still free"
+    );
+}
+
+#[test]
+fn duplicate_record() {
+    let mut log = Log::with_first_note();
+    let before = log.machine.clone();
+    let record = log.records[0].clone();
+    assert_eq!(log.machine.apply(LogIndex(1), &record), Reply::Done);
+    assert_eq!(log.machine, before);
+}
+
+#[test]
+fn delta_or_full() {
+    let mut log = Log::with_first_note();
+    for version in 2..=1_000 {
+        log.note(&deadline_note(version, version));
+    }
+    let machine = &log.machine;
+    assert_eq!(machine.update_since(Revision(1_000)), StateUpdate::Current);
+    let notes =
+        assert_matches!(machine.update_since(Revision(990)), StateUpdate::Delta { notes } => notes);
+    let revisions: Vec<_> = notes.iter().map(|(revision, _)| revision.get()).collect();
+    assert_eq!(revisions, (991..=1_000).collect::<Vec<_>>());
+    for unknown in [0, 2, 5_000] {
+        let full = machine.update_since(Revision(unknown));
+        assert_matches!(full, StateUpdate::Full(state) if state.revision == Revision(1_000));
+    }
+}
+
+#[test]
+fn resubmitted_job() {
+    let mut log = Log::with_first_note();
+    assert_eq!(log.submit(&spec("a", false)), SubmitAnswer::Accepted);
+    assert_eq!(log.submit(&spec("a", false)), SubmitAnswer::Accepted);
+    assert_eq!(log.submit(&spec("a", true)), SubmitAnswer::IdTaken);
+    assert_eq!(log.machine.unended_jobs().len(), 1);
+    assert!(log.job(ended("a", not_run())));
+    assert_eq!(
+        log.submit(&spec("a", false)),
+        SubmitAnswer::Accepted,
+        "an ended job is found and does not run again"
+    );
+    assert_eq!(log.machine.unended_jobs(), []);
+}
+
+#[test]
+fn full_queue() {
+    let mut log = Log::default();
+    let text = FIRST.replace(
+        "name = \"ponds\"\n",
+        "name = \"ponds\"\nqueued_jobs_max = 2\n",
+    );
+    log.note(&note(&text));
+    log.submit(&spec("a", true));
+    log.submit(&spec("b", true));
+    let full = SubmitAnswer::NotRun {
+        reason: NotRunReason::QueueFull,
+    };
+    assert_eq!(log.submit(&spec("c", true)), full);
+    assert!(log.job(placed("a", 1)));
+    assert_eq!(log.submit(&spec("c", true)), SubmitAnswer::Accepted);
+}
+
+#[test]
+fn job_life() {
+    let mut log = Log::with_first_note();
+    log.submit(&spec("a", true));
+    assert!(log.job(placed("a", 1)));
+    assert!(log.job(started("a", 1)));
+    assert!(log.job(requeued("a", 1, EndCause::ZoneOut, 2)));
+    let job = log.machine.job(&key("a")).expect("the job is kept").clone();
+    assert_eq!(job.phase, JobPhase::Waiting);
+    assert_eq!(job.checkpoints.len(), 2);
+    assert_eq!(job.memory_mb, MemoryMb(2_048));
+    assert!(log.job(placed("a", 2)));
+    assert!(log.job(JobTransition::CancelRequested { job: key("a") }));
+    assert!(!log.job(started("a", 2)), "a cancelled job never starts");
+    assert!(log.job(ended("a", JobOutcome::Cancelled)));
+    assert_eq!(
+        log.machine
+            .jobs(&JobFilter {
+                limit: 9,
+                ..JobFilter::default()
+            })
+            .len(),
+        1
+    );
+}
+
+/// Transitions that do not fit the job change nothing.
+#[rstest]
+#[case::no_job(&[], placed("b", 1))]
+#[case::attempt_skipped(&[], placed("a", 2))]
+#[case::placed_twice(&[placed("a", 1)], placed("a", 1))]
+#[case::never_placed(&[], started("a", 0))]
+#[case::old_attempt(&[placed("a", 1), requeued("a", 1, EndCause::PrepareFailed, 0), placed("a", 2)], started("a", 1))]
+#[case::started_twice(&[placed("a", 1), started("a", 1)], started("a", 1))]
+#[case::old_requeue(&[placed("a", 1), requeued("a", 1, EndCause::PrepareFailed, 0), placed("a", 2)], requeued("a", 1, EndCause::WorkerLost, 0))]
+#[case::not_run_after_start(&[placed("a", 1), started("a", 1)], ended("a", not_run()))]
+#[case::success_before_start(&[placed("a", 1)], ended("a", JobOutcome::Succeeded { results: Vec::new() }))]
+#[case::second_run(&[placed("a", 1), started("a", 1)], requeued("a", 1, EndCause::WorkerLost, 2))]
+#[case::second_run_moved(&[placed("a", 1), started("a", 1)], requeued("a", 1, EndCause::Moved, 1))]
+#[case::ended_twice(&[placed("a", 1), ended("a", not_run())], ended("a", JobOutcome::Cancelled))]
+#[case::part_of_gang(&[], JobTransition::Placed { job: key("a"), attempt: Attempt(1), members: members(1) })]
+fn unfit_transition(#[case] before: &[JobTransition], #[case] last: JobTransition) {
+    let mut log = Log::with_first_note();
+    log.submit(&spec("a", false));
+    for transition in before {
+        assert!(log.job(transition.clone()), "{transition:?}");
+    }
+    let job = log.machine.job(&key("a")).cloned();
+    assert!(!log.job(last));
+    assert_eq!(log.machine.job(&key("a")).cloned(), job);
+}
+
+#[test]
+fn forgotten_job() {
+    let mut log = Log::with_first_note();
+    log.submit(&spec("a", true));
+    log.submit(&spec("b", true));
+    log.job(ended("a", not_run()));
+    let later = WallMs(1_000 + marjoramknot::control::ENDED_KEPT_MS.get());
+    log.apply_at(later, CommandBody::Clock);
+    assert!(log.machine.job(&key("a")).is_some(), "the window is kept");
+    log.apply_at(WallMs(later.0 + 1), CommandBody::Clock);
+    assert!(log.machine.job(&key("a")).is_none());
+    assert!(log.machine.job(&key("b")).is_some(), "unended jobs stay");
+    log.apply_at(WallMs(5), CommandBody::Clock);
+    assert_eq!(
+        log.machine.wall_ms(),
+        WallMs(later.0 + 1),
+        "the clock never falls"
+    );
+}
+
+#[test]
+fn bad_snapshot() {
+    let shared = SharedMachine::default();
+    let mut hooks = shared.hooks();
+    let log = Log::with_first_note();
+    let bytes = log.machine.snapshot();
+    assert!((hooks.restore)(&bytes));
+    assert!(!(hooks.restore)(&bytes[..bytes.len() / 2]));
+    assert_eq!(shared.read(Machine::clone), log.machine);
+    assert_eq!((hooks.snapshot)(), bytes);
+}
+
+fn step() -> impl Strategy<Value = CommandBody> {
+    let id = prop_oneof![Just("a"), Just("b"), Just("c")];
+    let attempt = 0..4_u32;
+    let job = (id, attempt, 0..8_u8).prop_map(|(id, attempt, kind)| match kind {
+        0 => CommandBody::SubmitJob(Box::new(spec(id, attempt % 2 == 0))),
+        1 | 2 => CommandBody::Job(Box::new(placed(id, attempt))),
+        3 | 4 => CommandBody::Job(Box::new(started(id, attempt))),
+        5 => CommandBody::Job(Box::new(requeued(id, attempt, EndCause::Reclaimed, 2))),
+        6 => CommandBody::Job(Box::new(JobTransition::CancelRequested { job: key(id) })),
+        _ => CommandBody::Job(Box::new(ended(id, not_run()))),
+    });
+    let change = (1..30_u64, 1..4_u64).prop_map(|(version, deadline_ms)| {
+        let note = deadline_note(version, deadline_ms);
+        CommandBody::ApplyNote {
+            digest: note.digest(),
+            note: Box::new(note),
+        }
+    });
+    prop_oneof![3 => job, 1 => change, 1 => Just(CommandBody::Clock)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+
+    /// Revisions and versions never fall, an entry that follows by updates holds the same state, and
+    /// a snapshot taken anywhere restores to what replay gives.
+    #[test]
+    fn replay_agrees(steps in prop::collection::vec((step(), 0..5_000_u64, any::<bool>()), 1..60)) {
+        let mut log = Log::with_first_note();
+        let mut entry = log.machine.in_force();
+        for (body, wall_ms, restart) in steps {
+            let before = log.machine.in_force();
+            log.apply_at(WallMs(wall_ms), body);
+            let after = log.machine.in_force();
+            prop_assert!(after.revision >= before.revision);
+            prop_assert!(after.note_version >= before.note_version);
+            prop_assert!(after.revision > before.revision || after == before);
+            if restart {
+                log.machine = Machine::restore(&log.machine.snapshot()).expect("a snapshot restores");
+                match log.machine.update_since(entry.revision) {
+                    StateUpdate::Current => {}
+                    StateUpdate::Full(state) => entry = state,
+                    StateUpdate::Delta { notes } => {
+                        for (revision, note) in notes {
+                            Arc::make_mut(&mut entry).apply(&note, revision);
+                        }
+                    }
+                }
+                prop_assert_eq!(&entry, &after);
+            }
+        }
+        prop_assert_eq!(log.replayed(), log.machine);
+    }
+}
