--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -172,9 +172,10 @@
         self.advance_commit(now);
         self.replace_lost_members(now);
         self.send_appends(now);
+        // Steps of one call come before a snapshot that is taken while its actions are carried out.
+        self.save_unsaved();
         self.apply_committed();
         self.finish_hand_over(now);
-        self.save_unsaved();
         std::mem::take(&mut self.out)
     }
 
@@ -453,6 +454,12 @@
         self.log.members()
     }
 
+    /// The position of the record that named the voters now in force.
+    #[must_use]
+    pub fn members_index(&self) -> LogIndex {
+        self.log.members_index()
+    }
+
     /// The record at a position, where it is kept in memory.
     #[must_use]
     pub fn entry(&self, index: LogIndex) -> Option<&Arc<Entry>> {
--- /dev/null
+++ b/tests/support/replica_world.rs
@@ -0,0 +1,569 @@
+//! A fake network and fake disks round the pure consensus core, on virtual time.
+//!
+//! Every step of it follows from the seed. The checks run after each step: one leader a term, one
+//! lease at a time, agreement of all applied records, and positions that never fall.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use marjoramknot::replica::core::{Action, Core, CoreConfig, Event, Recovered, Save};
+use marjoramknot::replica::{Entry, Member, Message, Node, Payload};
+use marjoramknot::units::{LogIndex, Millis, Term};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// How far one step moves the time.
+pub const STEP_MS: u64 = 20;
+
+/// What the network and the disks do to a group.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub drop_percent: u32,
+    pub double_percent: u32,
+    pub max_delay_ms: u64,
+    pub max_sync_ms: u64,
+}
+
+/// One replica with its disk.
+pub struct Replica {
+    pub core: Option<Core>,
+    pub node: Node,
+    pub disk: Recovered,
+    pub disk_full: bool,
+    pub applied: Vec<Vec<u8>>,
+    pub applied_index: LogIndex,
+    leaving: bool,
+    unsynced: VecDeque<(u64, Save)>,
+    waiting: BTreeMap<LogIndex, (Term, Vec<u8>)>,
+    folders: u64,
+    /// Parts in a thousand by which its clock runs fast.
+    fast: u64,
+}
+
+impl Replica {
+    /// The last record that is on the disk.
+    pub fn disk_index(&self) -> LogIndex {
+        let snapshot = self.disk.snapshot.as_ref().map(|s| s.meta.index);
+        let entry = self.disk.entries.last().map(|entry| entry.index);
+        snapshot.max(entry).unwrap_or_default()
+    }
+}
+
+/// The group, its network and all that was seen.
+pub struct World {
+    pub now_ms: u64,
+    pub replicas: Vec<Replica>,
+    pub faults: Faults,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub leaders: BTreeMap<Term, Node>,
+    pub committed: BTreeMap<LogIndex, Arc<Entry>>,
+    pub acknowledged: Vec<Vec<u8>>,
+    pub refused: Vec<Vec<u8>>,
+    pub sent: u64,
+    rng: StdRng,
+    seed: u64,
+    flying: BTreeMap<(u64, u64), Message>,
+    next_message: u64,
+    next_command: u64,
+}
+
+impl World {
+    /// A group of replicas, all blank and none of them running.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let replicas = (0..count).map(|position| Replica {
+            core: None,
+            node: node(position, 0),
+            disk: Recovered::default(),
+            disk_full: false,
+            applied: Vec::new(),
+            applied_index: LogIndex::ZERO,
+            leaving: false,
+            unsynced: VecDeque::new(),
+            waiting: BTreeMap::new(),
+            folders: 0,
+            fast: rng.random_range(0..60),
+        });
+        let replicas = replicas.collect();
+        Self {
+            now_ms: 1_000,
+            replicas,
+            faults: Faults::default(),
+            cuts: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            refused: Vec::new(),
+            sent: 0,
+            rng,
+            seed,
+            flying: BTreeMap::new(),
+            next_message: 0,
+            next_command: 0,
+        }
+    }
+
+    /// A group of which all replicas run.
+    pub fn started(count: usize, seed: u64) -> Self {
+        let mut world = Self::new(count, seed);
+        for position in 0..count {
+            world.start(position);
+        }
+        world
+    }
+
+    pub fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    pub fn pick(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    fn local_ms(&self, position: usize) -> Millis {
+        let fast = self.replicas[position].fast;
+        Millis(self.now_ms + self.now_ms * fast / 1_000)
+    }
+
+    /// Starts a replica from what its disk holds.
+    pub fn start(&mut self, position: usize) {
+        let now = self.local_ms(position);
+        let count = self.replicas.len();
+        let seed = self.rng.random();
+        let replica = &mut self.replicas[position];
+        let peers = (0..count).filter(|other| *other != position);
+        let config = CoreConfig::builder()
+            .member(member(&replica.node))
+            .peers(peers.map(|other| node(other, 0).name).collect())
+            .seed(seed)
+            .snapshot_records(12)
+            .retained_records(4)
+            .window_records(16)
+            .chunk_bytes(marjoramknot::units::Bytes(64))
+            .build();
+        let snapshot = replica.disk.snapshot.clone();
+        replica.applied_index = snapshot.as_ref().map_or(LogIndex::ZERO, |s| s.meta.index);
+        let data = snapshot.map(|s| s.data.clone()).unwrap_or_default();
+        replica.applied = decode(&data);
+        replica.leaving = false;
+        replica.core = Some(Core::new(config, replica.disk.clone(), now));
+    }
+
+    /// Ends a replica; steps that were not synced are lost, but for some of the first.
+    pub fn crash(&mut self, position: usize) {
+        let kept = self
+            .rng
+            .random_range(0..=self.replicas[position].unsynced.len());
+        let replica = &mut self.replicas[position];
+        let unsynced = std::mem::take(&mut replica.unsynced);
+        if replica.core.take().is_none() {
+            return;
+        }
+        for (_, save) in unsynced.into_iter().take(kept) {
+            write(&mut replica.disk, &save);
+        }
+        replica.waiting.clear();
+    }
+
+    /// Begins a planned stop; the replica leads no more until it is started again.
+    pub fn hand_over(&mut self, position: usize) {
+        self.replicas[position].leaving = true;
+        self.event(position, Event::HandOver);
+    }
+
+    /// Gives a stopped replica a blank disk, or one that is known to have been damaged.
+    pub fn lose_disk(&mut self, position: usize, after_damage: bool) {
+        let replica = &mut self.replicas[position];
+        assert!(
+            replica.core.is_none(),
+            "only a stopped replica loses its disk"
+        );
+        replica.folders += 1;
+        replica.node = node(position, replica.folders);
+        let group = replica.disk.group.take().filter(|_| after_damage);
+        replica.disk = Recovered {
+            group,
+            after_damage,
+            ..Recovered::default()
+        };
+        replica.unsynced.clear();
+    }
+
+    /// Cuts both directions between two replicas.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a, b));
+        self.cuts.insert((b, a));
+    }
+
+    /// Cuts a replica off from all others.
+    pub fn isolate(&mut self, position: usize) {
+        for other in 0..self.replicas.len() {
+            if other != position {
+                self.cut(position, other);
+            }
+        }
+    }
+
+    /// Ends all faults and starts all replicas.
+    pub fn heal(&mut self) {
+        self.faults = Faults {
+            max_delay_ms: 20,
+            max_sync_ms: 20,
+            ..Faults::default()
+        };
+        self.cuts.clear();
+        for position in 0..self.replicas.len() {
+            self.replicas[position].disk_full = false;
+            if self.replicas[position].leaving {
+                self.crash(position);
+            }
+            if self.replicas[position].core.is_none() {
+                self.start(position);
+            } else {
+                self.event(position, Event::DiskFull(false));
+            }
+        }
+    }
+
+    /// Moves the time one step and lets all happen that is due.
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.deliver_due();
+        for position in 0..self.replicas.len() {
+            self.sync_due(position);
+            self.event(position, Event::Tick);
+        }
+        self.check_leaders();
+    }
+
+    pub fn run(&mut self, span_ms: u64) {
+        let until = self.now_ms + span_ms;
+        while self.now_ms < until {
+            self.step();
+        }
+    }
+
+    /// Steps until a condition holds and tells how long that took.
+    pub fn run_until(&mut self, most_ms: u64, what: &str, done: impl Fn(&Self) -> bool) -> u64 {
+        let from = self.now_ms;
+        while !done(self) {
+            if self.now_ms >= from + most_ms {
+                panic!(
+                    "seed {}: not in time: {what}\n{}",
+                    self.seed,
+                    self.describe()
+                );
+            }
+            self.step();
+        }
+        self.now_ms - from
+    }
+
+    /// The state of all replicas, for a test that fails.
+    fn describe(&self) -> String {
+        let lines = self.replicas.iter().map(|replica| {
+            let core = replica.core.as_ref().map(|core| {
+                let voters = core.members().map_or(0, |m| m.voters.len());
+                let (committed, applied) = (core.committed(), core.applied());
+                let states = core.node_states(Millis(self.now_ms));
+                let leads = core.is_leader();
+                format!(
+                    "{} term={} leader={:?} leads={leads} committed={committed} applied={applied} voters={voters} {states:?}",
+                    replica.node, core.term(), core.leader(),
+                )
+            });
+            core.unwrap_or_default()
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
+    /// The replica that leads with a lease and has applied all earlier records.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.replicas.len()).find(|position| {
+            let core = self.replicas[*position].core.as_ref();
+            core.is_some_and(|c| c.leads() && c.has_quorum(self.local_ms(*position)))
+        })
+    }
+
+    pub fn core(&self, position: usize) -> &Core {
+        let core = self.replicas[position].core.as_ref();
+        core.expect("the replica runs")
+    }
+
+    /// Proposes a new command at a replica; true where it was taken.
+    pub fn propose(&mut self, position: usize) -> bool {
+        self.next_command += 1;
+        let command = self.next_command.to_le_bytes().to_vec();
+        let now = self.local_ms(position);
+        let Some(core) = &mut self.replicas[position].core else {
+            return false;
+        };
+        let taken = core.propose(command.clone());
+        let term = core.term();
+        let actions = core.flush(now);
+        match taken {
+            Ok(index) => {
+                let waiting = &mut self.replicas[position].waiting;
+                waiting.insert(index, (term, command));
+            }
+            Err(_refusal) => self.refused.push(command),
+        }
+        self.perform(position, actions);
+        taken.is_ok()
+    }
+
+    pub fn event(&mut self, position: usize, event: Event) {
+        let now = self.local_ms(position);
+        let Some(core) = &mut self.replicas[position].core else {
+            return;
+        };
+        let before = core.committed();
+        let actions = core.handle(event, now);
+        let after = core.committed();
+        assert!(
+            after >= before,
+            "seed {}: committed position fell",
+            self.seed
+        );
+        self.perform(position, actions);
+    }
+
+    fn perform(&mut self, position: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(message) => self.send(position, message),
+                Action::Save(save) => {
+                    let delay = self.rng.random_range(0..=self.faults.max_sync_ms);
+                    let due = self.now_ms + delay;
+                    self.replicas[position].unsynced.push_back((due, save));
+                }
+                Action::Apply(entries) => {
+                    for entry in entries {
+                        self.apply(position, &entry);
+                    }
+                }
+                Action::Restore(snapshot) => {
+                    let replica = &mut self.replicas[position];
+                    replica.applied = decode(&snapshot.data);
+                    replica.applied_index = snapshot.meta.index;
+                }
+                Action::TakeSnapshot { index } => {
+                    let replica = &self.replicas[position];
+                    assert_eq!(replica.applied_index, index, "seed {}", self.seed);
+                    let data = postcard::to_stdvec(&replica.applied).expect("a list encodes");
+                    self.event(position, Event::SnapshotTaken { index, data });
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, position: usize, entry: &Arc<Entry>) {
+        let seed = self.seed;
+        let known = self
+            .committed
+            .entry(entry.index)
+            .or_insert_with(|| Arc::clone(entry));
+        assert_eq!(
+            known, entry,
+            "seed {seed}: replicas applied different records"
+        );
+        let replica = &mut self.replicas[position];
+        let expected = replica.applied_index.next();
+        assert_eq!(entry.index, expected, "seed {seed}: a record was left out");
+        replica.applied_index = entry.index;
+        if let Payload::Command(command) = &entry.payload {
+            replica.applied.push(command.clone());
+        }
+        if let Some((term, command)) = replica.waiting.remove(&entry.index)
+            && term == entry.term
+        {
+            assert_eq!(
+                entry.payload,
+                Payload::Command(command.clone()),
+                "seed {seed}"
+            );
+            self.acknowledged.push(command);
+        }
+    }
+
+    fn send(&mut self, from: usize, message: Message) {
+        self.sent += 1;
+        let to = position_of(&message);
+        if self.cuts.contains(&(from, to)) || self.chance(self.faults.drop_percent) {
+            return;
+        }
+        let copies = if self.chance(self.faults.double_percent) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = self.rng.random_range(0..=self.faults.max_delay_ms);
+            self.next_message += 1;
+            let place = (self.now_ms + delay, self.next_message);
+            self.flying.insert(place, message.clone());
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.flying.first_entry() {
+            if entry.key().0 > self.now_ms {
+                break;
+            }
+            let message = entry.remove();
+            self.event(position_of(&message), Event::Received(Box::new(message)));
+        }
+    }
+
+    fn sync_due(&mut self, position: usize) {
+        let now_ms = self.now_ms;
+        let replica = &mut self.replicas[position];
+        let mut last = None;
+        while let Some((due, _)) = replica.unsynced.front() {
+            if *due > now_ms || replica.disk_full {
+                break;
+            }
+            if let Some((_, save)) = replica.unsynced.pop_front() {
+                write(&mut replica.disk, &save);
+                last = Some(save.sequence);
+            }
+        }
+        if let Some(sequence) = last {
+            self.event(position, Event::Persisted { sequence });
+        }
+    }
+
+    fn check_leaders(&mut self) {
+        let seed = self.seed;
+        let mut holders = Vec::new();
+        for (position, replica) in self.replicas.iter_mut().enumerate() {
+            let Some(core) = &replica.core else {
+                continue;
+            };
+            if !core.is_leader() {
+                replica.waiting.clear();
+                continue;
+            }
+            let known = self.leaders.entry(core.term());
+            let leader = known.or_insert_with(|| replica.node.clone());
+            assert_eq!(
+                *leader, replica.node,
+                "seed {seed}: two leaders in one term"
+            );
+            let local = Millis(self.now_ms + self.now_ms * replica.fast / 1_000);
+            if core.has_quorum(local) {
+                holders.push((position, core.term()));
+            }
+        }
+        assert!(
+            holders.len() <= 1,
+            "seed {seed}: two leases at once: {holders:?}"
+        );
+    }
+
+    /// Whether all replicas vote under their present folders and have applied the same.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let members = self.core(leader).members();
+        let votes = |r: &Replica| members.is_some_and(|m| m.contains(&r.node));
+        let index = self.core(leader).committed();
+        let count = members.map_or(0, |m| m.voters.len());
+        count == self.replicas.len()
+            && self
+                .replicas
+                .iter()
+                .all(|r| votes(r) && r.applied_index == index)
+    }
+
+    /// Checks after the end of all faults that the group works and nothing acknowledged is lost.
+    pub fn check_end(&mut self) {
+        self.heal();
+        let seed = self.seed;
+        self.run_until(20_000, "a whole group", Self::is_whole);
+        let leader = self.leader().expect("a whole group has a leader");
+        let before = self.acknowledged.len();
+        assert!(
+            self.propose(leader),
+            "seed {seed}: a whole group takes proposals"
+        );
+        self.run_until(2_000, "a commit", |w| w.acknowledged.len() > before);
+        self.run_until(5_000, "the same state everywhere", Self::is_whole);
+        let applied: BTreeSet<_> = self.replicas[leader].applied.iter().collect();
+        for command in &self.acknowledged {
+            assert!(
+                applied.contains(command),
+                "seed {seed}: an acknowledged change is lost"
+            );
+        }
+        for command in &self.refused {
+            assert!(
+                !applied.contains(command),
+                "seed {seed}: a refused change was applied"
+            );
+        }
+        for replica in &self.replicas {
+            assert_eq!(
+                replica.applied, self.replicas[leader].applied,
+                "seed {seed}"
+            );
+        }
+    }
+}
+
+fn node(position: usize, folder: u64) -> Node {
+    let name = format!("r{position}");
+    let folder = format!("r{position}-folder-{folder}");
+    Node {
+        name: name.parse().expect("the name is an id"),
+        folder: folder.parse().expect("the folder is an id"),
+    }
+}
+
+fn member(node: &Node) -> Member {
+    Member {
+        node: node.clone(),
+        control_address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn position_of(message: &Message) -> usize {
+    let digits = message.to.as_str().trim_start_matches('r');
+    digits.parse().expect("names end in their position")
+}
+
+fn decode(data: &[u8]) -> Vec<Vec<u8>> {
+    postcard::from_bytes(data).unwrap_or_default()
+}
+
+/// Carries out one durable step as the files do.
+fn write(disk: &mut Recovered, save: &Save) {
+    if let Some(snapshot) = &save.snapshot {
+        disk.snapshot = Some(Arc::clone(snapshot));
+    }
+    if save.reset_log {
+        disk.entries.clear();
+    }
+    if let Some(group) = &save.group {
+        disk.group = Some(group.clone());
+    }
+    if let Some(index) = save.truncate_from {
+        disk.entries.retain(|entry| entry.index < index);
+    }
+    if let Some(hard) = &save.hard {
+        disk.hard = hard.clone();
+    }
+    disk.entries.extend(save.entries.iter().cloned());
+    if let Some(index) = save.compact_to {
+        disk.entries.retain(|entry| entry.index > index);
+    }
+    let base = disk
+        .snapshot
+        .as_ref()
+        .map_or(LogIndex::ZERO, |s| s.meta.index);
+    let ends_before = disk.entries.last().is_some_and(|entry| entry.index < base);
+    if ends_before {
+        disk.entries.clear();
+    }
+}
