--- /dev/null
+++ b/tests/replica_files.rs
@@ -0,0 +1,478 @@
+//! The files of a replica: kills at every step, damage of every file, and a full disk.
+
+#[path = "support/fake_disk.rs"]
+mod fake_disk;
+
+use std::sync::Arc;
+
+use fake_disk::{FakeDisk, Unsynced};
+use marjoramknot::replica::core::{HardState, Recovered, Save};
+use marjoramknot::replica::files::{Opened, is_full, open_store};
+use marjoramknot::replica::{Entry, Member, Membership, Node, Payload, Snapshot, SnapshotMeta};
+use marjoramknot::units::{LogIndex, ReplicaId, Term};
+use rstest::rstest;
+
+/// Small segments, so that a few records need several.
+const SEGMENT_BYTES: u64 = 200;
+
+fn name() -> ReplicaId {
+    "a".parse().expect("the name is an id")
+}
+
+fn open(disk: &FakeDisk) -> Opened {
+    open_store(disk.folder(), &name(), SEGMENT_BYTES).expect("the fake disk works")
+}
+
+fn entry(index: u64, term: u64) -> Arc<Entry> {
+    let mut command = format!("command {index} of term {term}").into_bytes();
+    // Zeros at the end of a record must not look like an unfinished write.
+    command.resize(60, 0);
+    Arc::new(Entry {
+        index: LogIndex(index),
+        term: Term(term),
+        payload: Payload::Command(command),
+    })
+}
+
+fn snapshot(index: u64, term: u64) -> Arc<Snapshot> {
+    let node = Node {
+        name: name(),
+        folder: "any".parse().expect("the folder is an id"),
+    };
+    let members = Membership {
+        voters: vec![Member {
+            node,
+            control_address: ([127, 0, 0, 1], 1).into(),
+        }],
+    };
+    Arc::new(Snapshot {
+        meta: SnapshotMeta {
+            index: LogIndex(index),
+            term: Term(term),
+            members,
+        },
+        data: vec![7; 100],
+    })
+}
+
+fn first_state() -> Save {
+    Save {
+        group: "group".parse().ok(),
+        snapshot: Some(snapshot(0, 0)),
+        ..Save::default()
+    }
+}
+
+fn records(from: u64, to: u64, term: u64) -> Save {
+    Save {
+        entries: (from..=to).map(|index| entry(index, term)).collect(),
+        ..Save::default()
+    }
+}
+
+fn vote(term: u64, vote: &str) -> Save {
+    let node = Node {
+        name: name(),
+        folder: vote.parse().expect("the folder is an id"),
+    };
+    Save {
+        hard: Some(HardState {
+            term: Term(term),
+            vote: Some(node),
+        }),
+        ..Save::default()
+    }
+}
+
+/// A replica's life: every kind of step.
+fn life() -> Vec<Save> {
+    let mut cut = records(6, 8, 2);
+    cut.truncate_from = Some(LogIndex(6));
+    let taken = Save {
+        snapshot: Some(snapshot(7, 2)),
+        compact_to: Some(LogIndex(5)),
+        ..Save::default()
+    };
+    let installed = Save {
+        snapshot: Some(snapshot(30, 3)),
+        reset_log: true,
+        ..Save::default()
+    };
+    vec![
+        first_state(),
+        vote(1, "one"),
+        records(1, 3, 1),
+        records(4, 10, 1),
+        vote(2, "two"),
+        cut,
+        taken,
+        records(9, 11, 2),
+        installed,
+        records(31, 33, 3),
+    ]
+}
+
+/// What the disk must hold after a step.
+fn expect(state: &mut Recovered, save: &Save) {
+    if let Some(snapshot) = &save.snapshot {
+        state.snapshot = Some(Arc::clone(snapshot));
+    }
+    if save.reset_log {
+        state.entries.clear();
+    }
+    if let Some(group) = &save.group {
+        state.group = Some(group.clone());
+    }
+    if let Some(index) = save.truncate_from {
+        state.entries.retain(|e| e.index < index);
+    }
+    if let Some(hard) = &save.hard {
+        state.hard = hard.clone();
+    }
+    state.entries.extend(save.entries.iter().cloned());
+}
+
+/// Whether all records of `state` that its snapshot leaves open are among those found.
+fn holds(found: &Recovered, state: &Recovered) -> bool {
+    let base = found.snapshot.as_ref().map(|s| s.meta.index);
+    let mut needed = state.entries.iter().filter(|e| Some(e.index) > base);
+    found.group == state.group
+        && found.hard == state.hard
+        && found.snapshot == state.snapshot
+        && needed.all(|e| found.entries.contains(e))
+}
+
+/// Runs all steps until one fails and gives the state before and after the failed one.
+fn live(disk: &FakeDisk, opened: &mut Opened) -> (Recovered, Recovered) {
+    let mut before = Recovered::default();
+    for save in life() {
+        let mut after = before.clone();
+        expect(&mut after, &save);
+        let done = opened.store.apply(&save).and_then(|()| opened.store.sync());
+        if done.is_err() {
+            assert!(disk.has_stopped());
+            return (before, after);
+        }
+        before = after;
+    }
+    (before.clone(), before)
+}
+
+#[rstest]
+#[case(Unsynced::Lost)]
+#[case(Unsynced::Kept)]
+#[case(Unsynced::Half)]
+#[case(Unsynced::Zeros)]
+fn kill_anywhere(#[case] unsynced: Unsynced) {
+    for step in 0.. {
+        let disk = FakeDisk::default();
+        let mut opened = open(&disk);
+        let folder = opened.folder.clone();
+        disk.stop_at(Some(step));
+        let (before, after) = live(&disk, &mut opened);
+        let killed = disk.has_stopped();
+        disk.crash(unsynced);
+        let opened = open(&disk);
+        let found = &opened.recovered;
+        assert_eq!(opened.damage, None, "step {step}");
+        assert_eq!(opened.folder, folder, "step {step}");
+        check_between(found, &before, &after, step);
+        // What was cut once stays cut.
+        let again = open(&disk);
+        assert_eq!(again.recovered.entries, found.entries, "step {step}");
+        if !killed {
+            assert!(step > 40, "the life has many steps");
+            return;
+        }
+    }
+}
+
+/// Checks that all that was acknowledged is there, and of the step under way any part.
+fn check_between(found: &Recovered, before: &Recovered, after: &Recovered, step: usize) {
+    let is_one = |get: fn(&Recovered) -> Option<LogIndex>| {
+        get(found) == get(before) || get(found) == get(after)
+    };
+    let hard = found.hard == before.hard || found.hard == after.hard;
+    assert!(hard, "step {step}: {:?}", found.hard);
+    let snapshot_index = |r: &Recovered| r.snapshot.as_ref().map(|s| s.meta.index);
+    assert!(is_one(snapshot_index), "step {step}");
+    let base = snapshot_index(found).unwrap_or_default();
+    let kept = before.entries.iter().filter(|e| e.index > base);
+    for entry in kept {
+        let dropped = !after.entries.contains(entry);
+        assert!(
+            dropped || found.entries.contains(entry),
+            "step {step}: lost {}",
+            entry.index
+        );
+    }
+    for entry in &found.entries {
+        let known = before.entries.contains(entry) || after.entries.contains(entry);
+        assert!(
+            known || entry.index <= base,
+            "step {step}: made up {}",
+            entry.index
+        );
+    }
+}
+
+#[rstest]
+#[case(Unsynced::Lost)]
+#[case(Unsynced::Kept)]
+#[case(Unsynced::Half)]
+#[case(Unsynced::Zeros)]
+fn first_start_killed(#[case] unsynced: Unsynced) {
+    for step in 0.. {
+        let disk = FakeDisk::default();
+        disk.stop_at(Some(step));
+        let killed = open_store(disk.folder(), &name(), SEGMENT_BYTES).is_err();
+        disk.crash(unsynced);
+        let opened = open(&disk);
+        assert_eq!(opened.damage, None, "step {step}");
+        assert!(!opened.recovered.after_damage, "step {step}");
+        if !killed {
+            assert!(step > 5, "a first start has several steps");
+            return;
+        }
+    }
+}
+
+#[test]
+fn whole_life() {
+    let disk = FakeDisk::default();
+    let mut opened = open(&disk);
+    assert_eq!(opened.recovered.group, None);
+    let (state, _) = live(&disk, &mut opened);
+    disk.crash(Unsynced::Lost);
+    let again = open(&disk);
+    assert_eq!(again.folder, opened.folder);
+    assert!(holds(&again.recovered, &state));
+}
+
+/// A disk with a state, a snapshot and several segments.
+fn lived() -> (FakeDisk, Opened) {
+    let disk = FakeDisk::default();
+    let mut opened = open(&disk);
+    for save in [first_state(), vote(1, "one"), records(1, 9, 1)] {
+        opened.store.apply(&save).expect("the fake disk works");
+        opened.store.sync().expect("the fake disk works");
+    }
+    (disk, opened)
+}
+
+/// Checks that the folder is retired: a new identity that knows the group but holds nothing.
+fn assert_retired(disk: &FakeDisk, before: &Opened, what: &str) {
+    let opened = open(disk);
+    assert!(opened.damage.is_some(), "{what}");
+    assert_ne!(opened.folder, before.folder, "{what}");
+    assert!(opened.recovered.after_damage, "{what}");
+    assert_eq!(opened.recovered.hard, HardState::default(), "{what}");
+    assert!(opened.recovered.snapshot.is_none(), "{what}");
+    assert!(opened.recovered.entries.is_empty(), "{what}");
+    let again = open(disk);
+    assert_eq!(again.folder, opened.folder, "{what}");
+    assert!(again.recovered.after_damage, "{what}");
+}
+
+fn is_slot(file: &str) -> bool {
+    file.starts_with("vote-")
+}
+
+#[test]
+fn flipped_byte() {
+    let (disk, before) = lived();
+    for file in disk.names() {
+        let length = {
+            let mut length = 0;
+            disk.copy().change(&file, |content| length = content.len());
+            length
+        };
+        for place in (0..length).step_by(if length > 400 { 17 } else { 1 }) {
+            let disk = disk.copy();
+            disk.change(&file, |content| content[place] ^= 0x20);
+            let what = format!("{file} at {place}");
+            if is_slot(&file) {
+                // The other slot holds the same term and vote.
+                let opened = open(&disk);
+                assert_eq!(opened.folder, before.folder, "{what}");
+                assert_eq!(opened.recovered.hard.term, Term(1), "{what}");
+            } else {
+                assert_retired(&disk, &before, &what);
+            }
+        }
+    }
+}
+
+#[test]
+fn missing_file() {
+    let (disk, before) = lived();
+    let segments = disk
+        .names()
+        .iter()
+        .filter(|n| n.starts_with("log-"))
+        .count();
+    assert!(segments >= 3);
+    for file in disk.names() {
+        let disk = disk.copy();
+        disk.remove(&file);
+        if is_slot(&file) {
+            assert_eq!(open(&disk).folder, before.folder, "{file}");
+        } else {
+            assert_retired(&disk, &before, &file);
+        }
+    }
+}
+
+#[test]
+fn both_slots() {
+    let (disk, before) = lived();
+    for file in ["vote-0", "vote-1"] {
+        disk.change(file, |content| content[20] ^= 1);
+    }
+    assert_retired(&disk, &before, "both slots");
+}
+
+#[test]
+fn other_replica() {
+    let (disk, before) = lived();
+    let other = open_store(
+        disk.copy().folder(),
+        &"b".parse().expect("an id"),
+        SEGMENT_BYTES,
+    );
+    let other = other.expect("the fake disk works");
+    assert_ne!(other.folder, before.folder);
+    assert!(other.damage.is_some());
+    // One file of another folder among its own.
+    let (foreign, _) = lived();
+    for file in disk.names() {
+        let disk = disk.copy();
+        let mut content = Vec::new();
+        foreign.change(&file, |c| content.clone_from(c));
+        disk.change(&file, |c| *c = content);
+        if is_slot(&file) {
+            assert_eq!(open(&disk).folder, before.folder, "{file}");
+        } else {
+            assert_retired(&disk, &before, &file);
+        }
+    }
+}
+
+#[test]
+fn lost_folder() {
+    let (disk, before) = lived();
+    for file in disk.names() {
+        disk.remove(&file);
+    }
+    let opened = open(&disk);
+    assert_ne!(opened.folder, before.folder);
+    assert_eq!(opened.damage, None);
+    assert_eq!(opened.recovered.group, None);
+    assert!(!opened.recovered.after_damage);
+}
+
+#[test]
+fn retire_killed() {
+    for step in 0.. {
+        let (disk, before) = lived();
+        disk.remove("snapshot");
+        disk.stop_at(Some(step));
+        let opened = open_store(disk.folder(), &name(), SEGMENT_BYTES);
+        let killed = opened.is_err();
+        disk.crash(Unsynced::Kept);
+        let opened = open(&disk);
+        assert_ne!(opened.folder, before.folder, "step {step}");
+        assert!(opened.recovered.after_damage, "step {step}");
+        assert!(opened.recovered.entries.is_empty(), "step {step}");
+        if !killed {
+            return;
+        }
+    }
+}
+
+#[test]
+fn torn_tail() {
+    let (disk, before) = lived();
+    let newest = disk.names().into_iter().rfind(|n| n.starts_with("log-"));
+    let newest = newest.expect("there are segments");
+    disk.change(&newest, |content| content.extend_from_slice(&[0; 700]));
+    let opened = open(&disk);
+    assert_eq!(opened.folder, before.folder);
+    assert_eq!(opened.recovered.entries.len(), 9);
+    let mut opened = opened;
+    opened
+        .store
+        .apply(&records(10, 12, 1))
+        .expect("the fake disk works");
+    opened.store.sync().expect("the fake disk works");
+    assert_eq!(open(&disk).recovered.entries.len(), 12);
+}
+
+#[test]
+fn full_disk() {
+    for free in (0..400).step_by(20) {
+        let (disk, mut opened) = lived();
+        assert!(opened.store.fill_reserve().expect("there is space"));
+        disk.limit(Some(free));
+        let save = records(10, 40, 1);
+        let mut tries = 0;
+        while let Err(error) = opened.store.apply(&save).and_then(|()| opened.store.sync()) {
+            assert!(is_full(&error), "free {free}: {error}");
+            tries += 1;
+            assert!(tries < 5, "free {free}: the reserve is enough");
+            opened.store.free_reserve().expect("the reserve goes");
+        }
+        assert!(tries > 0, "free {free}");
+        disk.limit(Some(0));
+        assert!(
+            !opened
+                .store
+                .fill_reserve()
+                .expect("a full disk is no failure")
+        );
+        disk.limit(None);
+        assert!(opened.store.fill_reserve().expect("there is space again"));
+        disk.crash(Unsynced::Lost);
+        let again = open(&disk);
+        assert_eq!(again.damage, None, "free {free}");
+        assert_eq!(again.recovered.entries.len(), 40, "free {free}");
+    }
+}
+
+#[test]
+fn full_disk_snapshot() {
+    let (disk, mut opened) = lived();
+    disk.limit(Some(10));
+    let save = Save {
+        snapshot: Some(snapshot(9, 1)),
+        compact_to: Some(LogIndex(8)),
+        ..Save::default()
+    };
+    opened.store.apply(&save).expect("a snapshot can wait");
+    disk.crash(Unsynced::Lost);
+    let again = open(&disk);
+    assert_eq!(again.folder, opened.folder);
+    assert_eq!(
+        again.recovered.entries.len(),
+        9,
+        "the log that the snapshot replaces is kept"
+    );
+}
+
+#[test]
+fn one_sync() {
+    let (disk, mut opened) = lived();
+    // The segment that is open has space for these.
+    let before = disk.syncs();
+    for index in 10..12 {
+        opened
+            .store
+            .apply(&records(index, index, 1))
+            .expect("the fake disk works");
+    }
+    opened.store.sync().expect("the fake disk works");
+    assert!(
+        disk.syncs() - before <= 1 + 3,
+        "one sync for the records, three for a new segment"
+    );
+}
