Replica: silent connections, full and lost disks over real connections; pings on quiet links

Failures found by the new tests: with all connections gone silent the group took 2.14 s and changed its leader (silent_connections): the follower's own link was found silent only after the leader's was dialled anew. A link that sent nothing for 200 ms is now pinged and given up after 250 ms, so both directions are dialled anew within half a lease, and no leader changes. The status called a node a voter before the change was committed; it now waits for that.

Ruled out: a shorter deadline without pings, as the two directions are then still found one after the other; sending unanswered messages again, as the core repeats what is needed.

--- a/src/replica/core/repair.rs
+++ b/src/replica/core/repair.rs
@@ -106,24 +106,27 @@
     #[must_use]
     pub fn node_states(&self, now: Millis) -> Vec<NodeState> {
         let own = &self.config.member.node;
+        // A change of the voters may still be lost before it is committed.
+        let settled = self.log.members_at(self.commit);
+        let votes = |node: &Node| settled.is_some_and(|members| members.contains(node));
         let mut states = vec![NodeState {
             node: own.clone(),
-            voter: self.is_voter(),
+            voter: votes(own),
             matched: self.synced,
             silent_ms: Some(Millis::ZERO),
         }];
         if let Role::Leader(state) = &self.role {
             states.extend(state.progress.iter().map(|(node, p)| NodeState {
                 node: node.clone(),
-                voter: p.learner.is_none(),
+                voter: votes(node),
                 matched: p.matched,
                 silent_ms: p.heard_ms.map(|at| now.since(at)),
             }));
         } else {
             let others = self.voters().into_iter().filter(|node| node != own);
             states.extend(others.map(|node| NodeState {
+                voter: votes(&node),
                 node,
-                voter: true,
                 matched: LogIndex::ZERO,
                 silent_ms: None,
             }));
--- a/src/replica/peer/link.rs
+++ b/src/replica/peer/link.rs
@@ -17,13 +17,19 @@
 use crate::units::ReplicaId;
 
 /// How long a delivery may stay unanswered before its connection is given up.
-const ANSWER_DEADLINE: Duration = Duration::from_millis(400);
+///
+/// With [`PING_AFTER`] both directions between two replicas are dialled anew within half a lease, so
+/// that silent connections depose no leader.
+const ANSWER_DEADLINE: Duration = Duration::from_millis(250);
+/// A connection that was not used for this long is pinged: the other direction may be silent as well
+/// and nothing be sent here because of it.
+const PING_AFTER: Duration = Duration::from_millis(200);
 /// How long a dial may take.
 const DIAL_DEADLINE: Duration = Duration::from_millis(400);
 /// How long to wait after a dial that failed.
 const REDIAL_DELAY: Duration = Duration::from_millis(50);
-/// A connection without messages is closed after this time.
-const IDLE_CLOSE: Duration = Duration::from_secs(5);
+/// A connection without messages is closed after so many pings.
+const IDLE_PINGS: u32 = 25;
 /// Messages that wait for one peer; more are dropped.
 const QUEUE_MESSAGES: usize = 1_024;
 /// Deliveries that may be on their way to one peer.
@@ -117,9 +123,10 @@
     /// Sends over one connection until it fails, is silent, or is no longer needed.
     async fn use_connection(&mut self, connection: Connection, first: Message) {
         let mut deliveries = FuturesUnordered::new();
+        let mut pings = 0;
         let batch = self.gather(first);
         deliveries.push(deliver(&connection, batch));
-        loop {
+        while pings < IDLE_PINGS {
             tokio::select! {
                 Some(answered) = deliveries.next(), if !deliveries.is_empty() => {
                     if !answered {
@@ -127,15 +134,19 @@
                         return;
                     }
                 }
-                next = timeout(IDLE_CLOSE, self.messages.recv()), if deliveries.len() < MAX_DELIVERIES => {
-                    match next {
+                next = timeout(PING_AFTER, self.messages.recv()), if deliveries.len() < MAX_DELIVERIES => {
+                    let batch = match next {
                         Ok(Some(message)) => {
-                            let batch = self.gather(message);
-                            deliveries.push(deliver(&connection, batch));
+                            pings = 0;
+                            self.gather(message)
                         }
                         Ok(None) => return,
-                        Err(_elapsed) => return,
-                    }
+                        Err(_elapsed) => {
+                            pings += 1;
+                            Vec::new()
+                        }
+                    };
+                    deliveries.push(deliver(&connection, batch));
                 }
             }
         }
--- a/src/replica/peer/mod.rs
+++ b/src/replica/peer/mod.rs
@@ -14,6 +14,6 @@
 /// What replicas call on each other.
 #[tarpc::service]
 pub(super) trait PeerApi {
-    /// Takes messages in order.
+    /// Takes messages in order; none as a ping.
     async fn deliver(messages: Vec<Message>);
 }
--- a/tests/support/fake_disk.rs
+++ b/tests/replica_shell/disk.rs
@@ -204,14 +204,12 @@
 
     /// Writes as much as there is space for.
     fn write(&mut self, name: &str, offset: u64, data: &[u8]) -> io::Result<()> {
-        let place = match self.names.get(name) {
-            Some(place) => *place,
-            None => {
-                self.files.push((Vec::new(), Vec::new()));
-                self.names.insert(name.to_owned(), self.files.len() - 1);
-                self.files.len() - 1
-            }
-        };
+        let known = self.names.get(name).copied();
+        let place = known.unwrap_or(self.files.len());
+        if known.is_none() {
+            self.files.push((Vec::new(), Vec::new()));
+            self.names.insert(name.to_owned(), place);
+        }
         let content = &mut self.files[place].0;
         let start = usize::try_from(offset).expect("the offset fits");
         let grows = (start + data.len()).saturating_sub(content.len());
--- a/tests/replica_files.rs
+++ b/tests/replica_shell/files.rs
@@ -1,17 +1,15 @@
 //! The files of a replica: kills at every step, damage of every file, and a full disk.
 
-#[path = "support/fake_disk.rs"]
-mod fake_disk;
-
 use std::sync::Arc;
 
-use fake_disk::{FakeDisk, Unsynced};
 use marjoramknot::replica::core::{HardState, Recovered, Save};
 use marjoramknot::replica::files::{Opened, is_full, open_store};
 use marjoramknot::replica::{Entry, Member, Membership, Node, Payload, Snapshot, SnapshotMeta};
 use marjoramknot::units::{LogIndex, ReplicaId, Term};
 use rstest::rstest;
 
+use crate::disk::{FakeDisk, Unsynced};
+
 /// Small segments, so that a few records need several.
 const SEGMENT_BYTES: u64 = 200;
 
--- a/tests/support/replica_group.rs
+++ b/tests/replica_shell/group.rs
@@ -196,6 +196,19 @@
         drop(running.task.await);
     }
 
+    /// Empties the folder of a stopped replica, or damages its state.
+    pub fn lose_disk(&self, position: usize, damaged: bool) {
+        let folder = &self.members[position].folder;
+        if damaged {
+            let snapshot = folder.join("snapshot");
+            let mut content = std::fs::read(&snapshot).expect("there is a snapshot");
+            content[20] ^= 1;
+            std::fs::write(&snapshot, content).expect("the file can be written");
+        } else {
+            std::fs::remove_dir_all(folder).expect("the folder can be removed");
+        }
+    }
+
     /// The replica that leads with a quorum.
     pub async fn leader(&self) -> usize {
         eventually("a leader is there", async || {
--- /dev/null
+++ b/tests/replica_shell/running.rs
@@ -0,0 +1,242 @@
+//! Replicas over real loopback connections and real files.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use marjoramknot::replica::ProposeError;
+use marjoramknot::replica::files::Folder;
+use marjoramknot::units::FolderId;
+use rstest::rstest;
+
+use crate::disk::FakeDisk;
+use crate::group::{Group, eventually};
+use crate::proxy::Proxy;
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn group_commits(#[case] voters: usize) {
+    let group = Group::start(voters).await;
+    for number in 0..20_u8 {
+        let applied = group.propose(&[number]).await;
+        assert_eq!(applied.reply, vec![number]);
+    }
+    for position in 0..voters {
+        group.wait_applied(position, &[19]).await;
+        let expected: Vec<_> = (0..20_u8).map(|number| vec![number]).collect();
+        assert_eq!(group.commands(position), expected);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn follower_refuses() {
+    let group = Group::start(3).await;
+    group.propose(b"first").await;
+    let leader = group.leader().await;
+    let follower = group.handle((leader + 1) % 3);
+    assert_matches!(
+        follower.propose(b"second".to_vec()).await,
+        Err(ProposeError::NotLeader)
+    );
+    let known = eventually("the follower knows the leader", async || {
+        follower.leadership().borrow().leader_address
+    });
+    assert_eq!(known.await, group.members[leader].peer.control_address);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_leader() {
+    let mut group = Group::start(3).await;
+    group.propose(b"before").await;
+    let old = group.leader().await;
+    group.kill(old).await;
+    group.propose(b"after").await;
+    assert_ne!(group.leader().await, old);
+    group.run(old).await;
+    group.wait_applied(old, b"after").await;
+    assert_eq!(group.commands(old), [b"before".to_vec(), b"after".to_vec()]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_stop() {
+    let mut group = Group::start(3).await;
+    group.propose(b"first").await;
+    let old = group.leader().await;
+    let handle = group.handle(old).clone();
+    let writers: Vec<_> = (0..8_u8)
+        .map(|writer| {
+            let handle = handle.clone();
+            tokio::spawn(async move {
+                let mut taken = Vec::new();
+                for number in 0..u8::MAX {
+                    match handle.propose(vec![writer, number]).await {
+                        Ok(applied) => taken.push(applied.reply),
+                        Err(error) => return (taken, error),
+                    }
+                }
+                panic!("the leader stops before all is proposed")
+            })
+        })
+        .collect();
+    group.wait_applied(old, &[0, 3]).await;
+    group.stop(old).await;
+    let new = group.leader().await;
+    group.propose(b"last").await;
+    let commands = group.commands(new);
+    for writer in writers {
+        let (taken, error) = writer.await.expect("the writer does not panic");
+        assert!(!taken.is_empty());
+        assert!(taken.iter().all(|command| commands.contains(command)));
+        // The refusal is definite: nothing that was taken failed.
+        assert_matches!(error, ProposeError::NotLeader | ProposeError::Stopped);
+    }
+}
+
+#[rstest]
+#[case(4_096)]
+#[case(16)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_keeps_state(#[case] snapshot_records: u64) {
+    let (mut group, listeners) = Group::bind(3).await;
+    group.snapshot_records = snapshot_records;
+    for (position, listener) in listeners.into_iter().enumerate() {
+        group.run_on(position, listener).await;
+    }
+    for number in 0..100_u8 {
+        group.propose(&[number]).await;
+    }
+    for position in 0..3 {
+        group.kill(position).await;
+    }
+    for position in 0..3 {
+        group.run(position).await;
+    }
+    group.propose(b"last").await;
+    let leader = group.leader().await;
+    let commands = group.commands(leader);
+    let mut expected: Vec<_> = (0..100_u8).map(|number| vec![number]).collect();
+    expected.push(b"last".to_vec());
+    assert_eq!(commands, expected);
+}
+
+/// The longest that a hop may stay silent, from the letter's tests.
+const SILENCE_BOUND: Duration = Duration::from_secs(2);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections() {
+    let (mut group, listeners) = Group::bind(3).await;
+    let mut proxies = Vec::new();
+    for (position, listener) in listeners.into_iter().enumerate() {
+        let mut options = group.options(position, listener);
+        for peer in &mut options.peers {
+            let proxy = Proxy::start(peer.peer_address).await;
+            peer.peer_address = proxy.address;
+            proxies.push(proxy);
+        }
+        group.run_with(position, options, None).await;
+    }
+    group.propose(b"before").await;
+    for round in 0..3_u8 {
+        let leader = group.leader().await;
+        proxies.iter().for_each(Proxy::swallow);
+        let silent_from = Instant::now();
+        group.propose(&[round]).await;
+        let took = silent_from.elapsed();
+        assert!(took < SILENCE_BOUND, "recovered after {took:?}");
+        for position in 0..3 {
+            group.wait_applied(position, &[round]).await;
+        }
+        let took = silent_from.elapsed();
+        assert!(took < SILENCE_BOUND, "followers recovered after {took:?}");
+        assert_eq!(group.leader().await, leader, "silence deposes nobody");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn full_disk() {
+    let (mut group, listeners) = Group::bind(3).await;
+    let disks: Vec<_> = (0..3).map(|_| FakeDisk::default()).collect();
+    for (position, listener) in listeners.into_iter().enumerate() {
+        let options = group.options(position, listener);
+        let folder = disks[position].folder();
+        group.run_with(position, options, Some(folder)).await;
+    }
+    group.propose(b"before").await;
+    let leader = group.leader().await;
+    let handle = group.handle(leader).clone();
+    disks[leader].limit(Some(100));
+    let mut taken = vec![b"before".to_vec()];
+    let refused = loop {
+        let command = vec![taken.len().to_le_bytes()[0]; 50];
+        match handle.propose(command.clone()).await {
+            Ok(_) => taken.push(command),
+            Err(error) => break error,
+        }
+        assert!(taken.len() < 100, "a full disk refuses at some time");
+    };
+    assert_matches!(refused, ProposeError::Refused { reason } if reason.contains("disk is full"));
+    disks[leader].limit(None);
+    let after = eventually("the leader takes proposals again", async || {
+        handle.propose(b"after".to_vec()).await.ok()
+    });
+    after.await;
+    taken.push(b"after".to_vec());
+    assert_eq!(group.commands(leader), taken);
+}
+
+/// The folder under which a replica votes and holds all that is committed.
+async fn voter_folder(group: &Group, position: usize) -> Option<FolderId> {
+    let leader = group.leader().await;
+    let status = group.handle(leader).status();
+    let name = &group.members[position].peer.name;
+    let mut replicas = status.replicas.into_iter();
+    let found = replicas.find(|r| r.replica == *name && r.voter);
+    found.filter(|r| r.matched >= status.committed)?.folder
+}
+
+#[rstest]
+#[case(false)]
+#[case(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_disks(#[case] damaged: bool) {
+    let (mut group, listeners) = Group::bind(3).await;
+    group.snapshot_records = 20;
+    for (position, listener) in listeners.into_iter().enumerate() {
+        group.run_on(position, listener).await;
+    }
+    let mut expected = Vec::new();
+    for number in 0..50_u8 {
+        group.propose(&[number]).await;
+        expected.push(vec![number]);
+    }
+    // Each loses its disk right after the one before it was repaired.
+    for position in 0..3 {
+        let old = voter_folder(&group, position).await;
+        group.kill(position).await;
+        group.lose_disk(position, damaged);
+        group.run(position).await;
+        let repaired = eventually("the repaired replica votes", async || {
+            let folder = voter_folder(&group, position).await;
+            (folder.is_some() && folder != old).then_some(())
+        });
+        repaired.await;
+    }
+    group.propose(b"last").await;
+    expected.push(b"last".to_vec());
+    for position in 0..3 {
+        group.wait_applied(position, b"last").await;
+        assert_eq!(group.commands(position), expected);
+    }
+}
+
+#[tokio::test]
+async fn folder_in_use() {
+    let (mut group, mut listeners) = Group::bind(1).await;
+    let options = group.options(0, listeners.remove(0));
+    let folder = options.data_folder.clone();
+    group.run_with(0, options, None).await;
+    let error = Folder::open(&folder).expect_err("the folder is locked");
+    assert_eq!(error.kind(), std::io::ErrorKind::ResourceBusy);
+}
