--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -136,6 +136,7 @@
         self.start(now);
         self.settle(now);
         self.forget_silent(now);
+        self.unfreeze();
         let usable = self.usable(in_force, now);
         let peers = self.peers(&usable);
         let active: Vec<Holder> = self
@@ -243,7 +244,6 @@
             if let Some((held, endpoint)) = held.zip(self.endpoints.get_mut(&id)) {
                 endpoint.adopt(holder, held);
             }
-            unfreeze(record, &self.endpoints);
         }
     }
 
@@ -262,9 +262,6 @@
         }
         self.acknowledge_unnamed(holder, request);
         self.raise_versions(&changed);
-        if let Some(record) = self.entries.get_mut(holder) {
-            unfreeze(record, &self.endpoints);
-        }
     }
 
     /// An endpoint that the entry does not name is one that it does not use.
@@ -293,6 +290,17 @@
         }
     }
 
+    /// Lets entries have this leader's shares once all endpoints that they use are known here.
+    fn unfreeze(&mut self) {
+        for record in self.entries.values_mut().filter(|record| record.frozen) {
+            let known = |held: &EndpointUse| self.endpoints.contains_key(&held.endpoint);
+            if record.uses.iter().all(known) {
+                record.frozen = false;
+                record.version = record.version.saturating_add(1);
+            }
+        }
+    }
+
     fn forget_silent(&mut self, now: Millis) {
         self.endpoints
             .retain(|_, endpoint| now.since(endpoint.heard_ms) <= FORGET_MS);
@@ -384,18 +392,6 @@
     (announcement.incarnation, announcement.sequence) > (known.incarnation, known.sequence)
 }
 
-/// Lets an entry have this leader's shares once all endpoints that it uses are known here.
-fn unfreeze(record: &mut EntryRecord, endpoints: &BTreeMap<EndpointId, SharedEndpoint>) {
-    let known = record
-        .uses
-        .iter()
-        .all(|held| endpoints.contains_key(&held.endpoint));
-    if record.frozen && known {
-        record.frozen = false;
-        record.version = record.version.saturating_add(1);
-    }
-}
-
 fn share_of(endpoint: &SharedEndpoint, holder: &Holder) -> EndpointShare {
     let announced = &endpoint.announcement;
     let holding = endpoint.holdings.get(holder);
--- /dev/null
+++ b/tests/support/shares.rs
@@ -0,0 +1,76 @@
+//! What the share and router tests have in common: a state in force and announcements.
+
+use std::net::SocketAddr;
+
+use marjoramknot::fleet::EndpointAnnouncement;
+use marjoramknot::release_note::{
+    EndpointRule, InForce, ServiceSpec, TeamSpec, ZoneSpec, ZoneState,
+};
+use marjoramknot::units::{EndpointId, Incarnation, MemoryMb, Millis, Sequence, Slots};
+
+/// Two zones, one service, one rule for `booking-` with 8 slots and 64 connections, two teams.
+pub fn in_force() -> InForce {
+    let mut state = InForce::default();
+    for (name, zone_state) in [("Senec", ZoneState::In), ("Nitra", ZoneState::In)] {
+        let zone = ZoneSpec {
+            name: name.parse().expect("the zone is an id"),
+            state: zone_state,
+            racks: Vec::new(),
+        };
+        state.zones.insert(zone.name.clone(), zone);
+    }
+    for (name, weight) in [("regatta", 3), ("judges", 1)] {
+        let team = TeamSpec {
+            name: name.parse().expect("the team is an id"),
+            attempts_max: 4,
+            queued_jobs_max: 10,
+            task_memory_max_mb: MemoryMb(1024),
+            request_weight: weight,
+        };
+        state.teams.insert(team.name.clone(), team);
+    }
+    let service = ServiceSpec {
+        name: "booking".parse().expect("the service is an id"),
+        deadline_max_ms: Millis(60_000),
+    };
+    state.services.insert(service.name.clone(), service);
+    add_rule(&mut state, "runners", "booking-");
+    state
+}
+
+/// Adds a rule for a prefix, with the limits of [`in_force`].
+pub fn add_rule(state: &mut InForce, name: &str, prefix: &str) {
+    let rule = EndpointRule {
+        name: name.parse().expect("the rule is an id"),
+        prefix: prefix.parse().expect("the prefix is an id"),
+        service: "booking".parse().expect("the service is an id"),
+        zones: Vec::new(),
+        slots_max: Slots(8),
+        connections_max: Slots(64),
+    };
+    state.endpoint_rules.insert(rule.name.clone(), rule);
+}
+
+/// The first announcement of endpoint `booking-N`.
+pub fn announcement(number: u16) -> EndpointAnnouncement {
+    EndpointAnnouncement {
+        endpoint: endpoint_id(number),
+        service: "booking".parse().expect("the service is an id"),
+        zone: "Senec".parse().expect("the zone is an id"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+        incarnation: Incarnation(1),
+        sequence: Sequence(1),
+        slots: Slots(8),
+        connections: Slots(64),
+        slots_used: Slots(0),
+        connections_used: Slots(0),
+        leaving: false,
+    }
+}
+
+/// The id of endpoint `booking-N`.
+pub fn endpoint_id(number: u16) -> EndpointId {
+    format!("booking-{number}")
+        .parse()
+        .expect("the endpoint is an id")
+}
