Shares: an entry that never hears the leader's answers gives its share back

lost_answers failed first: its exchanges went on arriving, so it was never expired, and the share that it could no longer use stayed with it.

--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -117,7 +117,7 @@
         let adopts = is_new && !settled;
         self.take_uses(&holder, request, adopts, now);
         if request.shares_version == 0 && !is_new {
-            self.withdraw_holder(&holder);
+            self.drop_shares(&holder);
         }
         if is_new {
             self.mark_uneven();
@@ -271,10 +271,10 @@
     }
 
     /// An entry whose grant ended has dropped its shares and names no version.
-    fn withdraw_holder(&mut self, holder: &Holder) {
+    fn drop_shares(&mut self, holder: &Holder) {
         let mut changed = BTreeSet::new();
         for endpoint in self.endpoints.values_mut() {
-            if endpoint.withdraw_share(holder) {
+            if endpoint.drop_share(holder) {
                 changed.insert(holder.clone());
             }
         }
--- a/src/router/shared_endpoint.rs
+++ b/src/router/shared_endpoint.rs
@@ -257,15 +257,19 @@
         free.min(free_connections / per_slot)
     }
 
-    /// Takes one holder's share away; true where it had one.
-    pub(super) fn withdraw_share(&mut self, holder: &Holder) -> bool {
-        match self.holdings.get_mut(holder) {
-            Some(holding) if holding.told > 0 => {
-                holding.tell(0);
-                true
-            }
-            _ => false,
+    /// Notes that a holder has dropped its share; true where it had one.
+    ///
+    /// It takes no answer to an earlier exchange any more, so only what it has in progress counts.
+    pub(super) fn drop_share(&mut self, holder: &Holder) -> bool {
+        let Some(holding) = self.holdings.get_mut(holder) else {
+            return false;
+        };
+        holding.may_use = holding.used.slots.get();
+        let had_share = holding.told > 0;
+        if had_share {
+            holding.tell(0);
         }
+        had_share
     }
 
     /// Takes all shares away and gives those who had one.
--- a/tests/share_limits.rs
+++ b/tests/share_limits.rs
@@ -30,6 +30,8 @@
     abandoned: BTreeMap<EndpointId, u32>,
     waiting: u32,
     connected: bool,
+    /// Whether answers of the leader arrive.
+    answered: bool,
     leaving: bool,
 }
 
@@ -78,7 +80,7 @@
             self.announce_all();
             for index in 0..self.entries.len() {
                 if self.entries[index].connected {
-                    self.exchange(index, true);
+                    self.exchange(index, self.entries[index].answered);
                 }
             }
             self.expire_lost();
@@ -235,6 +237,7 @@
             abandoned: BTreeMap::new(),
             waiting: 0,
             connected: true,
+            answered: true,
             leaving: false,
         }
     }
@@ -344,6 +347,49 @@
     assert_eq!(before, after);
 }
 
+#[test]
+fn steady_below_share() {
+    let mut world = World::settled(2, 1);
+    world.entries[0].waiting = 6;
+    world.pass(500);
+    world.entries[0].waiting = 0;
+    let before = world.entries[0].version;
+    world.pass(2_000);
+    assert_eq!(world.entries[0].version, before);
+    assert_eq!((world.share(0, 0), world.share(1, 0)), (6, 2));
+}
+
+#[test]
+fn lost_answers() {
+    let mut world = World::settled(2, 1);
+    world.entries[0].waiting = 40;
+    world.pass(500);
+    // The leader takes the share back, and its answers to the entry are lost.
+    world.entries[0].answered = false;
+    world.entries[0].waiting = 0;
+    world.entries[1].waiting = 40;
+    world.pass(1_000);
+    let endpoint = shares::endpoint_id(0);
+    world.start(1, &endpoint, 8);
+    world.start(0, &endpoint, 8);
+    assert_eq!((world.share(0, 0), world.share(1, 0)), (8, 0));
+    world.pass(2_500);
+    world.end(0, &endpoint, 8);
+    world.pass(1_000);
+    assert_eq!(world.share(1, 0), 8);
+}
+
+#[test]
+fn leaving_after_election() {
+    let mut world = World::settled(2, 2);
+    world.book = ShareBook::new();
+    let leaver = world.endpoints.get_mut(&shares::endpoint_id(0));
+    leaver.expect("it is there").leaving = true;
+    world.pass(300);
+    assert_eq!(world.share_sum(0), 0);
+    assert!(world.share_sum(1) > 0);
+}
+
 #[test]
 fn cut_off_entry() {
     let mut world = World::settled(2, 1);
@@ -549,6 +595,7 @@
     Abandon(usize, u16),
     EndOrphans(u16),
     Connect(usize, bool),
+    Answer(usize, bool),
     Demand(usize, u32),
     Restart(usize),
     NewLeader,
@@ -564,6 +611,7 @@
         1 => (entry.clone(), endpoint.clone()).prop_map(|(e, p)| Step::Abandon(e, p)),
         1 => endpoint.prop_map(Step::EndOrphans),
         2 => (entry.clone(), any::<bool>()).prop_map(|(e, on)| Step::Connect(e, on)),
+        1 => (entry.clone(), any::<bool>()).prop_map(|(e, on)| Step::Answer(e, on)),
         3 => (entry.clone(), 0..30_u32).prop_map(|(e, n)| Step::Demand(e, n)),
         1 => entry.prop_map(Step::Restart),
         1 => Just(Step::NewLeader),
@@ -597,6 +645,7 @@
                     world.orphans.remove(&shares::endpoint_id(endpoint));
                 }
                 Step::Connect(entry, connected) => world.entries[entry].connected = connected,
+                Step::Answer(entry, answered) => world.entries[entry].answered = answered,
                 Step::Demand(entry, waiting) => world.entries[entry].waiting = waiting,
                 Step::Restart(entry) => world.restart(entry),
                 Step::NewLeader => world.book = ShareBook::new(),
@@ -604,6 +653,7 @@
         }
         for entry in &mut world.entries {
             entry.connected = true;
+            entry.answered = true;
             entry.waiting = 0;
             entry.running.clear();
         }
