--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -2,11 +2,13 @@
 //! order of their needs and stop in reverse. See docs/DESIGN.md.
 
 mod builder;
+mod clock;
 mod registry;
 mod running;
 mod service;
 
 pub use builder::KernelBuilder;
+pub use clock::Clock;
 pub use registry::Registry;
 pub use running::Kernel;
 pub use service::{Service, ServiceFuture, Starter, Stopper};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code, unreachable_pub)]
 
+pub mod codec;
 pub mod control;
 pub mod fleet;
 pub mod kernel;
