Scheduler: pure core with gang life cycle, cells, bindings and health

Cause: the leader's loop needs the interface first. Scheduler::{new, handle, explain, teams, workers, check_invariants} and scheduler::admit stand; gangs go through placed, prepare, started, run, stop; guarantees are bound to workers; reclaim, reservation, quarantine are in place but not yet proved. Ruled out: counting guarantees as sums; a concrete binding is its own proof.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,9 +1,11 @@
 //! Workers and endpoints: what they announce, their leases and their health.
 
 mod endpoint;
+mod health;
 mod worker;
 
 pub use endpoint::{EndpointAnnouncement, EndpointAnswer};
+pub use health::{Health, HealthState};
 pub use worker::{
     Checkpoint, TaskKey, TaskOrder, TaskReport, TaskState, TaskWork, Usage, Want, WorkerCapacity,
     WorkerOrders, WorkerPoll,
--- /dev/null
+++ b/src/scheduler/admit.rs
@@ -0,0 +1,164 @@
+use std::fmt::Write as _;
+
+use smol_str::SmolStr;
+
+use super::load::{Load, TASKS_MAX};
+use super::{JobSpec, NotRunReason, Result};
+use crate::release_note::{Adjacency, InForce, RackSpec};
+use crate::units::Millis;
+
+/// The longest payload of a job in bytes.
+const PAYLOAD_MAX_BYTES: usize = 16 * 1024;
+/// The longest declared run time and deadline: one year.
+const SPAN_MAX_MS: Millis = Millis(366 * 24 * 3_600_000);
+
+/// Decides whether a job may be accepted, from the state in force alone.
+///
+/// All declared zones count, also those taken out, since they may come back. The decision is
+/// deterministic, so every replica that applies the submission answers alike.
+///
+/// # Errors
+/// The reason why the job will never run: an unknown team, a full queue, numbers that make no
+/// sense, or a shape that no declared rack or zone could ever hold, with the nearest that would fit.
+pub fn admit(spec: &JobSpec, in_force: &InForce, waiting_in_team: u32) -> Result<()> {
+    let Some(team) = in_force.teams.get(&spec.key.team) else {
+        return Err(NotRunReason::NoSuchTeam);
+    };
+    check_numbers(spec)?;
+    if spec.memory_mb > team.task_memory_max_mb {
+        let limit = team.task_memory_max_mb;
+        return Err(never(format!("tasks of {limit} MB, the team's limit")));
+    }
+    check_shape(spec, in_force)?;
+    if waiting_in_team >= team.queued_jobs_max {
+        return Err(NotRunReason::QueueFull);
+    }
+    Ok(())
+}
+
+fn never(nearest: impl Into<SmolStr>) -> NotRunReason {
+    NotRunReason::NeverFits {
+        nearest: nearest.into(),
+    }
+}
+
+fn check_numbers(spec: &JobSpec) -> Result<()> {
+    if spec.tasks == 0 || spec.tasks > TASKS_MAX {
+        return Err(never(format!("1 to {TASKS_MAX} tasks")));
+    }
+    if !matches!(spec.accelerators.0, 0 | 1 | 2 | 4 | 8) {
+        return Err(never("0, 1, 2, 4 or 8 accelerators a task"));
+    }
+    if spec.cores.0 == 0 && spec.accelerators.0 == 0 {
+        return Err(never("at least one core or accelerator a task"));
+    }
+    if spec.payload.len() > PAYLOAD_MAX_BYTES {
+        return Err(never(format!("a payload of {PAYLOAD_MAX_BYTES} bytes")));
+    }
+    let deadline = spec.deadline_ms.unwrap_or(Millis::ZERO);
+    if spec.declared_run_ms > SPAN_MAX_MS || deadline > SPAN_MAX_MS {
+        return Err(never(format!("times up to {SPAN_MAX_MS}")));
+    }
+    Ok(())
+}
+
+/// The load of one task as it was submitted.
+fn task_load(spec: &JobSpec) -> Load {
+    Load {
+        accelerators: spec.accelerators.0,
+        cores: spec.cores.0,
+        memory_mb: spec.memory_mb.0,
+    }
+}
+
+fn tasks_in_worker(task: Load, rack: &RackSpec) -> u32 {
+    if rack.workers == 0 {
+        return 0;
+    }
+    task.times_in(Load {
+        accelerators: rack.accelerators.0,
+        cores: rack.cores.0,
+        memory_mb: rack.memory_mb.0,
+    })
+}
+
+fn tasks_in_rack(task: Load, rack: &RackSpec) -> u32 {
+    tasks_in_worker(task, rack).saturating_mul(rack.workers)
+}
+
+/// The most tasks that stand together in one worker, rack, zone or everywhere.
+fn tasks_together(task: Load, adjacency: Adjacency, in_force: &InForce) -> u32 {
+    let racks = in_force.zones.values().flat_map(|zone| &zone.racks);
+    match adjacency {
+        Adjacency::Worker => racks.map(|rack| tasks_in_worker(task, rack)).max(),
+        Adjacency::Rack => racks.map(|rack| tasks_in_rack(task, rack)).max(),
+        Adjacency::Zone => in_force
+            .zones
+            .values()
+            .map(|zone| zone.racks.iter().map(|rack| tasks_in_rack(task, rack)))
+            .map(|tasks| tasks.fold(0, u32::saturating_add))
+            .max(),
+        Adjacency::Any => Some(
+            racks
+                .map(|rack| tasks_in_rack(task, rack))
+                .fold(0, u32::saturating_add),
+        ),
+    }
+    .unwrap_or(0)
+}
+
+fn check_shape(spec: &JobSpec, in_force: &InForce) -> Result<()> {
+    let task = task_load(spec);
+    let together = tasks_together(task, spec.adjacency, in_force);
+    if together >= spec.tasks {
+        return Ok(());
+    }
+    if together > 0 {
+        return Err(never(nearest_gang(spec, in_force, together)));
+    }
+    Err(never(nearest_task(task, in_force)))
+}
+
+/// Fewer tasks at the asked adjacency, and the tightest adjacency that holds all.
+fn nearest_gang(spec: &JobSpec, in_force: &InForce, together: u32) -> String {
+    let asked = place_name(spec.adjacency);
+    let mut text = format!("{together} tasks of this size in one {asked}");
+    let looser = [Adjacency::Rack, Adjacency::Zone, Adjacency::Any];
+    let fitting = looser
+        .into_iter()
+        .filter(|adjacency| *adjacency > spec.adjacency)
+        .find(|adjacency| tasks_together(task_load(spec), *adjacency, in_force) >= spec.tasks);
+    if let Some(adjacency) = fitting {
+        let place = place_name(adjacency);
+        write!(text, ", or all {} in one {place}", spec.tasks).expect("a string takes any text");
+    }
+    text
+}
+
+const fn place_name(adjacency: Adjacency) -> &'static str {
+    match adjacency {
+        Adjacency::Worker => "worker",
+        Adjacency::Rack => "rack",
+        Adjacency::Zone => "zone",
+        Adjacency::Any => "fleet",
+    }
+}
+
+/// The declared worker that misses least of the task.
+fn nearest_task(task: Load, in_force: &InForce) -> String {
+    let racks = in_force.zones.values().flat_map(|zone| &zone.racks);
+    let workers = racks.filter(|rack| rack.workers > 0).map(|rack| Load {
+        accelerators: rack.accelerators.0,
+        cores: rack.cores.0,
+        memory_mb: rack.memory_mb.0,
+    });
+    match workers.min_by_key(|worker| task.minus(*worker)) {
+        Some(worker) => {
+            let fitting = task.min(worker);
+            let (cores, memory) = fitting.capacity();
+            let accelerators = fitting.accelerators;
+            format!("tasks of {accelerators} accelerators, {cores} cores and {memory} MB")
+        }
+        None => "no rack is declared".to_owned(),
+    }
+}
--- /dev/null
+++ b/src/scheduler/binding.rs
@@ -0,0 +1,292 @@
+//! The joint binding of all guarantees to workers.
+//!
+//! Each guaranteed cell is bound to a worker on which neither other bindings nor work that may not
+//! be reclaimed stand in its way. The binding is the proof that every unused guarantee can be
+//! reclaimed; placements are checked against it and never the other way round.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+use super::load::Load;
+use super::pool::Pool;
+use crate::release_note::{Adjacency, GuaranteedCells, InForce};
+use crate::units::{Millis, TeamId};
+
+/// Groups that are looked at in one pass, so that no event takes long.
+const GROUPS_A_PASS: usize = 48;
+
+/// One group of equal cells of a guarantee.
+#[derive(Clone, Debug)]
+pub(super) struct Group {
+    pub(super) team: TeamId,
+    pub(super) spec: GuaranteedCells,
+    /// The worker of each bound cell.
+    pub(super) cells: Vec<u32>,
+}
+
+impl Group {
+    pub(super) const fn missing(&self) -> usize {
+        (self.spec.count as usize).saturating_sub(self.cells.len())
+    }
+}
+
+/// All groups with their workers.
+#[derive(Debug, Default)]
+pub(super) struct Bindings {
+    pub(super) groups: Vec<Group>,
+    /// Groups of each team, as positions in `groups`.
+    by_team: BTreeMap<TeamId, Vec<usize>>,
+    /// Whether workers or notes changed since the last refresh.
+    pub(super) dirty: bool,
+    next: usize,
+    /// Whether all groups were bound afresh since the last change.
+    repacked: bool,
+}
+
+impl Bindings {
+    /// Takes over the guarantees in force; groups that stay the same keep their cells.
+    pub(super) fn declare(&mut self, in_force: &InForce, pool: &mut Pool) {
+        let mut old = std::mem::take(&mut self.groups);
+        self.by_team.clear();
+        for guarantee in in_force.guarantees.values() {
+            for spec in &guarantee.cells {
+                let same = |group: &Group| group.team == guarantee.team && group.spec == *spec;
+                let kept = old.iter().position(same).map(|at| old.swap_remove(at));
+                let group = kept.unwrap_or_else(|| Group {
+                    team: guarantee.team.clone(),
+                    spec: spec.clone(),
+                    cells: Vec::new(),
+                });
+                let positions = self.by_team.entry(group.team.clone()).or_default();
+                positions.push(self.groups.len());
+                self.groups.push(group);
+            }
+        }
+        for mut group in old {
+            unbind_all(&mut group, pool);
+        }
+        self.dirty = true;
+    }
+
+    pub(super) fn of_team(&self, team: &TeamId) -> impl Iterator<Item = &Group> {
+        let positions = self.by_team.get(team).into_iter().flatten();
+        positions.map(|at| &self.groups[*at])
+    }
+
+    /// Racks in which a team has cells.
+    pub(super) fn racks_of(&self, team: &TeamId, pool: &Pool) -> BTreeSet<u32> {
+        let cells = self.of_team(team).flat_map(|group| &group.cells);
+        cells.map(|ix| pool.worker(*ix).rack).collect()
+    }
+
+    /// Drops cells whose workers can't run work and binds what is missing.
+    pub(super) fn refresh(&mut self, pool: &mut Pool, now: Millis) {
+        if self.dirty {
+            self.dirty = false;
+            self.repacked = false;
+            for group in &mut self.groups {
+                unbind_unusable(group, pool, now);
+            }
+        }
+        let missing = self.positions_missing();
+        let round = missing.iter().filter(|at| **at >= self.next);
+        let round: Vec<usize> = round.copied().take(GROUPS_A_PASS).collect();
+        self.next = round.last().map_or(0, |last| last + 1);
+        let mut bound_all = true;
+        for at in round {
+            bound_all &= bind(&mut self.groups[at], pool, now);
+        }
+        if !bound_all && self.next == 0 && !self.repacked {
+            self.repacked = true;
+            self.repack(pool, now);
+        }
+    }
+
+    /// Whether some groups were not looked at yet.
+    pub(super) const fn unfinished(&self) -> bool {
+        self.next != 0
+    }
+
+    fn positions_missing(&self) -> Vec<usize> {
+        let groups = self.groups.iter().enumerate();
+        let missing = groups.filter(|(_at, group)| group.missing() > 0);
+        missing.map(|(at, _group)| at).collect()
+    }
+
+    /// Binds all unused groups afresh, the hardest first; keeps the old binding where that is worse.
+    fn repack(&mut self, pool: &mut Pool, now: Millis) {
+        let before: Vec<Vec<u32>> = self
+            .groups
+            .iter()
+            .map(|group| group.cells.clone())
+            .collect();
+        let missed = self.accelerators_missing();
+        let mut order: Vec<usize> = (0..self.groups.len()).collect();
+        order.sort_by_key(|at| hardness(&self.groups[*at].spec));
+        order.retain(|at| is_unused(&self.groups[*at], pool));
+        for at in &order {
+            unbind_all(&mut self.groups[*at], pool);
+        }
+        for at in &order {
+            bind(&mut self.groups[*at], pool, now);
+        }
+        if self.accelerators_missing() < missed {
+            return;
+        }
+        for at in &order {
+            unbind_all(&mut self.groups[*at], pool);
+        }
+        for at in &order {
+            for ix in &before[*at] {
+                bind_cell(&mut self.groups[*at], pool, *ix);
+            }
+        }
+    }
+
+    fn accelerators_missing(&self) -> u64 {
+        let missing = self.groups.iter();
+        let missing = missing.map(|g| g.missing() as u64 * u64::from(g.spec.accelerators.0));
+        missing.sum()
+    }
+
+    /// Guaranteed accelerators that are not bound, and why.
+    pub(super) fn at_risk(&self, team: &TeamId) -> (u32, Option<SmolStr>) {
+        let cells = self.of_team(team);
+        let missing = cells.filter(|group| group.missing() > 0);
+        let mut sum = 0_u64;
+        let mut cause = None;
+        for group in missing {
+            sum += group.missing() as u64 * u64::from(group.spec.accelerators.0);
+            let text = format!(
+                "{} of {} cells of {} accelerators have no usable worker that others leave free",
+                group.missing(),
+                group.spec.count,
+                group.spec.accelerators
+            );
+            cause.get_or_insert_with(|| SmolStr::new(text));
+        }
+        (u32::try_from(sum).unwrap_or(u32::MAX), cause)
+    }
+}
+
+/// Larger cells that stand closer together are bound first.
+const fn hardness(spec: &GuaranteedCells) -> (Adjacency, std::cmp::Reverse<u64>) {
+    let size = spec.count as u64 * spec.accelerators.0 as u64;
+    (spec.adjacency, std::cmp::Reverse(size))
+}
+
+fn unbind_unusable(group: &mut Group, pool: &mut Pool, now: Millis) {
+    let cells = std::mem::take(&mut group.cells);
+    for ix in cells {
+        if pool.worker(ix).usable(now) && pool.worker(ix).covers_bound() {
+            group.cells.push(ix);
+        } else {
+            unbind_cell(group, pool, ix);
+        }
+    }
+}
+
+fn unbind_all(group: &mut Group, pool: &mut Pool) {
+    for ix in std::mem::take(&mut group.cells) {
+        unbind_cell(group, pool, ix);
+    }
+}
+
+fn unbind_cell(group: &Group, pool: &mut Pool, ix: u32) {
+    let worker = pool.worker_mut(ix);
+    if let Some(holding) = worker.holdings.get_mut(&group.team) {
+        holding.bound = holding.bound.saturating_sub(group.spec.accelerators.0);
+    }
+    worker.drop_empty_holdings();
+}
+
+fn bind_cell(group: &mut Group, pool: &mut Pool, ix: u32) {
+    let holdings = &mut pool.worker_mut(ix).holdings;
+    holdings.entry(group.team.clone()).or_default().bound += group.spec.accelerators.0;
+    group.cells.push(ix);
+}
+
+/// Whether the team runs nothing that it may keep on the group's workers.
+fn is_unused(group: &Group, pool: &Pool) -> bool {
+    let mut cells = group.cells.iter();
+    cells.all(|ix| pool.worker(*ix).holding(&group.team).firm == Load::ZERO)
+}
+
+/// Binds the missing cells; where they don't fit beside the others, an unused group moves whole.
+fn bind(group: &mut Group, pool: &mut Pool, now: Millis) -> bool {
+    if complete(group, pool, now) {
+        return true;
+    }
+    if !is_unused(group, pool) {
+        return false;
+    }
+    unbind_all(group, pool);
+    complete(group, pool, now)
+}
+
+/// Binds missing cells in the best domain, as many as fit.
+fn complete(group: &mut Group, pool: &mut Pool, now: Millis) -> bool {
+    let domains = domains(group, pool);
+    let missing = group.missing();
+    let mut best: Vec<u32> = Vec::new();
+    let mut best_room = u32::MAX;
+    for domain in domains {
+        let (cells, room) = cells_in(group, pool, &domain, now);
+        let better = cells.len() > best.len() || (cells.len() == best.len() && room < best_room);
+        if better {
+            (best, best_room) = (cells, room);
+        }
+    }
+    best.truncate(missing);
+    for ix in best {
+        bind_cell(group, pool, ix);
+    }
+    group.missing() == 0
+}
+
+/// The sets of workers in which the missing cells may stand.
+fn domains(group: &Group, pool: &Pool) -> Vec<Vec<u32>> {
+    let first = group.cells.first().copied();
+    let racks = || pool.open_zones().flat_map(|zone| &zone.racks);
+    let workers = |rack: &u32| pool.racks[*rack as usize].workers.clone();
+    match (group.spec.adjacency, first) {
+        (Adjacency::Worker, Some(ix)) => vec![vec![ix]],
+        (Adjacency::Worker, None) => racks().flat_map(workers).map(|ix| vec![ix]).collect(),
+        (Adjacency::Rack, Some(ix)) => vec![workers(&pool.worker(ix).rack)],
+        (Adjacency::Rack, None) => racks().map(workers).collect(),
+        (Adjacency::Zone, Some(ix)) => {
+            vec![pool.zone(ix).racks.iter().flat_map(workers).collect()]
+        }
+        (Adjacency::Zone, None) => pool
+            .open_zones()
+            .map(|zone| zone.racks.iter().flat_map(workers).collect())
+            .collect(),
+        (Adjacency::Any, _) => vec![racks().flat_map(workers).collect()],
+    }
+}
+
+/// Workers for the missing cells in one domain, fullest first, and the room that the domain has.
+fn cells_in(group: &Group, pool: &Pool, domain: &[u32], now: Millis) -> (Vec<u32>, u32) {
+    let size = group.spec.accelerators.0;
+    let mut slots = Vec::new();
+    for ix in domain {
+        let worker = pool.worker(*ix);
+        if !worker.usable(now) || worker.capacity.accelerators < size {
+            continue;
+        }
+        let fits = worker.cells_that_fit(&group.team, size);
+        if fits > 0 {
+            slots.push((worker.slack().accelerators, *ix, fits));
+        }
+    }
+    slots.sort_unstable();
+    let room = slots
+        .iter()
+        .map(|(slack, _ix, _fits)| *slack)
+        .fold(0, u32::saturating_add);
+    let cells = slots
+        .into_iter()
+        .flat_map(|(_slack, ix, fits)| std::iter::repeat_n(ix, fits as usize));
+    (cells.take(group.missing()).collect(), room)
+}
--- /dev/null
+++ b/src/scheduler/gang.rs
@@ -0,0 +1,161 @@
+use smol_str::SmolStr;
+
+use super::load::Load;
+use super::{EndCause, Explanation, JobOutcome, JobRecord};
+use crate::fleet::{Checkpoint, Want};
+use crate::units::{Attempt, Incarnation, MemoryMb, Millis, OrdersVersion};
+
+/// A job that has not ended, with the gang of its present attempt.
+#[derive(Debug)]
+pub(super) struct Job {
+    /// The durable part; its phase is kept in `gang` instead.
+    pub(super) record: JobRecord,
+    pub(super) gang: Option<Gang>,
+    pub(super) explanation: Explanation,
+    /// When this leader first knew the job, earlier for jobs that were older then.
+    pub(super) known_ms: u64,
+    /// Place in the queue while it waits.
+    pub(super) queued: Option<super::queue::QueueKey>,
+    /// Since when no cell could hold it.
+    pub(super) blocked_ms: Option<Millis>,
+    /// Workers on which it failed.
+    pub(super) failed_on: Vec<u32>,
+    /// Attempts under this leader that count against the team's limit.
+    pub(super) failed_attempts: u32,
+}
+
+impl Job {
+    /// What one task of the next attempt needs.
+    pub(super) const fn task_load(&self) -> Load {
+        Load {
+            accelerators: self.record.spec.accelerators.0,
+            cores: self.record.spec.cores.0,
+            memory_mb: self.record.memory_mb.0,
+        }
+    }
+
+    /// Accelerators of the whole gang.
+    pub(super) const fn accelerators(&self) -> u64 {
+        self.record.spec.accelerators.0 as u64 * self.record.spec.tasks as u64
+    }
+}
+
+/// What is known of one member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Seen {
+    /// Nothing was reported yet.
+    Nothing,
+    Prepared,
+    Refused,
+    Running,
+    Checkpointed,
+    Stopped,
+    Succeeded,
+    Failed,
+    OverMemory,
+    /// Certain to hold nothing and to start nothing any more.
+    Gone,
+}
+
+/// One task's place in the present attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Place {
+    pub(super) worker: u32,
+    pub(super) incarnation: Incarnation,
+    pub(super) seen: Seen,
+    /// The orders that told the worker to stop it.
+    pub(super) stop_version: OrdersVersion,
+    /// Its last checkpoint in this attempt.
+    pub(super) checkpoint: Option<Checkpoint>,
+    /// The result of a task that succeeded.
+    pub(super) result: Option<SmolStr>,
+}
+
+/// What follows when all members are gone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Then {
+    Requeue(EndCause),
+    End(JobOutcome),
+}
+
+/// Where an attempt stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// The places are chosen, their commit is asked for.
+    Placing,
+    /// Members prepare.
+    Preparing,
+    /// All members prepared, the commit of the start is asked for.
+    Starting,
+    /// The start is committed; members are ordered to run.
+    Running,
+    /// Members write checkpoints until the bound.
+    Checkpointing { cause: EndCause, until_ms: Millis },
+    /// Members are told to stop; when all are gone the commit follows.
+    Stopping { then: Then },
+    /// Nothing is held any more, the commit of the end is asked for.
+    Closing,
+    /// All succeeded, the commit of the end is asked for.
+    Ending,
+    /// The end is committed, members give back what they hold.
+    Releasing,
+}
+
+/// The gang of one attempt.
+#[derive(Debug)]
+pub(super) struct Gang {
+    pub(super) attempt: Attempt,
+    pub(super) stage: Stage,
+    pub(super) places: Vec<Place>,
+    /// Load of each task.
+    pub(super) load: Load,
+    /// Whether it may not be reclaimed: it runs inside its team's guarantee, or may not run again.
+    pub(super) firm: bool,
+    /// Whether the start was committed.
+    pub(super) started: bool,
+    /// When this leader chose the places.
+    pub(super) placed_ms: Millis,
+    /// When the start was committed.
+    pub(super) started_ms: Millis,
+    /// What to do instead once a commit in flight is known.
+    pub(super) abort: Option<Then>,
+    /// Memory for each task of the next attempt, where a task passed its own.
+    pub(super) larger_memory_mb: Option<MemoryMb>,
+    /// The error of the first task that failed.
+    pub(super) cause: Option<SmolStr>,
+}
+
+impl Gang {
+    pub(super) fn all(&self, wanted: Seen) -> bool {
+        self.places.iter().all(|place| place.seen == wanted)
+    }
+
+    pub(super) fn any(&self, wanted: Seen) -> bool {
+        self.places.iter().any(|place| place.seen == wanted)
+    }
+
+    /// What is ordered of a member in this stage.
+    pub(super) const fn want(&self) -> Option<Want> {
+        match self.stage {
+            Stage::Placing | Stage::Closing => None,
+            Stage::Preparing | Stage::Starting => Some(Want::Prepare),
+            Stage::Running | Stage::Ending => Some(Want::Run),
+            Stage::Checkpointing { .. } => Some(Want::Checkpoint),
+            Stage::Stopping { .. } | Stage::Releasing => Some(Want::Stop),
+        }
+    }
+
+    /// Whether the gang is on its way out already.
+    pub(super) const fn leaving(&self) -> bool {
+        !matches!(
+            self.stage,
+            Stage::Placing | Stage::Preparing | Stage::Starting | Stage::Running
+        )
+    }
+
+    /// Checkpoints of all tasks, or none where the set is not whole.
+    pub(super) fn checkpoints(&self) -> Vec<Checkpoint> {
+        let all: Option<Vec<_>> = self.places.iter().map(|p| p.checkpoint.clone()).collect();
+        all.unwrap_or_default()
+    }
+}
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,11 +4,39 @@
 //! The leader's loop commits what [`Action::Commit`] asks for and feeds the result back as
 //! [`Event::Committed`]; only then do orders for workers follow. See docs/DESIGN.md.
 
+mod admit;
+mod binding;
+mod commit;
+mod core;
+mod estimate;
 mod event;
+mod finish;
+mod gang;
+mod invariant;
 mod job;
+mod life;
+mod load;
+mod options;
+mod orders;
+mod pass;
+mod placement;
+mod pool;
+mod queue;
+mod reclaim;
+mod report;
+mod reserve;
+mod search;
+mod status;
+mod worker;
 
+pub use admit::admit;
+pub use core::Scheduler;
 pub use event::{Action, Event, Explanation, TeamStatus, WorkerStatus};
 pub use job::{
     EndCause, JobKey, JobOutcome, JobPhase, JobRecord, JobSpec, JobTransition, Member,
     NotRunReason, SubmitAnswer,
 };
+pub use options::SchedulerOptions;
+
+/// Result of admitting a job.
+pub type Result<T> = std::result::Result<T, NotRunReason>;
--- /dev/null
+++ b/src/scheduler/pass.rs
@@ -0,0 +1,231 @@
+//! One bounded look at the queue: who starts, who reclaims, who reserves.
+
+use std::collections::BTreeMap;
+
+use super::gang::Stage;
+use super::queue::QueueKey;
+use super::reclaim::{Claim, ClaimKind};
+use super::{EndCause, Scheduler};
+use crate::units::{Millis, TeamId};
+
+/// Searches for places in one pass, so that no event takes long.
+const SEARCHES_MAX: u32 = 48;
+/// Jobs of one team looked at in one pass.
+const SCAN_MAX: usize = 512;
+/// Blocked gangs that keep cells at one time.
+const RESERVES_MAX: usize = 3;
+/// A share of the guarantee in use counts in steps of a half up to this many.
+const SHARE_LEVELS: u64 = 8;
+
+impl Scheduler {
+    /// Starts what can start.
+    pub(super) fn pass(&mut self, now: Millis) {
+        if !self.dirty && !self.bindings.unfinished() {
+            return;
+        }
+        self.dirty = false;
+        self.bindings.refresh(&mut self.pool, now);
+        let mut searches = 0;
+        self.serve_claims(now, &mut searches);
+        self.serve_guaranteed(now, &mut searches);
+        self.serve_borrowed(now, &mut searches);
+        if searches >= SEARCHES_MAX {
+            self.dirty = true;
+        }
+    }
+
+    /// Jobs that claimed places start as soon as these are free.
+    fn serve_claims(&mut self, now: Millis, searches: &mut u32) {
+        let claimants: Vec<u64> = self.claims.by_job.keys().copied().collect();
+        for ordinal in claimants {
+            let claim = self.claims.by_job[&ordinal].clone();
+            if claim.kind == ClaimKind::Reclaim {
+                let started = self.try_guaranteed(ordinal, now, searches);
+                if !started && self.claim_is_stale(&claim, now) {
+                    self.claims.drop_claim(ordinal, &mut self.pool);
+                    self.dirty = true;
+                }
+            } else if !self.try_borrowed(ordinal, now, searches) {
+                self.review_reserve(ordinal, &claim, now);
+            }
+        }
+    }
+
+    /// Whether nobody is leaving the claimed places any more, or one can't be used.
+    fn claim_is_stale(&self, claim: &Claim, now: Millis) -> bool {
+        let unusable = |ix: &u32| !self.pool.worker(*ix).usable(now);
+        if claim.places.iter().any(unusable) {
+            return true;
+        }
+        let mut members = claim
+            .places
+            .iter()
+            .flat_map(|ix| &self.pool.worker(*ix).members);
+        !members
+            .any(|(ordinal, _index)| self.gang(*ordinal).is_some_and(super::gang::Gang::leaving))
+    }
+
+    /// Gives up a reserved cell that can't be used, or moves others out of it after long.
+    fn review_reserve(&mut self, ordinal: u64, claim: &Claim, now: Millis) {
+        let unusable = |ix: &u32| !self.pool.worker(*ix).usable(now);
+        if claim.places.iter().any(unusable) {
+            self.claims.drop_claim(ordinal, &mut self.pool);
+            self.dirty = true;
+            return;
+        }
+        let blocked_ms = self.jobs.get(&ordinal).and_then(|job| job.blocked_ms);
+        let blocked_for = now.since(blocked_ms.unwrap_or(now));
+        if !self.options.moves || blocked_for < self.options.move_after_ms {
+            return;
+        }
+        let stale = claim.kind == ClaimKind::Move && self.claim_is_stale(claim, now);
+        let fresh = claim.kind != ClaimKind::Move;
+        if !(stale || fresh) || now.since(claim.since_ms) < Millis(1_000) {
+            return;
+        }
+        if self.clear_places(ordinal, &claim.places, claim.load, &EndCause::Moved, now) {
+            let mut claim = claim.clone();
+            claim.kind = ClaimKind::Move;
+            claim.since_ms = now;
+            self.claims.insert(ordinal, claim, &mut self.pool);
+        }
+    }
+
+    /// Work inside guarantees, urgent work of all teams first.
+    fn serve_guaranteed(&mut self, now: Millis, searches: &mut u32) {
+        let keys = self.keys_by_team(true);
+        for urgent in [true, false] {
+            for (team, keys) in &keys {
+                let keys = keys.iter().filter(|key| (key.rank == 0) == urgent);
+                self.serve_team(team, keys, now, searches);
+            }
+        }
+    }
+
+    fn serve_team<'a>(
+        &mut self,
+        team: &TeamId,
+        keys: impl Iterator<Item = &'a QueueKey>,
+        now: Millis,
+        searches: &mut u32,
+    ) {
+        for key in keys {
+            if *searches >= SEARCHES_MAX {
+                return;
+            }
+            let unused = self.unused_guarantee(team);
+            if unused == 0 {
+                return;
+            }
+            let needed = self.jobs[&key.ordinal].accelerators();
+            if needed > unused || self.claims.by_job.contains_key(&key.ordinal) {
+                continue;
+            }
+            let started = self.try_guaranteed(key.ordinal, now, searches)
+                || self.try_borrowed(key.ordinal, now, searches)
+                || self.try_reclaim(key.ordinal, now, searches);
+            if !started && !self.options.backfill {
+                return;
+            }
+        }
+    }
+
+    fn keys_by_team(&self, with_guarantee: bool) -> BTreeMap<TeamId, Vec<QueueKey>> {
+        self.queue
+            .teams()
+            .filter(|(team, _keys)| !with_guarantee || self.bindings.of_team(team).next().is_some())
+            .map(|(team, keys)| (team.clone(), keys.iter().copied().take(SCAN_MAX).collect()))
+            .collect()
+    }
+
+    /// Accelerators of the guarantee that are bound and neither used nor claimed.
+    fn unused_guarantee(&self, team: &TeamId) -> u64 {
+        let groups = self.bindings.of_team(team);
+        let bound = groups.map(|g| g.cells.len() as u64 * u64::from(g.spec.accelerators.0));
+        let used = self.pool.team_use(team).firm;
+        let claimed = self.claims.by_job.iter().filter(|(ordinal, claim)| {
+            claim.kind == ClaimKind::Reclaim
+                && self
+                    .jobs
+                    .get(ordinal)
+                    .is_some_and(|job| job.record.spec.key.team == *team)
+        });
+        let claimed = claimed.map(|(_o, c)| c.places.len() as u64 * u64::from(c.load.accelerators));
+        bound
+            .sum::<u64>()
+            .saturating_sub(used)
+            .saturating_sub(claimed.sum())
+    }
+
+    /// Work beyond guarantees, teams with the smaller share in use first.
+    fn serve_borrowed(&mut self, now: Millis, searches: &mut u32) {
+        let keys = self.keys_by_team(false);
+        let mut heads: BTreeMap<(u64, QueueKey), (&TeamId, &[QueueKey])> = BTreeMap::new();
+        for (team, keys) in &keys {
+            if let Some((first, rest)) = keys.split_first() {
+                heads.insert((self.share_level(team), *first), (team, rest));
+            }
+        }
+        while let Some(((_level, key), (team, rest))) = heads.pop_first() {
+            if *searches >= SEARCHES_MAX {
+                return;
+            }
+            let waits = self
+                .jobs
+                .get(&key.ordinal)
+                .is_some_and(|job| job.queued.is_some());
+            let claims = self.claims.by_job.contains_key(&key.ordinal);
+            if waits && !claims && !self.try_borrowed(key.ordinal, now, searches) {
+                self.blocked(key.ordinal, now);
+                if !self.options.backfill {
+                    return;
+                }
+            }
+            if let Some((first, rest)) = rest.split_first() {
+                heads.insert((self.share_level(team), *first), (team, rest));
+            }
+        }
+    }
+
+    /// How much a team uses for its guarantee, in half guarantees.
+    fn share_level(&self, team: &TeamId) -> u64 {
+        if !self.options.fair_shares {
+            return 0;
+        }
+        let used = self.pool.team_use(team);
+        let groups = self.bindings.of_team(team);
+        let guarantee: u64 = groups
+            .map(|g| u64::from(g.spec.count) * u64::from(g.spec.accelerators.0))
+            .sum();
+        let share = (used.firm + used.borrowed) * 2 / guarantee.max(8);
+        share.min(SHARE_LEVELS)
+    }
+
+    /// No place for a job: it keeps the cell that frees first.
+    fn blocked(&mut self, ordinal: u64, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&ordinal) else {
+            return;
+        };
+        job.blocked_ms.get_or_insert(now);
+        let code = self.why_blocked(ordinal);
+        self.explain_job(ordinal, code.0, code.1);
+        if self.options.reserve && self.claims.count(true) < RESERVES_MAX {
+            self.reserve(ordinal, now);
+        }
+    }
+
+    /// Gangs that are on their way out for guarantees.
+    pub(super) fn reclaims_running(&self) -> usize {
+        let gangs = self.jobs.values().filter_map(|job| job.gang.as_ref());
+        let leaving = gangs.filter(|gang| {
+            matches!(
+                gang.stage,
+                Stage::Checkpointing {
+                    cause: EndCause::Reclaimed,
+                    ..
+                }
+            )
+        });
+        leaving.count()
+    }
+}
--- /dev/null
+++ b/src/scheduler/pool.rs
@@ -0,0 +1,306 @@
+use std::collections::BTreeMap;
+
+use super::load::Load;
+use super::worker::Worker;
+use crate::fleet::WorkerPoll;
+use crate::release_note::{InForce, ZoneState};
+use crate::units::{Accelerators, Cores, MemoryMb, Millis, RackId, TeamId, WorkerId, ZoneId};
+
+/// The most workers kept; polls of further ones get no work.
+const WORKERS_MAX: usize = 20_000;
+/// How long a silent worker without tasks is remembered, with its health.
+const FORGET_MS: Millis = Millis(24 * 3_600_000);
+
+/// A rack with the workers that were heard of.
+#[derive(Debug)]
+pub(super) struct Rack {
+    pub(super) zone: u32,
+    pub(super) workers: Vec<u32>,
+    /// What its note declares of each worker; none where the rack is not declared.
+    pub(super) declared: Option<Load>,
+}
+
+/// An availability zone.
+#[derive(Debug)]
+pub(super) struct Zone {
+    pub(super) id: ZoneId,
+    pub(super) racks: Vec<u32>,
+    /// Whether work may start there.
+    pub(super) open: bool,
+}
+
+/// All workers with what they hold, by rack and zone.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    pub(super) workers: Vec<Worker>,
+    pub(super) racks: Vec<Rack>,
+    pub(super) zones: Vec<Zone>,
+    by_id: BTreeMap<WorkerId, u32>,
+    rack_index: BTreeMap<(ZoneId, RackId), u32>,
+    vacant: Vec<u32>,
+    uses: BTreeMap<TeamId, TeamUse>,
+}
+
+/// Accelerators that a team's gangs hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TeamUse {
+    /// What may not be reclaimed.
+    pub(super) firm: u64,
+    /// What may.
+    pub(super) borrowed: u64,
+}
+
+impl TeamUse {
+    const fn part(&mut self, firm: bool) -> &mut u64 {
+        if firm {
+            &mut self.firm
+        } else {
+            &mut self.borrowed
+        }
+    }
+}
+
+impl Pool {
+    pub(super) fn find(&self, id: &WorkerId) -> Option<u32> {
+        self.by_id.get(id).copied()
+    }
+
+    pub(super) fn worker(&self, ix: u32) -> &Worker {
+        &self.workers[ix as usize]
+    }
+
+    pub(super) fn worker_mut(&mut self, ix: u32) -> &mut Worker {
+        &mut self.workers[ix as usize]
+    }
+
+    pub(super) fn known(&self) -> impl Iterator<Item = u32> + '_ {
+        self.by_id.values().copied()
+    }
+
+    /// Takes over the declared zones and racks; true where a zone was opened or closed.
+    pub(super) fn declare(&mut self, in_force: &InForce) {
+        for zone in &mut self.zones {
+            zone.open = false;
+        }
+        for rack in &mut self.racks {
+            rack.declared = None;
+        }
+        for (zone, spec) in &in_force.zones {
+            for rack in &spec.racks {
+                let ix = self.rack_of(zone, &rack.name);
+                self.racks[ix as usize].declared = Some(Load {
+                    accelerators: rack.accelerators.0,
+                    cores: rack.cores.0,
+                    memory_mb: rack.memory_mb.0,
+                });
+                let zone_ix = self.racks[ix as usize].zone as usize;
+                self.zones[zone_ix].open = spec.state == ZoneState::In;
+            }
+        }
+        for ix in 0..self.workers.len() {
+            self.limit_capacity(ix);
+        }
+    }
+
+    /// A worker never counts for more than its rack declares.
+    fn limit_capacity(&mut self, ix: usize) {
+        let worker = &mut self.workers[ix];
+        let rack = &self.racks[worker.rack as usize];
+        let zone = &self.zones[rack.zone as usize];
+        worker.open = zone.open && rack.declared.is_some();
+        worker.capacity = worker.offered.min(rack.declared.unwrap_or(Load::ZERO));
+    }
+
+    fn rack_of(&mut self, zone: &ZoneId, rack: &RackId) -> u32 {
+        let key = (zone.clone(), rack.clone());
+        if let Some(ix) = self.rack_index.get(&key) {
+            return *ix;
+        }
+        let zone_ix = self.zone_of(zone);
+        let ix = index(self.racks.len());
+        self.racks.push(Rack {
+            zone: zone_ix,
+            workers: Vec::new(),
+            declared: None,
+        });
+        self.zones[zone_ix as usize].racks.push(ix);
+        self.rack_index.insert(key, ix);
+        ix
+    }
+
+    fn zone_of(&mut self, zone: &ZoneId) -> u32 {
+        if let Some(at) = self.zones.iter().position(|known| known.id == *zone) {
+            return index(at);
+        }
+        self.zones.push(Zone {
+            id: zone.clone(),
+            racks: Vec::new(),
+            open: false,
+        });
+        index(self.zones.len() - 1)
+    }
+
+    /// The worker of a poll, entered where it is new; none where its rack is not declared.
+    pub(super) fn enter(&mut self, poll: &WorkerPoll) -> Option<u32> {
+        let key = (poll.zone.clone(), poll.rack.clone());
+        let rack = self.rack_index.get(&key).copied();
+        if let Some(ix) = self.by_id.get(&poll.worker).copied() {
+            if let Some(rack) = rack {
+                self.rehome(ix, rack);
+            }
+            return Some(ix);
+        }
+        if self.by_id.len() >= WORKERS_MAX {
+            return None;
+        }
+        Some(self.add(poll.worker.clone(), rack?))
+    }
+
+    /// A slot for a worker that is known from durable state only.
+    pub(super) fn expect(&mut self, id: &WorkerId) -> u32 {
+        if let Some(ix) = self.find(id) {
+            return ix;
+        }
+        let nowhere_zone = "undeclared".parse().expect("the name is a valid id");
+        let nowhere_rack = "undeclared".parse().expect("the name is a valid id");
+        let rack = self.rack_of(&nowhere_zone, &nowhere_rack);
+        self.add(id.clone(), rack)
+    }
+
+    fn add(&mut self, id: WorkerId, rack: u32) -> u32 {
+        let worker = Worker::new(id.clone(), rack);
+        let ix = if let Some(ix) = self.vacant.pop() {
+            self.workers[ix as usize] = worker;
+            ix
+        } else {
+            self.workers.push(worker);
+            index(self.workers.len() - 1)
+        };
+        self.by_id.insert(id, ix);
+        self.racks[rack as usize].workers.push(ix);
+        self.limit_capacity(ix as usize);
+        ix
+    }
+
+    fn rehome(&mut self, ix: u32, rack: u32) {
+        let old = self.worker(ix).rack;
+        if old == rack {
+            return;
+        }
+        self.racks[old as usize].workers.retain(|w| *w != ix);
+        self.racks[rack as usize].workers.push(ix);
+        self.worker_mut(ix).rack = rack;
+        self.limit_capacity(ix as usize);
+    }
+
+    /// Takes over what a worker says that it has.
+    pub(super) fn offer(&mut self, ix: u32, offered: Load) {
+        self.worker_mut(ix).offered = offered;
+        self.limit_capacity(ix as usize);
+    }
+
+    /// Forgets workers that have been silent for long and hold nothing.
+    pub(super) fn forget_silent(&mut self, now: Millis) {
+        let silent: Vec<u32> = self
+            .known()
+            .filter(|ix| {
+                let worker = self.worker(*ix);
+                worker.members.is_empty() && now.since(worker.heard_ms) > FORGET_MS
+            })
+            .collect();
+        for ix in silent {
+            let (id, rack) = (self.worker(ix).id.clone(), self.worker(ix).rack);
+            self.by_id.remove(&id);
+            self.racks[rack as usize].workers.retain(|w| *w != ix);
+            self.vacant.push(ix);
+        }
+    }
+
+    /// Puts a task on a worker.
+    pub(super) fn hold(&mut self, ix: u32, member: (u64, u32), team: &TeamId, task: Task) {
+        let worker = self.worker_mut(ix);
+        worker.used = worker.used.plus(task.load);
+        worker.members.insert(member);
+        if task.firm {
+            let holding = worker.holdings.entry(team.clone()).or_default();
+            holding.firm = holding.firm.plus(task.load);
+        }
+        let team_use = self.uses.entry(team.clone()).or_default();
+        *team_use.part(task.firm) += u64::from(task.load.accelerators);
+    }
+
+    /// Takes a task that is gone from its worker.
+    pub(super) fn release(
+        &mut self,
+        ix: u32,
+        member: (u64, u32),
+        team: &TeamId,
+        task: Task,
+        now: Millis,
+    ) {
+        let worker = self.worker_mut(ix);
+        if !worker.members.remove(&member) {
+            return;
+        }
+        worker.used = worker.used.minus(task.load);
+        worker.released.push((now, task.load));
+        if let Some(team_use) = self.uses.get_mut(team) {
+            let part = team_use.part(task.firm);
+            *part = part.saturating_sub(u64::from(task.load.accelerators));
+        }
+        let worker = &mut self.workers[ix as usize];
+        if !task.firm {
+            return;
+        }
+        if let Some(holding) = worker.holdings.get_mut(team) {
+            holding.firm = holding.firm.minus(task.load);
+        }
+        worker.drop_empty_holdings();
+    }
+
+    pub(super) fn team_use(&self, team: &TeamId) -> TeamUse {
+        self.uses.get(team).copied().unwrap_or_default()
+    }
+
+    /// Racks and zones as indices, closed ones left out.
+    pub(super) fn open_zones(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.iter().filter(|zone| zone.open)
+    }
+
+    /// The zone of a worker.
+    pub(super) fn zone(&self, ix: u32) -> &Zone {
+        let rack = self.worker(ix).rack as usize;
+        &self.zones[self.racks[rack].zone as usize]
+    }
+
+    /// The names of a worker's zone and rack.
+    pub(super) fn names(&self, ix: u32) -> Option<(&ZoneId, &RackId)> {
+        let rack = self.worker(ix).rack;
+        self.rack_index
+            .iter()
+            .find(|(_names, rack_ix)| **rack_ix == rack)
+            .map(|((zone, rack), _ix)| (zone, rack))
+    }
+}
+
+/// What one task holds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Task {
+    pub(super) load: Load,
+    pub(super) firm: bool,
+}
+
+/// A slot number; the counts of workers, racks and zones are bounded far below.
+pub(super) fn index(at: usize) -> u32 {
+    u32::try_from(at).expect("there are fewer than 2^32 slots")
+}
+
+impl From<Load> for crate::fleet::WorkerCapacity {
+    fn from(load: Load) -> Self {
+        Self {
+            accelerators: Accelerators(load.accelerators),
+            cores: Cores(load.cores),
+            memory_mb: MemoryMb(load.memory_mb),
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduler/reclaim.rs
@@ -0,0 +1,196 @@
+//! Claims of places that are not free yet, and who must leave for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::gang::{Gang, Seen, Stage};
+use super::load::Load;
+use super::pool::Pool;
+use super::{EndCause, Scheduler};
+use crate::units::Millis;
+
+/// Why places are claimed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ClaimKind {
+    /// A guarantee takes back its cells; others leave at once.
+    Reclaim,
+    /// A blocked gang keeps the cell that frees first; work that ends before may use it.
+    Reserve { until_ms: Millis },
+    /// Others are being moved out of a reserved cell.
+    Move,
+}
+
+/// Places claimed for one job.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    pub(super) places: Vec<u32>,
+    pub(super) load: Load,
+    pub(super) kind: ClaimKind,
+    pub(super) since_ms: Millis,
+}
+
+/// All claims, by job and by worker.
+#[derive(Debug, Default)]
+pub(super) struct Claims {
+    pub(super) by_job: BTreeMap<u64, Claim>,
+    by_worker: BTreeMap<u32, BTreeSet<u64>>,
+}
+
+impl Claims {
+    pub(super) fn clear(&mut self) {
+        self.by_job.clear();
+        self.by_worker.clear();
+    }
+
+    pub(super) fn insert(&mut self, ordinal: u64, claim: Claim, pool: &mut Pool) {
+        self.drop_claim(ordinal, pool);
+        for ix in &claim.places {
+            self.by_worker.entry(*ix).or_default().insert(ordinal);
+        }
+        self.by_job.insert(ordinal, claim);
+    }
+
+    pub(super) fn drop_claim(&mut self, ordinal: u64, _pool: &mut Pool) {
+        let Some(claim) = self.by_job.remove(&ordinal) else {
+            return;
+        };
+        for ix in claim.places {
+            if let Some(jobs) = self.by_worker.get_mut(&ix) {
+                jobs.remove(&ordinal);
+                if jobs.is_empty() {
+                    self.by_worker.remove(&ix);
+                }
+            }
+        }
+    }
+
+    /// What other jobs claim of a worker, seen by a job that is expected to end at a time.
+    pub(super) fn on(&self, ix: u32, except: u64, end_ms: Millis) -> Load {
+        let Some(jobs) = self.by_worker.get(&ix) else {
+            return Load::ZERO;
+        };
+        let others = jobs.iter().filter(|ordinal| **ordinal != except);
+        others.fold(Load::ZERO, |sum, ordinal| {
+            let claim = &self.by_job[ordinal];
+            if matches!(claim.kind, ClaimKind::Reserve { until_ms } if end_ms <= until_ms) {
+                return sum;
+            }
+            let tasks = claim.places.iter().filter(|place| **place == ix);
+            tasks.fold(sum, |sum, _place| sum.plus(claim.load))
+        })
+    }
+
+    pub(super) fn count(&self, reserves: bool) -> usize {
+        let claims = self.by_job.values();
+        claims
+            .filter(|claim| matches!(claim.kind, ClaimKind::Reclaim) != reserves)
+            .count()
+    }
+}
+
+impl Scheduler {
+    /// Makes borrowers leave the claimed places; false where they can't make enough room.
+    pub(super) fn clear_places(
+        &mut self,
+        ordinal: u64,
+        places: &[u32],
+        load: Load,
+        cause: &EndCause,
+        now: Millis,
+    ) -> bool {
+        let mut needs: BTreeMap<u32, Load> = BTreeMap::new();
+        for ix in places {
+            let need = needs.entry(*ix).or_default();
+            *need = need.plus(load);
+        }
+        let mut victims = BTreeSet::new();
+        for (ix, need) in &needs {
+            if !self.choose_victims(*ix, *need, &mut victims, now) {
+                return false;
+            }
+        }
+        let urgent = self
+            .jobs
+            .get(&ordinal)
+            .is_some_and(|job| job.record.spec.urgent);
+        for victim in victims {
+            self.evict(victim, cause.clone(), now);
+            if urgent {
+                self.hurry(victim, now);
+            }
+        }
+        true
+    }
+
+    /// Adds gangs to the victims until the worker has room, least lost work first.
+    fn choose_victims(
+        &self,
+        ix: u32,
+        need: Load,
+        victims: &mut BTreeSet<u64>,
+        now: Millis,
+    ) -> bool {
+        let worker = self.pool.worker(ix);
+        let mut used: BTreeMap<u64, Load> = BTreeMap::new();
+        for (ordinal, _index) in &worker.members {
+            let gang = self.jobs.get(ordinal).and_then(|job| job.gang.as_ref());
+            if let Some(gang) = gang.filter(|gang| !gang.firm) {
+                let held = used.entry(*ordinal).or_default();
+                *held = held.plus(gang.load);
+            }
+        }
+        let mut taken = worker.used;
+        let limit = worker.capacity.minus(worker.foreign);
+        let fits = |taken: Load| taken.plus(need).fits_in(limit);
+        for (ordinal, held) in &used {
+            let leaving = self.gang(*ordinal).is_some_and(Gang::leaving);
+            if leaving || victims.contains(ordinal) {
+                taken = taken.minus(*held);
+            }
+        }
+        let mut candidates: Vec<(u64, u64, Load)> = used
+            .iter()
+            .filter(|(ordinal, _held)| !victims.contains(ordinal))
+            .filter_map(|(ordinal, held)| {
+                let gang = self.gang(*ordinal).filter(|gang| !gang.leaving())?;
+                Some((work_at_stake(gang, now), *ordinal, *held))
+            })
+            .collect();
+        candidates.sort_unstable();
+        for (_stake, ordinal, held) in candidates {
+            if fits(taken) {
+                break;
+            }
+            taken = taken.minus(held);
+            victims.insert(ordinal);
+        }
+        fits(taken)
+    }
+
+    pub(super) fn gang(&self, ordinal: u64) -> Option<&Gang> {
+        self.jobs.get(&ordinal)?.gang.as_ref()
+    }
+
+    /// Shortens a victim's time for its checkpoint, for urgent work.
+    fn hurry(&mut self, victim: u64, now: Millis) {
+        let soon = now.saturating_add(self.options.urgent_checkpoint_bound_ms);
+        let gang = self.jobs.get_mut(&victim).and_then(|job| job.gang.as_mut());
+        if let Some(gang) = gang
+            && let Stage::Checkpointing { until_ms, .. } = &mut gang.stage
+        {
+            *until_ms = soon.min(*until_ms);
+        }
+    }
+}
+
+/// Accelerator-milliseconds that stand to be lost or repeated when the gang is stopped.
+fn work_at_stake(gang: &Gang, now: Millis) -> u64 {
+    let idle = gang
+        .places
+        .iter()
+        .all(|p| matches!(p.seen, Seen::Nothing | Seen::Prepared));
+    if idle || gang.started_ms == Millis::ZERO {
+        return 0;
+    }
+    let width = gang.places.len() as u64 * u64::from(gang.load.accelerators.max(1));
+    now.since(gang.started_ms).0.saturating_mul(width)
+}
--- /dev/null
+++ b/src/scheduler/status.rs
@@ -0,0 +1,104 @@
+//! What operators see of teams, workers and waiting jobs.
+
+use super::gang::Stage;
+use super::{Scheduler, TeamStatus, WorkerStatus};
+use crate::fleet::HealthState;
+use crate::units::{Accelerators, TeamId};
+
+impl Scheduler {
+    /// What each team holds, by name.
+    #[must_use]
+    pub fn teams(&self) -> Vec<TeamStatus> {
+        let teams = self.in_force.teams.keys();
+        teams.map(|team| self.team_status(team)).collect()
+    }
+
+    fn team_status(&self, team: &TeamId) -> TeamStatus {
+        let groups = self.bindings.of_team(team);
+        let guaranteed = groups
+            .map(|g| g.spec.count.saturating_mul(g.spec.accelerators.0))
+            .fold(0, u32::saturating_add);
+        let held = self.pool.team_use(team);
+        let (at_risk, risk_cause) = self.bindings.at_risk(team);
+        let running = self.jobs.values().filter(|job| {
+            let runs =
+                |stage: &Stage| matches!(stage, Stage::Running | Stage::Checkpointing { .. });
+            job.record.spec.key.team == *team && job.gang.as_ref().is_some_and(|g| runs(&g.stage))
+        });
+        TeamStatus {
+            team: team.clone(),
+            guaranteed: Accelerators(guaranteed),
+            used: accelerators(held.firm),
+            borrowed: accelerators(held.borrowed),
+            at_risk: Accelerators(at_risk),
+            risk_cause,
+            waiting: u32::try_from(self.queue.len(team)).unwrap_or(u32::MAX),
+            running: u32::try_from(running.count()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// What is known of each worker, by name.
+    #[must_use]
+    pub fn workers(&self) -> Vec<WorkerStatus> {
+        let now = self.now_ms;
+        self.pool
+            .known()
+            .filter_map(|ix| {
+                let worker = self.pool.worker(ix);
+                let (zone, rack) = self.pool.names(ix)?;
+                let (state, remaining_ms) = match worker.health.state {
+                    _ if !worker.alive(now) => ("lost", None),
+                    HealthState::Up => ("up", None),
+                    HealthState::Quarantined { .. } => {
+                        ("quarantined", worker.health.remaining(now))
+                    }
+                    HealthState::Probing { .. } => ("probing", None),
+                };
+                Some(WorkerStatus {
+                    worker: worker.id.clone(),
+                    zone: zone.clone(),
+                    rack: rack.clone(),
+                    state: state.into(),
+                    remaining_ms,
+                    accelerators: Accelerators(worker.capacity.accelerators),
+                    accelerators_used: Accelerators(worker.used.accelerators),
+                    failures: worker.health.failures(),
+                })
+            })
+            .collect()
+    }
+
+    /// The stable code and sentence for a job without a place.
+    pub(super) fn why_blocked(&self, ordinal: u64) -> (&'static str, &'static str) {
+        let spec = &self.jobs[&ordinal].record.spec;
+        if self
+            .pool
+            .zones
+            .iter()
+            .any(|zone| !zone.open && !zone.racks.is_empty())
+        {
+            return (
+                "waits_for_zone",
+                "No open zone has room; a zone is taken out.",
+            );
+        }
+        if !spec.idempotent {
+            let sentence = "It may not run again, so it waits for places that nobody can reclaim.";
+            return ("waits_for_lasting_places", sentence);
+        }
+        if spec.accelerators.0 == 0 {
+            return (
+                "waits_for_cores",
+                "No worker has the cores and memory free.",
+            );
+        }
+        (
+            "waits_for_cell",
+            "No free cell holds the whole gang as close together as asked.",
+        )
+    }
+}
+
+fn accelerators(count: u64) -> Accelerators {
+    Accelerators(u32::try_from(count).unwrap_or(u32::MAX))
+}
