Control service: leader's loop, tarpc server and the entries' client

One task owns what a leadership knows. Exchanges are held until there is news and answered with the grant only together with the state; an exchange behind a gap in the sequence is not held, so that a grant does not run out after a lost answer. A new leader reports nothing in force until every earlier grant has ended.

Where the machine refuses a transition of the scheduler's, the scheduler is built anew from the state once nothing that it asked for is in progress; asking again for ever was ruled out, since its view is then known to be wrong.

The client tries each call on a connection with a deadline and retires a connection that misses it.

--- /dev/null
+++ b/src/control/ask.rs
@@ -0,0 +1,54 @@
+use tokio::sync::oneshot;
+
+use super::{
+    CommandBody, ExchangeAnswer, ExchangeRequest, Reply, ReportAnswer, ReportBatch, Result, Status,
+};
+use crate::replica::{self, Applied};
+use crate::scheduler::{Explanation, JobKey};
+use crate::units::{Millis, Term};
+
+/// What the service's handlers ask of the leader's loop.
+#[derive(Debug)]
+pub(super) enum Ask {
+    Exchange {
+        request: ExchangeRequest,
+        reply: oneshot::Sender<Result<ExchangeAnswer>>,
+    },
+    Report {
+        batch: ReportBatch,
+        reply: oneshot::Sender<Result<ReportAnswer>>,
+    },
+    Propose {
+        body: CommandBody,
+        reply: oneshot::Sender<Result<Reply>>,
+    },
+    Explain {
+        jobs: Vec<JobKey>,
+        reply: oneshot::Sender<Vec<Option<Explanation>>>,
+    },
+    Status {
+        reply: oneshot::Sender<Result<Status>>,
+    },
+}
+
+/// An exchange that waits for news.
+pub(super) struct Held {
+    pub(super) request: ExchangeRequest,
+    pub(super) received_ms: Millis,
+    pub(super) reply: oneshot::Sender<Result<ExchangeAnswer>>,
+}
+
+/// Who waits for a proposal.
+pub(super) enum Proposer {
+    Caller(oneshot::Sender<Result<Reply>>),
+    Scheduler,
+    Clock,
+}
+
+/// A proposal that ended.
+pub(super) struct Proposed {
+    pub(super) term: Term,
+    pub(super) body: CommandBody,
+    pub(super) proposer: Proposer,
+    pub(super) result: replica::Result<Applied>,
+}
--- /dev/null
+++ b/src/control/client.rs
@@ -0,0 +1,305 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tarpc::client::RpcError;
+use tarpc::context::{self, Context};
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+use super::connections::Connections;
+use super::dial::{Dial, tcp_dial};
+use super::{
+    ControlApiClient, ControlError, EXCHANGE_HOLD_MS, ExchangeAnswer, ExchangeRequest, JobFilter,
+    JobView, ReportAnswer, ReportBatch, Result, Status,
+};
+use crate::release_note::{NoteAnswer, ReleaseNote};
+use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
+use crate::scheduler::{JobKey, JobSpec, SubmitAnswer};
+use crate::units::Millis;
+
+/// How long one try of a call may take before its connection counts as silent.
+const TRY_MS: Millis = Millis(1_000);
+/// How much longer than its hold an exchange or a held look-up may take.
+const HOLD_SLACK_MS: Millis = Millis(400);
+/// The pause before another try where no replica is known to lead.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How much longer the far end works on a call than this end waits.
+const FAR_END_SLACK: Duration = Duration::from_secs(5);
+
+type Tried<T> = std::result::Result<Result<T>, RpcError>;
+
+/// The way to the control group's leader: it finds it, follows it, and retires connections that
+/// miss a deadline.
+///
+/// All calls may be repeated: exchanges and reports carry sequences, reads change nothing, and
+/// changes are idempotent by their content. A clone shares the connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    connections: Arc<Connections>,
+}
+
+/// How a try ended that gave no final answer.
+enum Again {
+    /// Another replica is known; ask it at once.
+    Now,
+    /// Nobody is known to lead, or the change was not committed in time.
+    Later,
+}
+
+impl Client {
+    /// A client of the replicas at these addresses.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self::with_dial(addresses, tcp_dial())
+    }
+
+    /// A client that opens its connections by `dial`.
+    #[must_use]
+    pub fn with_dial(addresses: Vec<SocketAddr>, dial: Dial) -> Self {
+        Self {
+            connections: Arc::new(Connections::new(addresses, dial)),
+        }
+    }
+
+    /// Makes one exchange with the replica that is thought to lead.
+    ///
+    /// It is tried once: the next exchange must carry a new sequence.
+    ///
+    /// # Errors
+    /// [`ControlError::NotLeader`] and [`ControlError::Unreachable`] where another should be asked.
+    pub async fn exchange(&self, request: &ExchangeRequest) -> Result<ExchangeAnswer> {
+        let limit = EXCHANGE_HOLD_MS.saturating_add(HOLD_SLACK_MS);
+        let call = async |client: ControlApiClient, context| {
+            client.exchange(context, request.clone()).await
+        };
+        let mut unsure = false;
+        match self.attempt(limit.duration(), &mut unsure, &call).await {
+            Ok(answer) => answer,
+            Err(_again) => Err(ControlError::Unreachable),
+        }
+    }
+
+    /// Passes reports on.
+    ///
+    /// # Errors
+    /// The group gave no answer within `deadline_ms`.
+    pub async fn report(&self, batch: &ReportBatch, deadline_ms: Millis) -> Result<ReportAnswer> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.report(context, batch.clone()).await,
+        )
+        .await
+    }
+
+    /// Applies a release note; a resend gets the first answer.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where the note may have been applied.
+    pub async fn apply_note(&self, note: &ReleaseNote, deadline_ms: Millis) -> Result<NoteAnswer> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| {
+                client.apply_note(context, note.clone()).await
+            },
+        )
+        .await
+    }
+
+    /// Records the begin of a non-idempotent request.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where the begin may have been recorded.
+    pub async fn begin_request(
+        &self,
+        request: &BeginRequest,
+        deadline_ms: Millis,
+    ) -> Result<BeginAnswer> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| {
+                client.begin_request(context, request.clone()).await
+            },
+        )
+        .await
+    }
+
+    /// Records the end of a non-idempotent request.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where the end may have been recorded.
+    pub async fn finish_request(
+        &self,
+        request: &FinishRequest,
+        deadline_ms: Millis,
+    ) -> Result<FinishAnswer> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| {
+                client.finish_request(context, request.clone()).await
+            },
+        )
+        .await
+    }
+
+    /// Submits a job; a resend gets the first answer.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where the job may have been accepted.
+    pub async fn submit_job(&self, spec: &JobSpec, deadline_ms: Millis) -> Result<SubmitAnswer> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| {
+                client.submit_job(context, spec.clone()).await
+            },
+        )
+        .await
+    }
+
+    /// Looks up a job and waits up to `wait_ms` for its end, in steps short enough that a silent
+    /// connection is found.
+    ///
+    /// # Errors
+    /// The group gave no answer in time.
+    pub async fn job(&self, key: &JobKey, wait_ms: Millis) -> Result<Option<JobView>> {
+        let deadline = Instant::now() + wait_ms.duration();
+        loop {
+            let left: Millis = deadline.saturating_duration_since(Instant::now()).into();
+            let step = left.min(TRY_MS);
+            let view = self.job_step(key, step).await?;
+            let is_open = view.as_ref().is_some_and(|view| view.outcome.is_none());
+            if !is_open || left <= step {
+                return Ok(view);
+            }
+        }
+    }
+
+    async fn job_step(&self, key: &JobKey, step: Millis) -> Result<Option<JobView>> {
+        let limit = step.saturating_add(HOLD_SLACK_MS);
+        let deadline = limit.saturating_add(Millis(5_000));
+        self.call(
+            deadline,
+            limit,
+            async |client: ControlApiClient, context| client.job(context, key.clone(), step).await,
+        )
+        .await
+    }
+
+    /// Lists jobs.
+    ///
+    /// # Errors
+    /// The group gave no answer within `deadline_ms`.
+    pub async fn jobs(&self, filter: &JobFilter, deadline_ms: Millis) -> Result<Vec<JobView>> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.jobs(context, filter.clone()).await,
+        )
+        .await
+    }
+
+    /// Asks to cancel jobs and gives their state after it.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where some may have been cancelled.
+    pub async fn cancel_jobs(&self, keys: &[JobKey], deadline_ms: Millis) -> Result<Vec<JobView>> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| {
+                client.cancel_jobs(context, keys.to_vec()).await
+            },
+        )
+        .await
+    }
+
+    /// The whole status.
+    ///
+    /// # Errors
+    /// The group gave no answer within `deadline_ms`.
+    pub async fn status(&self, deadline_ms: Millis) -> Result<Status> {
+        self.call(
+            deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.status(context).await,
+        )
+        .await
+    }
+
+    /// Tries until there is an answer or the deadline.
+    async fn call<T>(
+        &self,
+        deadline_ms: Millis,
+        try_ms: Millis,
+        call: impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
+    ) -> Result<T> {
+        let deadline = Instant::now() + deadline_ms.duration();
+        let mut unsure = false;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(out_of_time(unsure));
+            }
+            let limit = try_ms.duration().min(left);
+            match self.attempt(limit, &mut unsure, &call).await {
+                Ok(Err(ControlError::Refused { .. })) if unsure => {
+                    return Err(ControlError::Uncertain);
+                }
+                Ok(answer) => return answer,
+                Err(Again::Now) => {}
+                Err(Again::Later) => sleep(PAUSE.min(left)).await,
+            }
+        }
+    }
+
+    /// Tries once; sets `unsure` where the call went out and its answer is not known.
+    async fn attempt<T>(
+        &self,
+        limit: Duration,
+        unsure: &mut bool,
+        call: &impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
+    ) -> std::result::Result<Result<T>, Again> {
+        let Some(address) = self.connections.target() else {
+            return Err(Again::Later);
+        };
+        let Some(dialled) = self.connections.open(address).await else {
+            self.connections.retire(address, None);
+            return Err(Again::Later);
+        };
+        let mut context = context::current();
+        context.deadline = std::time::Instant::now() + limit + FAR_END_SLACK;
+        let tried = timeout(limit, call(dialled.client.clone(), context)).await;
+        match tried {
+            Ok(Ok(Err(ControlError::NotLeader { leader }))) => {
+                if self.connections.follow(address, leader) {
+                    return Err(Again::Now);
+                }
+                Err(Again::Later)
+            }
+            Ok(Ok(Err(ControlError::Uncertain))) => {
+                *unsure = true;
+                Err(Again::Later)
+            }
+            Ok(Ok(answer)) => {
+                self.connections.keep_leader(address);
+                Ok(answer)
+            }
+            Ok(Err(_)) | Err(_) => {
+                *unsure = true;
+                self.connections.retire(address, Some(&dialled));
+                Err(Again::Later)
+            }
+        }
+    }
+}
+
+const fn out_of_time(unsure: bool) -> ControlError {
+    if unsure {
+        ControlError::Uncertain
+    } else {
+        ControlError::Unreachable
+    }
+}
--- /dev/null
+++ b/src/control/connections.rs
@@ -0,0 +1,123 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::time::{Duration, Instant, timeout};
+use tracing::{debug, info};
+
+use super::dial::{Dial, Dialled, HiddenDial};
+
+/// How long opening a connection may take.
+const CONNECT: Duration = Duration::from_millis(400);
+/// How long a replica that failed is not followed to again on another replica's word.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// Open connections to the control replicas, and which of them is thought to lead.
+#[derive(Debug)]
+pub(super) struct Connections {
+    addresses: Vec<SocketAddr>,
+    dial: HiddenDial,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    leader: Option<SocketAddr>,
+    next: usize,
+    open: HashMap<SocketAddr, Arc<Dialled>>,
+    failed: HashMap<SocketAddr, Instant>,
+}
+
+impl Connections {
+    pub(super) fn new(addresses: Vec<SocketAddr>, dial: Dial) -> Self {
+        Self {
+            addresses,
+            dial: HiddenDial(dial),
+            state: Mutex::default(),
+        }
+    }
+
+    /// The replica to ask: the leader where it is known, else the next in turn.
+    pub(super) fn target(&self) -> Option<SocketAddr> {
+        let state = self.lock();
+        let in_turn = state.next.checked_rem(self.addresses.len());
+        state
+            .leader
+            .or_else(|| in_turn.map(|at| self.addresses[at]))
+    }
+
+    /// A connection to this replica; none where it could not be opened in time.
+    pub(super) async fn open(&self, address: SocketAddr) -> Option<Arc<Dialled>> {
+        let known = self.lock().open.get(&address).map(Arc::clone);
+        if known.is_some() {
+            return known;
+        }
+        match timeout(CONNECT, (self.dial.0)(address)).await {
+            Ok(Ok(dialled)) => {
+                let dialled = Arc::new(dialled);
+                let mut state = self.lock();
+                let open = state.open.entry(address);
+                Some(Arc::clone(open.or_insert(dialled)))
+            }
+            Ok(Err(cause)) => {
+                debug!(event = "control_unreachable", %address, %cause);
+                None
+            }
+            Err(_elapsed) => {
+                debug!(event = "control_unreachable", %address, cause = "timeout");
+                None
+            }
+        }
+    }
+
+    /// This replica answered as the leader.
+    pub(super) fn keep_leader(&self, address: SocketAddr) {
+        let mut state = self.lock();
+        if state.leader != Some(address) {
+            info!(event = "control_leader", %address);
+            state.leader = Some(address);
+        }
+        state.failed.remove(&address);
+    }
+
+    /// This replica does not lead; gives whether another one is to be asked at once.
+    pub(super) fn follow(&self, from: SocketAddr, leader: Option<SocketAddr>) -> bool {
+        let mut state = self.lock();
+        let failed = |address: &SocketAddr| {
+            let failed = state.failed.get(address);
+            failed.is_some_and(|when| when.elapsed() < AVOID)
+        };
+        let leader = leader.filter(|address| *address != from && !failed(address));
+        state.leader = leader;
+        if leader.is_none() {
+            state.next = state.next.wrapping_add(1);
+        }
+        leader.is_some()
+    }
+
+    /// Closes a connection that failed or missed a deadline, so that no call waits on it, and turns
+    /// to the next replica; a newer connection to the same replica stays.
+    pub(super) fn retire(&self, address: SocketAddr, dialled: Option<&Arc<Dialled>>) {
+        let mut state = self.lock();
+        let is_same = match (state.open.get(&address), dialled) {
+            (Some(open), Some(dialled)) => Arc::ptr_eq(open, dialled),
+            (None, _) => true,
+            (Some(_), None) => false,
+        };
+        if !is_same {
+            return;
+        }
+        if state.open.remove(&address).is_some() {
+            info!(event = "control_connection_retired", %address);
+        }
+        state.failed.insert(address, Instant::now());
+        if state.leader.is_none_or(|leader| leader == address) {
+            state.leader = None;
+            state.next = state.next.wrapping_add(1);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/control/job_table.rs
+++ b/src/control/job_table.rs
@@ -204,7 +204,6 @@
     let fits = job.phase == JobPhase::Waiting
         && attempt == job.attempt.next()
         && attempt != job.attempt
-        && !job.cancel_requested
         && is_whole;
     if fits {
         job.attempt = attempt;
@@ -216,7 +215,7 @@
 }
 
 fn start(job: &mut JobRecord, attempt: Attempt) -> bool {
-    if attempt != job.attempt || job.cancel_requested {
+    if attempt != job.attempt {
         return false;
     }
     let JobPhase::Placed { members } = &job.phase else {
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -7,7 +7,7 @@
 use super::{Command, CommandBody, JobFilter, Reply, StateUpdate};
 use crate::release_note::{Digest, InForce, NoteAnswer, ReleaseNote};
 use crate::request_ledger::Ledger;
-use crate::scheduler::{JobKey, JobRecord, JobSpec, NotRunReason, SubmitAnswer};
+use crate::scheduler::{self, JobKey, JobRecord, JobSpec, SubmitAnswer};
 use crate::units::{LogIndex, Revision, WallMs};
 
 /// The replicated state: what every replica holds after the same records.
@@ -143,17 +143,7 @@
     fn submit(&mut self, spec: &JobSpec) -> SubmitAnswer {
         let in_force = Arc::clone(&self.in_force);
         self.jobs.submit(spec, self.wall_ms, |waiting| {
-            admit(spec, &in_force, waiting)
+            scheduler::admit(spec, &in_force, waiting)
         })
     }
 }
-
-/// Admits a job whose team exists and has room in its queue.
-fn admit(spec: &JobSpec, in_force: &InForce, waiting_in_team: u32) -> Result<(), NotRunReason> {
-    let team = in_force.teams.get(&spec.key.team);
-    let team = team.ok_or(NotRunReason::NoSuchTeam)?;
-    if waiting_in_team >= team.queued_jobs_max {
-        return Err(NotRunReason::QueueFull);
-    }
-    Ok(())
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,18 +1,30 @@
 //! The control group's replicated state and the service that entries call.
 
 mod api;
+mod ask;
+mod client;
 mod command;
+mod connections;
+mod dial;
+mod entry_book;
 mod exchange;
 mod hooks;
 mod job_table;
+mod lead;
+mod lead_changes;
+mod lead_loop;
 mod machine;
 mod note_history;
+mod order_book;
+mod service;
 
 pub use api::{
     ControlApi, ControlApiClient, ControlError, GroupStatus, JobFilter, JobView, ReplicaStatus,
     Result, Status,
 };
+pub use client::Client;
 pub use command::{Command, CommandBody, Reply};
+pub use dial::{Dial, Dialled, tcp_dial};
 pub use exchange::{
     EndpointCapacity, EndpointShare, EndpointUse, EntryStatus, ExchangeAnswer, ExchangeRequest,
     Grant, ReportAnswer, ReportBatch, StateUpdate,
@@ -21,6 +33,7 @@
 pub use job_table::{ENDED_KEPT, ENDED_KEPT_MS, UNENDED_MAX};
 pub use machine::Machine;
 pub use note_history::VERSIONS_KEPT;
+pub use service::{ControlOptions, ControlService, JOBS_IN_CALL};
 
 use crate::units::Millis;
 
