Settings, telemetry, daemon command line and the graceful listener

Settings are read field by field, so that one run names every fault with its field and allowed range; serde stops at the first, which was ruled out. The listener is our own accept loop: gotham's cannot drain. It refuses a x-request-id that is not text before gotham sees it, as gotham unwraps it and would panic outside of its own trap (read in its source; the listener's contract test follows).

--- /dev/null
+++ b/src/cli/daemon.rs
@@ -0,0 +1,77 @@
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+use super::Exit;
+
+/// Command line of `marjoramknot-control` and `marjoramknot-entry`.
+#[derive(Clone, Debug, Default, Options)]
+pub struct DaemonOptions {
+    /// Whether to print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Whether to print the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// The settings file.
+    #[options(help = "the settings file", meta = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Whether only to check the settings.
+    #[options(no_short, help = "only check the settings")]
+    pub check: bool,
+}
+
+/// What a daemon's command line asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DaemonTask {
+    /// Run with this settings file.
+    Run(PathBuf),
+    /// Check this settings file.
+    Check(PathBuf),
+    /// Print a text and end.
+    Print {
+        /// The text.
+        text: String,
+        /// How to end; anything but [`Exit::Done`] goes to standard error.
+        exit: Exit,
+    },
+}
+
+/// Reads a daemon's command line, without the program's own name.
+#[must_use]
+pub fn daemon_task(program: &str, args: &[String]) -> DaemonTask {
+    let options = match DaemonOptions::parse_args_default(args) {
+        Ok(options) => options,
+        Err(cause) => return usage(program, &cause.to_string()),
+    };
+    if options.help {
+        let text = format!(
+            "Usage: {program} --settings FILE [--check]\n\n{}",
+            DaemonOptions::usage()
+        );
+        return print(text);
+    }
+    if options.version {
+        return print(format!("{program} {}", env!("CARGO_PKG_VERSION")));
+    }
+    match options.settings {
+        Some(path) if options.check => DaemonTask::Check(path),
+        Some(path) => DaemonTask::Run(path),
+        None => usage(program, "no settings file is given"),
+    }
+}
+
+fn print(text: String) -> DaemonTask {
+    DaemonTask::Print {
+        text,
+        exit: Exit::Done,
+    }
+}
+
+fn usage(program: &str, fault: &str) -> DaemonTask {
+    let text = format!("{program}: {fault}\nTry: {program} --settings FILE, or {program} --help");
+    DaemonTask::Print {
+        text,
+        exit: Exit::Usage,
+    }
+}
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,73 @@
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::request_ledger::Outcome;
+
+/// The body of every answer that is not a success; docs/INTERFACES.md lists the codes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ErrorAnswer {
+    /// A stable code, for example `too_large`.
+    pub code: SmolStr,
+    /// A sentence for people.
+    pub message: SmolStr,
+    /// What became of the work, where the request asked for work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<Outcome>,
+}
+
+/// An answer with a JSON body.
+///
+/// # Panics
+/// Where the type cannot be JSON, for example a map without text keys.
+pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let json = serde_json::to_vec(value).expect("answers have text keys and finite numbers");
+    typed(status, "application/json", Bytes::from(json))
+}
+
+/// An answer with a text body.
+#[must_use]
+pub fn text_answer(status: StatusCode, text: String) -> Response<Body> {
+    typed(status, "text/plain; charset=utf-8", Bytes::from(text))
+}
+
+/// An answer that tells an error; 429 and 503 ask the client to come again in a second.
+#[must_use]
+pub fn error_answer(
+    status: StatusCode,
+    code: &str,
+    message: impl Into<SmolStr>,
+    outcome: Option<Outcome>,
+) -> Response<Body> {
+    let error = ErrorAnswer {
+        code: code.into(),
+        message: message.into(),
+        outcome,
+    };
+    let mut answer = json_answer(status, &error);
+    if matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    ) {
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
+    answer
+}
+
+fn typed(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<Body> {
+    let body = Full::new(body).map_err(|never: Infallible| match never {});
+    let mut answer = Response::new(Body::new(body));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
--- /dev/null
+++ b/src/entry/body.rs
@@ -0,0 +1,183 @@
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State};
+use http::{Response, StatusCode};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use pin_project_lite::pin_project;
+use serde::de::DeserializeOwned;
+use smol_str::{SmolStr, format_smolstr};
+use thiserror::Error;
+use tokio::time::{Sleep, sleep};
+
+use super::answer::error_answer;
+use super::connections::Busy;
+
+/// Why a request's body is of no use.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum BodyFault {
+    /// It is larger than the listener allows.
+    #[error("the body is larger than this listener allows")]
+    TooLarge,
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    TooSlow,
+    /// It ended early or its framing is broken.
+    #[error("the body ended early")]
+    Truncated,
+    /// It is not what the route takes.
+    #[error("the body is not as expected: {cause}")]
+    Malformed {
+        /// Where and why.
+        cause: SmolStr,
+    },
+}
+
+impl BodyFault {
+    /// The answer that tells the client.
+    #[must_use]
+    pub fn answer(&self) -> Response<Body> {
+        let (status, code) = match self {
+            Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+            Self::TooSlow => (StatusCode::REQUEST_TIMEOUT, "too_slow"),
+            Self::Truncated => (StatusCode::BAD_REQUEST, "truncated"),
+            Self::Malformed { .. } => (StatusCode::BAD_REQUEST, "malformed"),
+        };
+        error_answer(status, code, format_smolstr!("{self}"), None)
+    }
+}
+
+/// Reads the whole body of a request.
+///
+/// # Errors
+/// The body is too large, too slow or truncated.
+pub async fn read_body(state: &mut State) -> Result<Bytes, BodyFault> {
+    let body = Body::take_from(state);
+    match body.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(cause) => Err(fault_of(&cause)),
+    }
+}
+
+/// Reads the whole body of a request as JSON.
+///
+/// # Errors
+/// As [`read_body`], and [`BodyFault::Malformed`] with the place of the fault.
+pub async fn read_json<T: DeserializeOwned>(state: &mut State) -> Result<T, BodyFault> {
+    let body = read_body(state).await?;
+    serde_json::from_slice(&body).map_err(|cause| BodyFault::Malformed {
+        cause: format_smolstr!("{cause}"),
+    })
+}
+
+/// Finds the limit that a body passed, which gotham wraps once more.
+fn fault_of(cause: &io::Error) -> BodyFault {
+    let inner = cause.get_ref().and_then(|inner| {
+        inner
+            .downcast_ref::<io::Error>()
+            .or_else(|| inner.source()?.downcast_ref())
+    });
+    match inner.unwrap_or(cause).kind() {
+        io::ErrorKind::FileTooLarge => BodyFault::TooLarge,
+        io::ErrorKind::TimedOut => BodyFault::TooSlow,
+        _ => BodyFault::Truncated,
+    }
+}
+
+pin_project! {
+    /// A request's body under limits of size and time.
+    pub(super) struct LimitedBody {
+        #[pin]
+        inner: Incoming,
+        #[pin]
+        deadline: Sleep,
+        left_bytes: usize,
+    }
+}
+
+impl LimitedBody {
+    pub(super) fn new(inner: Incoming, max_bytes: usize, within: Duration) -> Self {
+        Self {
+            inner,
+            deadline: sleep(within),
+            left_bytes: max_bytes,
+        }
+    }
+}
+
+impl http_body::Body for LimitedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = self.project();
+        match this.inner.poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Buf::remaining);
+                if bytes > *this.left_bytes {
+                    return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
+                }
+                *this.left_bytes -= bytes;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(cause))) => Poll::Ready(Some(Err(io::Error::other(cause)))),
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending if this.deadline.poll(cx).is_ready() => {
+                Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+pin_project! {
+    /// An answer's body that keeps its connection marked as busy until it is sent.
+    pub(super) struct BusyBody {
+        #[pin]
+        inner: Body,
+        busy: Busy,
+    }
+}
+
+impl BusyBody {
+    pub(super) const fn new(inner: Body, busy: Busy) -> Self {
+        Self { inner, busy }
+    }
+}
+
+impl http_body::Body for BusyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.project().inner.poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/src/entry/client_io.rs
@@ -0,0 +1,101 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use super::connections::Connection;
+
+/// Bytes that a client must take within the write time-out while more are waiting for it.
+const PROGRESS_BYTES: usize = 16 * 1_024;
+
+/// A client's socket, which fails once the client stops taking what is sent to it.
+pub(super) struct ClientIo {
+    socket: TcpStream,
+    connection: Arc<Connection>,
+    write_timeout: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+    taken_bytes: usize,
+}
+
+impl ClientIo {
+    pub(super) fn new(
+        socket: TcpStream,
+        connection: Arc<Connection>,
+        write_timeout: Duration,
+    ) -> Self {
+        Self {
+            socket,
+            connection,
+            write_timeout,
+            stalled: None,
+            taken_bytes: 0,
+        }
+    }
+
+    /// Counts bytes that the client took; enough of them in time is progress.
+    fn took(&mut self, bytes: usize) {
+        self.taken_bytes = self.taken_bytes.saturating_add(bytes);
+        if self.taken_bytes >= PROGRESS_BYTES {
+            self.stalled = None;
+            self.taken_bytes = 0;
+        }
+    }
+
+    fn poll_stalled(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let write_timeout = self.write_timeout;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(sleep(write_timeout)));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for ClientIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for ClientIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.connection.unsent.store(true, Ordering::Release);
+        match Pin::new(&mut self.socket).poll_write(cx, buf) {
+            Poll::Ready(Ok(taken)) => {
+                self.took(taken);
+                Poll::Ready(Ok(taken))
+            }
+            Poll::Ready(Err(cause)) => Poll::Ready(Err(cause)),
+            Poll::Pending => {
+                ready!(self.poll_stalled(cx))?;
+                Poll::Pending
+            }
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
+        self.connection.unsent.store(false, Ordering::Release);
+        self.stalled = None;
+        self.taken_bytes = 0;
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/entry/connections.rs
@@ -0,0 +1,162 @@
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::units::Millis;
+
+/// Marks a connection that was chosen to be closed and takes no further request.
+const CLOSING: u32 = u32::MAX;
+/// How long a connection must have been idle before it may be closed to make room.
+const IDLE_MIN_MS: Millis = Millis(100);
+
+/// One connection of a listener.
+#[derive(Debug)]
+pub(super) struct Connection {
+    /// Requests in progress, or [`CLOSING`].
+    requests: AtomicU32,
+    /// When the last request ended, on the listener's clock.
+    idle_since_ms: AtomicU64,
+    /// Whether bytes wait to be taken by the client.
+    pub(super) unsent: AtomicBool,
+    /// Closes the connection at once.
+    pub(super) closed: CancellationToken,
+    epoch: Instant,
+}
+
+impl Connection {
+    /// Marks a request as in progress; none where the connection is being closed.
+    pub(super) fn begin(self: &Arc<Self>) -> Option<Busy> {
+        let begun = self
+            .requests
+            .try_update(Ordering::AcqRel, Ordering::Acquire, |count| {
+                (count != CLOSING).then(|| count + 1)
+            });
+        begun.ok()?;
+        Some(Busy {
+            connection: Arc::clone(self),
+        })
+    }
+
+    fn idle_ms(&self) -> Option<Millis> {
+        let busy = self.requests.load(Ordering::Acquire) != 0;
+        if busy || self.unsent.load(Ordering::Acquire) {
+            return None;
+        }
+        let since = Millis(self.idle_since_ms.load(Ordering::Acquire));
+        Some(Millis::from(self.epoch.elapsed()).since(since))
+    }
+
+    fn close_idle(&self) -> bool {
+        let chosen =
+            self.requests
+                .compare_exchange(0, CLOSING, Ordering::AcqRel, Ordering::Acquire);
+        if chosen.is_ok() {
+            self.closed.cancel();
+        }
+        chosen.is_ok()
+    }
+}
+
+/// Marks a request in progress until it is dropped.
+#[derive(Debug)]
+pub(super) struct Busy {
+    connection: Arc<Connection>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let now = Millis::from(self.connection.epoch.elapsed());
+        self.connection
+            .idle_since_ms
+            .store(now.get(), Ordering::Release);
+        self.connection.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// All connections of a listener, at most as many as it may hold.
+#[derive(Debug)]
+pub(super) struct Connections {
+    open: Mutex<BTreeMap<u64, Arc<Connection>>>,
+    ended: Notify,
+    max: usize,
+    epoch: Instant,
+}
+
+impl Connections {
+    pub(super) fn new(max: usize) -> Self {
+        Self {
+            open: Mutex::default(),
+            ended: Notify::new(),
+            max,
+            epoch: Instant::now(),
+        }
+    }
+
+    /// Adds a connection under a number that no other has had.
+    pub(super) fn add(&self, number: u64) -> Arc<Connection> {
+        let now = Millis::from(self.epoch.elapsed());
+        let connection = Arc::new(Connection {
+            requests: AtomicU32::new(0),
+            idle_since_ms: AtomicU64::new(now.get()),
+            unsent: AtomicBool::new(false),
+            closed: CancellationToken::new(),
+            epoch: self.epoch,
+        });
+        self.lock().insert(number, Arc::clone(&connection));
+        connection
+    }
+
+    /// Forgets a connection that has ended.
+    pub(super) fn remove(&self, number: u64) {
+        self.lock().remove(&number);
+        self.ended.notify_one();
+    }
+
+    /// Waits until one more connection fits; closes the one that idles longest to get there.
+    ///
+    /// A client that holds connections without a request in progress so cannot keep others out.
+    pub(super) async fn make_room(&self) {
+        loop {
+            let ended = self.ended.notified();
+            if self.lock().len() < self.max {
+                return;
+            }
+            if self.close_idlest() {
+                ended.await;
+            } else {
+                // Connections turn idle without a notice, so look again after a while.
+                let _again = tokio::time::timeout(IDLE_MIN_MS.duration(), ended).await;
+            }
+        }
+    }
+
+    /// How many connections are open.
+    pub(super) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Closes what is left.
+    pub(super) fn close_all(&self) {
+        for connection in self.lock().values() {
+            connection.closed.cancel();
+        }
+    }
+
+    fn close_idlest(&self) -> bool {
+        let open = self.lock();
+        let idle = open.values().filter_map(|connection| {
+            let idle_ms = connection.idle_ms()?;
+            (idle_ms >= IDLE_MIN_MS).then_some((idle_ms, connection))
+        });
+        let idlest = idle.max_by_key(|(idle_ms, _connection)| *idle_ms);
+        idlest.is_some_and(|(_idle_ms, connection)| connection.close_idle())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, Arc<Connection>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/listener.rs
@@ -0,0 +1,289 @@
+use std::io;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gotham::handler::NewHandler;
+use gotham::helpers::http::Body;
+use gotham::service::call_handler;
+use gotham::state::State;
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Body as _;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tracing::{debug, info, warn};
+
+use super::answer::error_answer;
+use super::body::{BusyBody, LimitedBody};
+use super::client_io::ClientIo;
+use super::connections::{Connection, Connections};
+use crate::settings::ListenerSettings;
+use crate::units::Millis;
+
+/// Pause after the system could not give a connection, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Header by which gotham names a request; it must be text.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// A bound listener of which every input is limited in size, count and time.
+///
+/// It replaces gotham's own accept loop, which cannot drain; see docs/DESIGN.md.
+#[derive(Debug)]
+pub struct Listener {
+    name: &'static str,
+    socket: TcpListener,
+    address: SocketAddr,
+    settings: ListenerSettings,
+}
+
+/// A listener that serves.
+#[derive(Debug)]
+pub struct ListenerHandle {
+    /// Where it listens.
+    pub address: SocketAddr,
+    name: &'static str,
+    leaving: CancellationToken,
+    stop: CancellationToken,
+    connections: Arc<Connections>,
+    accepting: JoinHandle<GracefulShutdown>,
+}
+
+impl Listener {
+    /// Binds the address of the settings; the name tells listeners apart in the log.
+    ///
+    /// # Errors
+    /// The system's error, with the address.
+    pub async fn bind(name: &'static str, settings: ListenerSettings) -> io::Result<Self> {
+        let wanted = settings.listen;
+        let bound = TcpListener::bind(wanted).await;
+        let socket = bound.map_err(|cause| {
+            io::Error::new(cause.kind(), format!("cannot listen on {wanted}: {cause}"))
+        })?;
+        let address = socket.local_addr()?;
+        info!(event = "listening", listener = name, address = %address);
+        Ok(Self {
+            name,
+            socket,
+            address,
+            settings,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves requests with a gotham handler until the handle is drained.
+    #[must_use]
+    pub fn serve<H: NewHandler + 'static>(self, handler: H) -> ListenerHandle {
+        let connections = Arc::new(Connections::new(self.settings.connections_max));
+        let leaving = CancellationToken::new();
+        let stop = CancellationToken::new();
+        let serving = Serving {
+            handler: Arc::new(handler),
+            settings: Arc::new(self.settings),
+            connections: Arc::clone(&connections),
+            leaving: leaving.clone(),
+        };
+        let accepting = tokio::spawn(accept(self.socket, serving, stop.clone()));
+        ListenerHandle {
+            address: self.address,
+            name: self.name,
+            leaving,
+            stop,
+            connections,
+            accepting,
+        }
+    }
+}
+
+impl ListenerHandle {
+    /// Asks clients to go elsewhere: every answer from now on closes its connection.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+    }
+
+    /// Stops accepting and waits until what is in progress has ended, at most `within`.
+    ///
+    /// Gives the number of connections that were cut off at the end.
+    pub async fn drain(self, within: Millis) -> usize {
+        self.leaving.cancel();
+        self.stop.cancel();
+        let Ok(graceful) = self.accepting.await else {
+            return 0;
+        };
+        let ended = timeout(within.duration(), graceful.shutdown()).await;
+        let cut = self.connections.len();
+        if ended.is_err() {
+            warn!(event = "drain_cut", listener = self.name, connections = cut);
+            self.connections.close_all();
+            return cut;
+        }
+        info!(event = "drained", listener = self.name);
+        0
+    }
+}
+
+struct Serving<H> {
+    handler: Arc<H>,
+    settings: Arc<ListenerSettings>,
+    connections: Arc<Connections>,
+    leaving: CancellationToken,
+}
+
+impl<H> Clone for Serving<H> {
+    fn clone(&self) -> Self {
+        Self {
+            handler: Arc::clone(&self.handler),
+            settings: Arc::clone(&self.settings),
+            connections: Arc::clone(&self.connections),
+            leaving: self.leaving.clone(),
+        }
+    }
+}
+
+async fn accept<H: NewHandler + 'static>(
+    socket: TcpListener,
+    serving: Serving<H>,
+    stop: CancellationToken,
+) -> GracefulShutdown {
+    let graceful = GracefulShutdown::new();
+    let mut number = 0;
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = stop.cancelled() => break,
+            accepted = socket.accept() => accepted,
+        };
+        let (client, address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(cause) => {
+                warn!(event = "accept_failed", cause = %cause);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = serving.connections.make_room() => {}
+        }
+        number += 1;
+        let connection = serving.connections.add(number);
+        let watcher = graceful.watcher();
+        let serving = serving.clone();
+        tokio::spawn(async move {
+            serve_client(client, address, &connection, watcher, &serving).await;
+            serving.connections.remove(number);
+        });
+    }
+    graceful
+}
+
+async fn serve_client<H: NewHandler + 'static>(
+    client: TcpStream,
+    address: SocketAddr,
+    connection: &Arc<Connection>,
+    watcher: Watcher,
+    serving: &Serving<H>,
+) {
+    let settings = &serving.settings;
+    let _unset = client.set_nodelay(true);
+    let write_timeout = settings.write_timeout_ms.duration();
+    let client = ClientIo::new(client, Arc::clone(connection), write_timeout);
+    let (answering, marked) = (serving.clone(), Arc::clone(connection));
+    let service = service_fn(move |request| {
+        let (serving, connection) = (answering.clone(), Arc::clone(&marked));
+        async move { answer(request, address, &connection, &serving).await }
+    });
+    let mut builder = Builder::new(TokioExecutor::new()).http1_only();
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.header_timeout_ms.duration())
+        .max_buf_size(settings.header_max_bytes);
+    let served = builder.serve_connection(TokioIo::new(client), service);
+    let served = watcher.watch(served);
+    let ended = tokio::select! {
+        ended = served => ended,
+        () = connection.closed.cancelled() => Ok(()),
+    };
+    if let Err(cause) = ended {
+        debug!(event = "connection_failed", client = %address, cause = %cause);
+    }
+}
+
+async fn answer<H: NewHandler + 'static>(
+    request: Request<Incoming>,
+    address: SocketAddr,
+    connection: &Arc<Connection>,
+    serving: &Serving<H>,
+) -> io::Result<Response<BusyBody>> {
+    let Some(busy) = connection.begin() else {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    };
+    let mut answer = if has_text_id(&request) {
+        handle(request, address, serving).await?
+    } else {
+        let message = "the header x-request-id is not text";
+        error_answer(StatusCode::BAD_REQUEST, "malformed", message, None)
+    };
+    if serving.leaving.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(answer.map(|body| BusyBody::new(body, busy)))
+}
+
+async fn handle<H: NewHandler + 'static>(
+    request: Request<Incoming>,
+    address: SocketAddr,
+    serving: &Serving<H>,
+) -> io::Result<Response<Body>> {
+    let settings = &serving.settings;
+    let limited = request.map(|body| {
+        let within = settings.body_timeout_ms.duration();
+        LimitedBody::new(body, settings.body_max_bytes, within)
+    });
+    let state = AssertUnwindSafe(State::from_request(limited, address));
+    let answer = call_handler(Arc::clone(&serving.handler), state).await;
+    answer.map(explained).map_err(io::Error::other)
+}
+
+/// Whether gotham can take the request's id, on which it would panic otherwise.
+fn has_text_id(request: &Request<Incoming>) -> bool {
+    let mut ids = request.headers().get_all(REQUEST_ID_HEADER).iter();
+    ids.all(|id| std::str::from_utf8(id.as_bytes()).is_ok())
+}
+
+/// Gives an error body to the answers that gotham makes itself, which have none.
+fn explained(answer: Response<Body>) -> Response<Body> {
+    let bare = answer.body().size_hint().exact() == Some(0)
+        && !answer.headers().contains_key(CONTENT_TYPE);
+    if !bare {
+        return answer;
+    }
+    let (code, message) = match answer.status() {
+        StatusCode::NOT_FOUND => ("not_found", "there is no such route"),
+        StatusCode::METHOD_NOT_ALLOWED => ("bad_method", "the route does not take this method"),
+        StatusCode::BAD_REQUEST => ("malformed", "the path or query is malformed"),
+        StatusCode::INTERNAL_SERVER_ERROR => ("internal", "the request could not be handled"),
+        _ => return answer,
+    };
+    let (head, _empty) = answer.into_parts();
+    let mut explained = error_answer(head.status, code, message, None);
+    for (name, value) in &head.headers {
+        explained.headers_mut().insert(name.clone(), value.clone());
+    }
+    explained
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,15 @@
 
 #![deny(missing_docs, unsafe_code, unreachable_pub)]
 
+pub mod cli;
 pub mod control;
+pub mod entry;
 pub mod fleet;
 pub mod kernel;
 pub mod release_note;
 pub mod replica;
 pub mod request_ledger;
 pub mod scheduler;
+pub mod settings;
+pub mod telemetry;
 pub mod units;
--- /dev/null
+++ b/src/settings/entry.rs
@@ -0,0 +1,121 @@
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::str::FromStr;
+
+use super::fields::Fields;
+use super::listener::ListenerSettings;
+use super::{Result, SettingsError, parse, read};
+use crate::telemetry::LogLevel;
+use crate::units::{EntryId, Millis, ZoneId};
+
+/// What an id looks like, for messages.
+pub(super) const ID: &str = "1 to 64 bytes of letters, digits, '-', '_', '.' and ':'";
+/// What a log level looks like, for messages.
+pub(super) const LEVEL: &str = "one of error, warn, info, debug, trace";
+
+/// How an entry stops.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StopSettings {
+    /// How long the health check is red before the listeners close, so that the balancer sees it.
+    pub balancer_wait_ms: Millis,
+    /// The longest time that work in progress may take to end after that.
+    pub drain_max_ms: Millis,
+}
+
+impl Default for StopSettings {
+    fn default() -> Self {
+        Self {
+            balancer_wait_ms: Millis(5_000),
+            drain_max_ms: Millis(120_000),
+        }
+    }
+}
+
+impl StopSettings {
+    pub(super) fn take(fields: &mut Fields) -> Self {
+        let defaults = Self::default();
+        let stop = Self {
+            balancer_wait_ms: fields.millis(
+                "balancer_wait_ms",
+                defaults.balancer_wait_ms,
+                0..=120_000,
+            ),
+            drain_max_ms: fields.millis("drain_max_ms", defaults.drain_max_ms, 1_000..=3_600_000),
+        };
+        fields.close();
+        stop
+    }
+}
+
+/// Settings of `marjoramknot-entry`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntrySettings {
+    /// The entry's name, unique among entries.
+    pub name: EntryId,
+    /// The availability zone that it stands in.
+    pub zone: ZoneId,
+    /// Where the control replicas take exchanges.
+    pub control: Vec<SocketAddr>,
+    /// The log's level.
+    pub log_level: LogLevel,
+    /// The callers' listener.
+    pub callers: ListenerSettings,
+    /// The listener of endpoints and workers.
+    pub fleet: ListenerSettings,
+    /// The operators' listener, with health and metrics.
+    pub operators: ListenerSettings,
+    /// How the entry stops.
+    pub stop: StopSettings,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// The file cannot be read, is not TOML, or has faults, all of which are listed.
+    pub fn load(path: &Path) -> Result<Self> {
+        read(path)?.parse()
+    }
+
+    fn take(fields: &mut Fields) -> Option<Self> {
+        let name = fields.required("name", ID);
+        let zone = fields.required("zone", ID);
+        let control = fields.list(
+            "control",
+            1..=9,
+            "an address of a control replica's `entries`",
+        );
+        check_distinct(fields, &control);
+        let log_level = fields.optional("log_level", LogLevel::default(), LEVEL);
+        let callers = ListenerSettings::take(&mut fields.table("callers"));
+        let fleet = ListenerSettings::take(&mut fields.table("fleet"));
+        let operators = ListenerSettings::take(&mut fields.table("operators"));
+        let stop = StopSettings::take(&mut fields.table("stop"));
+        Some(Self {
+            name: name?,
+            zone: zone?,
+            control,
+            log_level,
+            callers: callers?,
+            fleet: fleet?,
+            operators: operators?,
+            stop,
+        })
+    }
+}
+
+impl FromStr for EntrySettings {
+    type Err = SettingsError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        parse(text, Self::take)
+    }
+}
+
+fn check_distinct(fields: &Fields, control: &[SocketAddr]) {
+    let distinct: BTreeSet<_> = control.iter().collect();
+    if distinct.len() < control.len() {
+        fields.fault("control", "names an address twice; name each replica once");
+    }
+}
--- /dev/null
+++ b/src/settings/fields.rs
@@ -0,0 +1,209 @@
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::str::FromStr;
+
+use toml::{Table, Value};
+
+use super::Fault;
+use crate::units::Millis;
+
+type Faults = Rc<RefCell<Vec<Fault>>>;
+
+/// A table whose fields are taken one by one; what is left at the end is unknown.
+pub(super) struct Fields {
+    table: Table,
+    path: String,
+    faults: Faults,
+}
+
+impl Fields {
+    pub(super) fn root(table: Table) -> Self {
+        Self {
+            table,
+            path: String::new(),
+            faults: Faults::default(),
+        }
+    }
+
+    /// Reports unknown fields and gives all faults that were found under this root.
+    pub(super) fn finish(mut self) -> Vec<Fault> {
+        self.close();
+        self.faults.take()
+    }
+
+    /// Reports what nobody took as unknown.
+    pub(super) fn close(&mut self) {
+        let unknown: Vec<_> = self.table.keys().cloned().collect();
+        for key in unknown {
+            self.fault(&key, "is not a known field");
+        }
+        self.table.clear();
+    }
+
+    /// Records a fault of one field.
+    pub(super) fn fault(&self, key: &str, fault: impl Into<String>) {
+        let field = self.path_of(key);
+        let fault = fault.into();
+        self.faults.borrow_mut().push(Fault { field, fault });
+    }
+
+    /// A text that must be there.
+    pub(super) fn required<T>(&mut self, key: &str, allowed: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let value = self.table.remove(key);
+        let Some(value) = value else {
+            self.fault(key, format!("is missing; give {allowed}"));
+            return None;
+        };
+        self.parse(key, &value, allowed)
+    }
+
+    /// A text that has a default.
+    pub(super) fn optional<T>(&mut self, key: &str, default: T, allowed: &str) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.table.remove(key) {
+            Some(value) => self.parse(key, &value, allowed).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// A whole number in a range.
+    pub(super) fn number(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let Some(value) = self.table.remove(key) else {
+            return default;
+        };
+        let number = value.as_integer().and_then(|n| u64::try_from(n).ok());
+        match number {
+            Some(number) if range.contains(&number) => number,
+            _ => {
+                let (low, high) = range.into_inner();
+                self.fault(key, format!("is {value}; {low} to {high} is allowed"));
+                default
+            }
+        }
+    }
+
+    /// A span in milliseconds, in a range.
+    pub(super) fn millis(
+        &mut self,
+        key: &str,
+        default: Millis,
+        range: RangeInclusive<u64>,
+    ) -> Millis {
+        Millis(self.number(key, default.get(), range))
+    }
+
+    /// A list of texts, `range` long.
+    pub(super) fn list<T>(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<usize>,
+        allowed: &str,
+    ) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let (low, high) = (*range.start(), *range.end());
+        let wanted = format!("a list of {low} to {high} items, each {allowed}");
+        let values = match self.table.remove(key) {
+            Some(Value::Array(values)) => values,
+            Some(other) => {
+                self.fault(key, format!("is {other}; give {wanted}"));
+                return Vec::new();
+            }
+            None => {
+                self.fault(key, format!("is missing; give {wanted}"));
+                return Vec::new();
+            }
+        };
+        if !range.contains(&values.len()) {
+            self.fault(key, format!("has {} items; give {wanted}", values.len()));
+        }
+        let items = values.iter().enumerate();
+        items
+            .filter_map(|(index, value)| self.parse(&format!("{key}[{index}]"), value, allowed))
+            .collect()
+    }
+
+    /// A table; an absent one is empty, so that its fields get their defaults.
+    pub(super) fn table(&mut self, key: &str) -> Self {
+        let table = match self.table.remove(key) {
+            Some(Value::Table(table)) => table,
+            Some(other) => {
+                self.fault(key, format!("is {other}; give a table"));
+                Table::new()
+            }
+            None => Table::new(),
+        };
+        self.below(key, table)
+    }
+
+    /// A list of tables, `range` long.
+    pub(super) fn tables(&mut self, key: &str, range: RangeInclusive<usize>) -> Vec<Self> {
+        let (low, high) = (*range.start(), *range.end());
+        let wanted = format!("{low} to {high} tables [[{}]]", self.path_of(key));
+        let values = match self.table.remove(key) {
+            Some(Value::Array(values)) => values,
+            Some(other) => {
+                self.fault(key, format!("is {other}; give {wanted}"));
+                return Vec::new();
+            }
+            None => Vec::new(),
+        };
+        if !range.contains(&values.len()) {
+            self.fault(key, format!("has {} items; give {wanted}", values.len()));
+        }
+        let mut tables = Vec::with_capacity(values.len());
+        for (index, value) in values.into_iter().enumerate() {
+            let key = format!("{key}[{index}]");
+            match value {
+                Value::Table(table) => tables.push(self.below(&key, table)),
+                other => self.fault(&key, format!("is {other}; give a table")),
+            }
+        }
+        tables
+    }
+
+    fn below(&self, key: &str, table: Table) -> Self {
+        Self {
+            table,
+            path: self.path_of(key),
+            faults: Rc::clone(&self.faults),
+        }
+    }
+
+    fn parse<T>(&self, key: &str, value: &Value, allowed: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(text) = value.as_str() else {
+            self.fault(key, format!("is {value}; give {allowed}"));
+            return None;
+        };
+        match text.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(cause) => {
+                self.fault(key, format!("is {text:?}: {cause}; give {allowed}"));
+                None
+            }
+        }
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,112 @@
+//! Settings of the programs: TOML files of which every fault is reported at once.
+//!
+//! A settings file is read into a struct whose absent fields have defaults; docs/OPERATORS.md lists
+//! the fields. Unknown fields are faults, so that a misspelt one never passes for its default.
+
+mod control;
+mod entry;
+mod fields;
+mod listener;
+
+use std::fmt;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use thiserror::Error;
+
+pub use control::{ControlSettings, ReplicaAddresses};
+pub use entry::{EntrySettings, StopSettings};
+pub use listener::ListenerSettings;
+
+use fields::Fields;
+
+/// Largest settings file that is read, in bytes.
+const SETTINGS_MAX_BYTES: u64 = 1024 * 1024;
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// The field, for example `callers.connections_max`.
+    pub field: String,
+    /// What is wrong and what is allowed.
+    pub fault: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.fault)
+    }
+}
+
+/// Why there are no settings.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("cannot read {}: {cause}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// The file is larger than any sensible settings.
+    #[error("{} is {bytes} bytes long, at most {SETTINGS_MAX_BYTES} are allowed", path.display())]
+    TooLarge {
+        /// The file.
+        path: PathBuf,
+        /// Its size in bytes.
+        bytes: u64,
+    },
+    /// The text is not TOML.
+    #[error("not TOML: {0}")]
+    Syntax(#[from] toml::de::Error),
+    /// Fields are wrong; all of them are listed.
+    #[error("{} wrong:\n{}", count(faults), lines(faults))]
+    Invalid {
+        /// Every fault found.
+        faults: Vec<Fault>,
+    },
+}
+
+fn count(faults: &[Fault]) -> String {
+    match faults.len() {
+        1 => "1 field is".to_owned(),
+        many => format!("{many} fields are"),
+    }
+}
+
+fn lines(faults: &[Fault]) -> String {
+    let lines: Vec<_> = faults.iter().map(|fault| format!("  {fault}")).collect();
+    lines.join("\n")
+}
+
+/// Reads a settings file's text.
+fn read(path: &Path) -> Result<String> {
+    let failed = |cause| SettingsError::Read {
+        path: path.to_owned(),
+        cause,
+    };
+    let bytes = fs::metadata(path).map_err(failed)?.len();
+    if bytes > SETTINGS_MAX_BYTES {
+        return Err(SettingsError::TooLarge {
+            path: path.to_owned(),
+            bytes,
+        });
+    }
+    fs::read_to_string(path).map_err(failed)
+}
+
+/// Parses a text and gathers all faults of its fields.
+fn parse<T>(text: &str, take: impl FnOnce(&mut Fields) -> Option<T>) -> Result<T> {
+    let table: toml::Table = text.parse()?;
+    let mut fields = Fields::root(table);
+    let settings = take(&mut fields);
+    let faults = fields.finish();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(SettingsError::Invalid { faults }),
+    }
+}
--- /dev/null
+++ b/src/telemetry/log.rs
@@ -0,0 +1,57 @@
+use derive_more::{Display, FromStr};
+use tracing::Level;
+use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+use super::{Result, TelemetryError};
+
+/// How much the log tells.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, FromStr, PartialEq)]
+pub enum LogLevel {
+    /// Only what an operator must act on.
+    #[display("error")]
+    Error,
+    /// Also what may need a look.
+    #[display("warn")]
+    Warn,
+    /// Also each decision.
+    #[default]
+    #[display("info")]
+    Info,
+    /// Also each message.
+    #[display("debug")]
+    Debug,
+    /// Everything.
+    #[display("trace")]
+    Trace,
+}
+
+impl From<LogLevel> for Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::ERROR,
+            LogLevel::Warn => Self::WARN,
+            LogLevel::Info => Self::INFO,
+            LogLevel::Debug => Self::DEBUG,
+            LogLevel::Trace => Self::TRACE,
+        }
+    }
+}
+
+/// Writes one key=value line an event to standard error from now on.
+///
+/// # Errors
+/// [`TelemetryError::Twice`] where this process has a log.
+pub fn start_log(level: LogLevel) -> Result<()> {
+    let lines = tracing_logfmt::builder()
+        .with_level(true)
+        .with_target(false)
+        .layer()
+        .with_writer(std::io::stderr);
+    tracing_subscriber::registry()
+        .with(LevelFilter::from_level(level.into()))
+        .with(lines)
+        .try_init()
+        .map_err(|_installed| TelemetryError::Twice { what: "the log" })
+}
