--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code, unreachable_pub)]
 
 pub mod cli;
+pub mod codec;
 pub mod control;
 pub mod entry;
 pub mod fleet;
@@ -13,6 +14,7 @@
 pub mod release_note;
 pub mod replica;
 pub mod request_ledger;
+pub mod router;
 pub mod scheduler;
 pub mod settings;
 pub mod telemetry;
