--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod kernel;
+pub mod programs;
 pub mod release_note;
 pub mod replica;
 pub mod request_ledger;
