--- /dev/null
+++ b/src/cli/note_command.rs
@@ -0,0 +1,118 @@
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Serialize;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::sleep;
+
+use super::commands::{CtlOutput, Printer, usage};
+use super::operator_client::{Call, parse, refusal};
+use super::options::{ApplyOptions, ReleaseNoteCommand, ReleaseNoteOptions};
+use super::{CommandError, Exit, OperatorClient, Result};
+use crate::control::Status;
+use crate::release_note::NoteAnswer;
+use crate::units::Revision;
+
+/// Pause between two looks at whether a note is in force.
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(100);
+/// How often to look before giving up.
+const IN_FORCE_LOOKS: u32 = 150;
+
+/// What `release-note apply` prints for programs.
+#[derive(Serialize)]
+struct Applied {
+    answer: NoteAnswer,
+    /// Whether it was seen in force everywhere; absent without `--wait`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_force: Option<bool>,
+}
+
+pub(super) async fn release_note(
+    client: &OperatorClient,
+    printer: Printer,
+    options: ReleaseNoteOptions,
+) -> Result<CtlOutput> {
+    match options.command {
+        Some(ReleaseNoteCommand::Apply(options)) => apply(client, printer, options).await,
+        None => Err(usage("release-note needs a command: apply FILE")),
+    }
+}
+
+async fn apply(
+    client: &OperatorClient,
+    printer: Printer,
+    options: ApplyOptions,
+) -> Result<CtlOutput> {
+    let file = options
+        .file
+        .ok_or_else(|| usage("release-note apply needs the note's file"))?;
+    let note = read_note(&file)?;
+    let (status, body) = client.ask(&Call::post("/v1/release-notes", note)).await?;
+    let answer: NoteAnswer = parse(&body).map_err(|_other| refusal(status, &body))?;
+    let in_force = match (&answer, options.wait) {
+        (NoteAnswer::Accepted { revision } | NoteAnswer::AlreadyAccepted { revision }, true) => {
+            Some(wait_in_force(client, *revision).await?)
+        }
+        _ => None,
+    };
+    let exit = exit_of(&answer, in_force);
+    let applied = Applied { answer, in_force };
+    let text = printer.print(&applied, sentence);
+    Ok(CtlOutput { text, exit })
+}
+
+fn read_note(file: &Path) -> Result<String> {
+    fs::read_to_string(file)
+        .map_err(|cause| usage(format_smolstr!("cannot read {}: {cause}", file.display())))
+}
+
+async fn wait_in_force(client: &OperatorClient, revision: Revision) -> Result<bool> {
+    for _look in 0..IN_FORCE_LOOKS {
+        let status: Status = client.call(&Call::get("/v1/status")).await?;
+        if status.in_force_everywhere >= revision {
+            return Ok(true);
+        }
+        sleep(IN_FORCE_PAUSE).await;
+    }
+    Ok(false)
+}
+
+const fn exit_of(answer: &NoteAnswer, in_force: Option<bool>) -> Exit {
+    match (answer, in_force) {
+        (_, Some(false)) => Exit::Failed,
+        (NoteAnswer::Accepted { .. } | NoteAnswer::AlreadyAccepted { .. }, _) => Exit::Done,
+        _ => Exit::Failed,
+    }
+}
+
+fn sentence(applied: &Applied) -> String {
+    let mut text = match &applied.answer {
+        NoteAnswer::Accepted { revision } => format!("accepted as revision {revision}"),
+        NoteAnswer::AlreadyAccepted { revision } => {
+            format!("already accepted as revision {revision}")
+        }
+        NoteAnswer::VersionTaken { digest, revision } => {
+            format!("version taken: another note holds it, revision {revision}, digest {digest}")
+        }
+        NoteAnswer::Stale { current } => format!("stale: version {current} is in force"),
+        NoteAnswer::Invalid { faults } => {
+            let lines: Vec<_> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+            format!("invalid, nothing was changed:{}", lines.concat())
+        }
+    };
+    match applied.in_force {
+        Some(true) => text.push_str(", in force everywhere"),
+        Some(false) => text.push_str(", not yet in force everywhere"),
+        None => {}
+    }
+    text
+}
+
+/// Explains a refused argument.
+pub(super) fn refused(code: &'static str, message: SmolStr) -> CommandError {
+    CommandError::Refused {
+        code: SmolStr::new_static(code),
+        message,
+    }
+}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,26 @@
+use std::fmt;
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+
+use super::{Client, Exchange};
+use crate::telemetry::Metrics;
+
+/// What the routes of an entry work on.
+#[derive(Clone)]
+pub struct EntryContext {
+    /// The exchange with the leader, which holds the grant and the state in force.
+    pub exchange: Arc<Exchange>,
+    /// Calls to the leader.
+    pub client: Client,
+    /// This process's metrics.
+    pub metrics: Metrics,
+    /// Cancelled once a planned stop has begun.
+    pub leaving: CancellationToken,
+}
+
+impl fmt::Debug for EntryContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryContext").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/entry/health.rs
@@ -0,0 +1,64 @@
+use futures::FutureExt;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder};
+use gotham::state::State;
+use http::StatusCode;
+use std::sync::Arc;
+
+use super::answer::{json_answer, text_answer};
+use super::context::EntryContext;
+use super::route::{Answering, route};
+
+/// What a health check tells.
+#[derive(Clone, Copy, Debug, serde::Deserialize, Eq, PartialEq, serde::Serialize)]
+pub struct Health {
+    /// Whether the balancer should send callers here.
+    pub ready: bool,
+    /// Whether this entry holds a grant.
+    pub grant: bool,
+    /// Whether a planned stop has begun.
+    pub leaving: bool,
+}
+
+/// Draws the health routes, which the balancer asks.
+pub fn draw_health(builder: &mut RouterBuilder<'_, (), ()>, context: &Arc<EntryContext>) {
+    builder
+        .get("/health/live")
+        .to_new_handler(route(context, live));
+    builder
+        .get("/health/ready")
+        .to_new_handler(route(context, ready));
+}
+
+/// Draws the metrics route.
+pub fn draw_metrics(builder: &mut RouterBuilder<'_, (), ()>, context: &Arc<EntryContext>) {
+    builder
+        .get("/metrics")
+        .to_new_handler(route(context, metrics));
+}
+
+fn live<'a>(_context: &'a EntryContext, _state: &'a mut State) -> Answering<'a> {
+    async { Ok(text_answer(StatusCode::OK, "live\n".to_owned())) }.boxed()
+}
+
+fn ready<'a>(context: &'a EntryContext, _state: &'a mut State) -> Answering<'a> {
+    async {
+        let grant = context.exchange.may_start();
+        let leaving = context.leaving.is_cancelled();
+        let health = Health {
+            ready: grant && !leaving,
+            grant,
+            leaving,
+        };
+        let status = if health.ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        Ok(json_answer(status, &health))
+    }
+    .boxed()
+}
+
+fn metrics<'a>(context: &'a EntryContext, _state: &'a mut State) -> Answering<'a> {
+    async { Ok(text_answer(StatusCode::OK, context.metrics.render())) }.boxed()
+}
--- /dev/null
+++ b/src/entry/jobs.rs
@@ -0,0 +1,198 @@
+use std::sync::Arc;
+
+use futures::FutureExt;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder};
+use gotham::router::response::StaticResponseExtender;
+use gotham::state::{FromState, State, StateData};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+
+use super::answer::json_answer;
+use super::body::read_json;
+use super::context::EntryContext;
+use super::job_check::check_job;
+use super::route::{Answer, Answering, Refusal, route};
+use crate::control::{ControlError, JobView};
+use crate::request_ledger::Outcome;
+use crate::scheduler::{JobKey, JobSpec, NotRunReason, SubmitAnswer};
+use crate::units::{JobId, Millis, TeamId};
+
+/// Longest time that a look at a job is held open.
+pub const WAIT_MAX_MS: Millis = Millis(20_000);
+
+/// The answer to a submission that was taken.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobAccepted {
+    /// The job.
+    pub job: JobKey,
+    /// Always `accepted`.
+    pub answer: SmolStr,
+}
+
+/// The job that a path names.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct JobPath {
+    team: TeamId,
+    id: JobId,
+}
+
+/// How long to wait for a job's end.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WaitQuery {
+    #[serde(default)]
+    wait_ms: Millis,
+}
+
+impl StateData for JobPath {}
+impl StateData for WaitQuery {}
+
+impl StaticResponseExtender for JobPath {
+    type ResBody = gotham::helpers::http::Body;
+
+    fn extend(_state: &mut State, _res: &mut http::Response<Self::ResBody>) {}
+}
+
+impl StaticResponseExtender for WaitQuery {
+    type ResBody = gotham::helpers::http::Body;
+
+    fn extend(_state: &mut State, _res: &mut http::Response<Self::ResBody>) {}
+}
+
+impl JobPath {
+    pub(super) fn into_key(self) -> JobKey {
+        JobKey {
+            team: self.team,
+            id: self.id,
+        }
+    }
+}
+
+/// Draws the callers' routes for jobs.
+pub fn draw_jobs(builder: &mut RouterBuilder<'_, (), ()>, context: &Arc<EntryContext>) {
+    builder
+        .post("/v1/jobs")
+        .to_new_handler(route(context, submit));
+    builder
+        .get("/v1/jobs/:team/:id")
+        .with_path_extractor::<JobPath>()
+        .with_query_string_extractor::<WaitQuery>()
+        .to_new_handler(route(context, look));
+    builder
+        .delete("/v1/jobs/:team/:id")
+        .with_path_extractor::<JobPath>()
+        .to_new_handler(route(context, cancel));
+}
+
+fn submit<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
+    async { submit_job(context, read_json(state).await.map_err(not_run)?).await }.boxed()
+}
+
+fn look<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
+    async {
+        let key = JobPath::take_from(state).into_key();
+        let wait_ms = WaitQuery::take_from(state).wait_ms.min(WAIT_MAX_MS);
+        let view = look_at_job(context, &key, wait_ms).await?;
+        view_answer(view, &key)
+    }
+    .boxed()
+}
+
+fn cancel<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
+    async {
+        let key = JobPath::take_from(state).into_key();
+        let views = context.client.cancel_jobs(vec![key.clone()]).await?;
+        view_answer(views.into_iter().next(), &key)
+    }
+    .boxed()
+}
+
+async fn submit_job(context: &EntryContext, spec: JobSpec) -> Answer {
+    let faults = check_job(&spec);
+    if !faults.is_empty() {
+        let message = SmolStr::from(faults.join("; "));
+        let refusal = Refusal::new(StatusCode::UNPROCESSABLE_ENTITY, "invalid", message);
+        return Err(refusal.with_outcome(Outcome::NotRun));
+    }
+    let job = spec.key.clone();
+    let submitted = context.client.submit_job(spec).await;
+    match submitted.map_err(not_submitted)? {
+        SubmitAnswer::Accepted => {
+            let answer = SmolStr::new_static("accepted");
+            let accepted = JobAccepted { job, answer };
+            Ok(json_answer(StatusCode::ACCEPTED, &accepted))
+        }
+        SubmitAnswer::IdTaken => {
+            let message = "the id was used with other content; the earlier job stands";
+            Err(Refusal::new(StatusCode::CONFLICT, "id_taken", message))
+        }
+        SubmitAnswer::NotRun { reason } => Err(refused(&reason)),
+    }
+}
+
+/// Waits for the job's end, but no longer than until a planned stop begins.
+async fn look_at_job(
+    context: &EntryContext,
+    key: &JobKey,
+    wait_ms: Millis,
+) -> Result<Option<JobView>, ControlError> {
+    let held = context.client.job(key.clone(), wait_ms);
+    tokio::select! {
+        view = held => view,
+        () = context.leaving.cancelled() => context.client.job(key.clone(), Millis::ZERO).await,
+    }
+}
+
+pub(super) fn view_answer(view: Option<JobView>, key: &JobKey) -> Answer {
+    let unknown = || {
+        let message = format_smolstr!("job {key} is not known");
+        Refusal::new(StatusCode::NOT_FOUND, "not_found", message)
+    };
+    let view = view.ok_or_else(unknown)?;
+    Ok(json_answer(StatusCode::OK, &view))
+}
+
+fn not_run(fault: impl Into<Refusal>) -> Refusal {
+    fault.into().with_outcome(Outcome::NotRun)
+}
+
+/// A submission that may still be committed must not be called "not run".
+fn not_submitted(error: ControlError) -> Refusal {
+    let outcome = match error {
+        ControlError::NotLeader { .. } | ControlError::Refused { .. } => Outcome::NotRun,
+        ControlError::Uncertain | ControlError::Unreachable => Outcome::Unknown,
+    };
+    Refusal::from(error).with_outcome(outcome)
+}
+
+fn refused(reason: &NotRunReason) -> Refusal {
+    let (status, code, message) = match reason {
+        NotRunReason::NeverFits { nearest } => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "never_fits",
+            format_smolstr!("no declared rack could ever hold it; nearest: {nearest}"),
+        ),
+        NotRunReason::Cancelled => (
+            StatusCode::CONFLICT,
+            "cancelled",
+            "it was cancelled before it started".to_smolstr(),
+        ),
+        NotRunReason::QueueFull => (
+            StatusCode::TOO_MANY_REQUESTS,
+            "queue_full",
+            "the team has as many waiting jobs as it may have".to_smolstr(),
+        ),
+        NotRunReason::NoSuchTeam => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "no_such_team",
+            "there is no such team".to_smolstr(),
+        ),
+        NotRunReason::AttemptsExhausted { cause } => (
+            StatusCode::CONFLICT,
+            "attempts_exhausted",
+            format_smolstr!("its attempts ended before any start: {cause}"),
+        ),
+    };
+    Refusal::new(status, code, message).with_outcome(Outcome::NotRun)
+}
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -87,10 +87,17 @@
     }
 
     /// Serves requests with a gotham handler until the handle is drained.
+    ///
+    /// Once `leaving` is cancelled every answer closes its connection, so that clients go
+    /// elsewhere.
     #[must_use]
-    pub fn serve<H: NewHandler + 'static>(self, handler: H) -> ListenerHandle {
+    pub fn serve<H: NewHandler + 'static>(
+        self,
+        handler: H,
+        leaving: &CancellationToken,
+    ) -> ListenerHandle {
         let connections = Arc::new(Connections::new(self.settings.connections_max));
-        let leaving = CancellationToken::new();
+        let leaving = leaving.child_token();
         let stop = CancellationToken::new();
         let serving = Serving {
             handler: Arc::new(handler),
@@ -111,11 +118,6 @@
 }
 
 impl ListenerHandle {
-    /// Asks clients to go elsewhere: every answer from now on closes its connection.
-    pub fn leave(&self) {
-        self.leaving.cancel();
-    }
-
     /// Stops accepting and waits until what is in progress has ended, at most `within`.
     ///
     /// Gives the number of connections that were cut off at the end.
--- /dev/null
+++ b/src/entry/workers.rs
@@ -0,0 +1,97 @@
+use std::sync::Arc;
+
+use futures::FutureExt;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder};
+use gotham::state::State;
+use http::StatusCode;
+use smol_str::SmolStr;
+
+use super::answer::json_answer;
+use super::body::read_json;
+use super::context::EntryContext;
+use super::route::{Answer, Answering, Refusal, route};
+use crate::fleet::{TaskReport, TaskState, WorkerPoll};
+
+/// Most tasks that one poll reports.
+const TASKS_MAX: usize = 1_024;
+/// Longest result of a task in bytes.
+const RESULT_MAX_BYTES: usize = 64 * 1_024;
+/// Longest cause, reason or checkpoint of a task in bytes.
+const TEXT_MAX_BYTES: usize = 4 * 1_024;
+/// Most accelerators of one worker.
+const ACCELERATORS_MAX: u32 = 64;
+/// Most cores of one worker.
+const CORES_MAX: u32 = 16_384;
+/// Most memory of one worker in megabytes.
+const MEMORY_MAX_MB: u64 = 64 * 1_024 * 1_024;
+
+/// Draws the workers' route.
+pub fn draw_workers(builder: &mut RouterBuilder<'_, (), ()>, context: &Arc<EntryContext>) {
+    builder
+        .post("/v1/workers/poll")
+        .to_new_handler(route(context, poll));
+}
+
+fn poll<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
+    async { poll_worker(context, read_json(state).await?).await }.boxed()
+}
+
+async fn poll_worker(context: &EntryContext, poll: WorkerPoll) -> Answer {
+    let faults = check_poll(&poll);
+    if !faults.is_empty() {
+        let message = SmolStr::from(faults.join("; "));
+        let status = StatusCode::UNPROCESSABLE_ENTITY;
+        return Err(Refusal::new(status, "invalid", message));
+    }
+    let orders = context.exchange.poll_worker(poll).await?;
+    Ok(json_answer(StatusCode::OK, &orders))
+}
+
+/// Every fault of a poll that its types do not exclude.
+#[must_use]
+pub fn check_poll(poll: &WorkerPoll) -> Vec<String> {
+    let mut faults = Vec::new();
+    let mut within = |field: &str, value: u64, max: u64| {
+        if value > max {
+            faults.push(format!("{field} is {value}, at most {max} is allowed"));
+        }
+    };
+    let capacity = poll.capacity;
+    within(
+        "capacity.accelerators",
+        capacity.accelerators.get().into(),
+        ACCELERATORS_MAX.into(),
+    );
+    within(
+        "capacity.cores",
+        capacity.cores.get().into(),
+        CORES_MAX.into(),
+    );
+    within(
+        "capacity.memory_mb",
+        capacity.memory_mb.get(),
+        MEMORY_MAX_MB,
+    );
+    if poll.tasks.len() > TASKS_MAX {
+        let tasks = poll.tasks.len();
+        faults.push(format!(
+            "tasks has {tasks} items, at most {TASKS_MAX} are allowed"
+        ));
+    }
+    let tasks = poll.tasks.iter().enumerate();
+    faults.extend(tasks.filter_map(|(index, report)| check_task(index, report)));
+    faults
+}
+
+fn check_task(index: usize, report: &TaskReport) -> Option<String> {
+    let (text, max) = match &report.state {
+        TaskState::Succeeded { result } => (result.as_str(), RESULT_MAX_BYTES),
+        TaskState::Refused { reason } => (reason.as_str(), TEXT_MAX_BYTES),
+        TaskState::Failed { cause } => (cause.as_str(), TEXT_MAX_BYTES),
+        TaskState::Checkpointed { checkpoint } => (checkpoint.0.as_str(), TEXT_MAX_BYTES),
+        _ => return None,
+    };
+    let bytes = text.len();
+    let fault = || format!("tasks[{index}].state has {bytes} bytes, at most {max} are allowed");
+    (bytes > max).then(fault)
+}
--- /dev/null
+++ b/src/programs/control.rs
@@ -0,0 +1,147 @@
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::state::State;
+use http::StatusCode;
+use tokio_util::sync::CancellationToken;
+
+use super::Result;
+use super::listening::{find, listen};
+use crate::control::SharedMachine;
+use crate::entry::{Answering, json_answer, route, text_answer};
+use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
+use crate::replica::{self, Handle, Peer, ReplicaOptions};
+use crate::settings::ControlSettings;
+use crate::telemetry::Metrics;
+use crate::units::Millis;
+
+/// Longest time that an operator's request may take to end at a stop.
+const DRAIN_MAX_MS: Millis = Millis(5_000);
+
+/// Starts the services of a control replica.
+///
+/// # Errors
+/// The service that failed to start, with its cause.
+pub async fn start_control(settings: ControlSettings, metrics: Metrics) -> Result<Kernel> {
+    let settings = Arc::new(settings);
+    let started = KernelBuilder::default()
+        .with(replica_service(Arc::clone(&settings)))
+        .with(control_service(Arc::clone(&settings)))
+        .with(operators_service(settings, metrics))
+        .start()
+        .await;
+    started.map_err(|cause| cause.to_string())
+}
+
+/// Serves as a control replica until `stop` is cancelled, then hands over and stops.
+#[must_use]
+pub fn serve_control(
+    settings: ControlSettings,
+    metrics: Metrics,
+    stop: CancellationToken,
+) -> BoxFuture<'static, Result<()>> {
+    async move {
+        let kernel = start_control(settings, metrics).await?;
+        stop.cancelled().await;
+        kernel.stop().await;
+        Ok(())
+    }
+    .boxed()
+}
+
+fn replica_service(settings: Arc<ControlSettings>) -> Service {
+    Service::new("replica", &[], move |registry| async move {
+        let machine = SharedMachine::default();
+        let shutdown = CancellationToken::new();
+        let started = replica::start(options(&settings), machine.hooks(), shutdown.clone()).await;
+        let (handle, running) = started.map_err(|cause| cause.to_string())?;
+        registry.publish("replica", handle);
+        registry.publish("machine", machine);
+        let stop: Stopper = Box::new(move || {
+            Box::pin(async move {
+                shutdown.cancel();
+                drop(running.await);
+            })
+        });
+        Ok(stop)
+    })
+}
+
+fn options(settings: &ControlSettings) -> ReplicaOptions {
+    let peers = settings.replicas.iter().map(|replica| Peer {
+        name: replica.name.clone(),
+        peer_address: replica.peers,
+        control_address: replica.entries,
+    });
+    let own = settings.own();
+    ReplicaOptions::builder()
+        .name(settings.name.clone())
+        .listen(own.peers)
+        .control_address(own.entries)
+        .peers(peers.collect())
+        .data_folder(settings.data_folder.clone())
+        .seed(rand::random())
+        .build()
+}
+
+fn control_service(settings: Arc<ControlSettings>) -> Service {
+    Service::new("control", &["replica"], move |registry| async move {
+        drop((settings, registry));
+        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        Ok(stop)
+    })
+}
+
+fn operators_service(settings: Arc<ControlSettings>, metrics: Metrics) -> Service {
+    Service::new("operators", &["replica"], move |registry| async move {
+        let replica = find::<Handle>(&registry, "replica")?;
+        let context = Arc::new(Context { replica, metrics });
+        let router = operators_router(&context);
+        let listener = settings.operators.clone();
+        let leaving = CancellationToken::new();
+        listen(
+            &registry,
+            "operators",
+            listener,
+            router,
+            &leaving,
+            DRAIN_MAX_MS,
+        )
+        .await
+    })
+}
+
+/// What the routes of a control replica work on.
+struct Context {
+    replica: Arc<Handle>,
+    metrics: Metrics,
+}
+
+fn operators_router(context: &Arc<Context>) -> Router {
+    build_simple_router(|builder| {
+        builder
+            .get("/health/live")
+            .to_new_handler(route(context, live));
+        builder
+            .get("/v1/group")
+            .to_new_handler(route(context, group));
+        builder
+            .get("/metrics")
+            .to_new_handler(route(context, render));
+    })
+}
+
+fn live<'a>(_context: &'a Context, _state: &'a mut State) -> Answering<'a> {
+    async { Ok(text_answer(StatusCode::OK, "live\n".to_owned())) }.boxed()
+}
+
+fn group<'a>(context: &'a Context, _state: &'a mut State) -> Answering<'a> {
+    async { Ok(json_answer(StatusCode::OK, &context.replica.status())) }.boxed()
+}
+
+fn render<'a>(context: &'a Context, _state: &'a mut State) -> Answering<'a> {
+    async { Ok(text_answer(StatusCode::OK, context.metrics.render())) }.boxed()
+}
--- /dev/null
+++ b/src/programs/daemon.rs
@@ -0,0 +1,104 @@
+use std::env;
+use std::fmt::Display;
+use std::path::Path;
+use std::process::ExitCode;
+
+use futures::future::BoxFuture;
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use tracing::{error, info};
+
+use super::Result;
+use crate::cli::{DaemonTask, Exit, daemon_task};
+use crate::settings;
+use crate::telemetry::{LogLevel, Metrics, start_log, start_metrics};
+
+/// What differs between the daemons.
+#[derive(Debug)]
+pub struct Daemon<S> {
+    /// The program's name.
+    pub program: &'static str,
+    /// Reads and checks its settings.
+    pub load: fn(&Path) -> settings::Result<S>,
+    /// The log's level in its settings.
+    pub log_level: fn(&S) -> LogLevel,
+    /// Serves until the token is cancelled, then stops in order.
+    pub serve: fn(S, Metrics, CancellationToken) -> BoxFuture<'static, Result<()>>,
+}
+
+/// Runs a daemon with the command line of this process.
+#[must_use]
+pub fn run_daemon<S>(daemon: &Daemon<S>) -> ExitCode {
+    let args: Vec<_> = env::args().skip(1).collect();
+    let exit = match daemon_task(daemon.program, &args) {
+        DaemonTask::Run(path) => load(daemon, &path).map_or_else(|exit| exit, |s| run(daemon, s)),
+        DaemonTask::Check(path) => check(daemon, &path),
+        DaemonTask::Print { text, exit } => print(&text, exit),
+    };
+    exit.into()
+}
+
+fn check<S>(daemon: &Daemon<S>, path: &Path) -> Exit {
+    match load(daemon, path) {
+        Ok(_settings) => print(&format!("{} is valid", path.display()), Exit::Done),
+        Err(exit) => exit,
+    }
+}
+
+fn load<S>(daemon: &Daemon<S>, path: &Path) -> std::result::Result<S, Exit> {
+    (daemon.load)(path).map_err(|cause| {
+        let text = format!("{}: {}: {cause}", daemon.program, path.display());
+        print(&text, Exit::Usage)
+    })
+}
+
+fn run<S>(daemon: &Daemon<S>, settings: S) -> Exit {
+    match serve(daemon, settings) {
+        Ok(()) => Exit::Done,
+        Err(cause) => print(&format!("{}: {cause}", daemon.program), Exit::Failed),
+    }
+}
+
+fn serve<S>(daemon: &Daemon<S>, settings: S) -> Result<()> {
+    start_log((daemon.log_level)(&settings)).map_err(text)?;
+    let metrics = start_metrics().map_err(text)?;
+    let runtime = Runtime::new().map_err(text)?;
+    let stop = CancellationToken::new();
+    runtime.block_on(async {
+        stop_on_signal(&stop)?;
+        info!(event = "started", program = daemon.program);
+        let served = (daemon.serve)(settings, metrics, stop).await;
+        match &served {
+            Ok(()) => info!(event = "stopped", program = daemon.program),
+            Err(cause) => error!(event = "failed", program = daemon.program, cause = %cause),
+        }
+        served
+    })
+}
+
+fn stop_on_signal(stop: &CancellationToken) -> Result<()> {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signals = signal(kind).map_err(text)?;
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            signals.recv().await;
+            info!(event = "stop_asked");
+            stop.cancel();
+        });
+    }
+    Ok(())
+}
+
+fn print(text: &str, exit: Exit) -> Exit {
+    if exit == Exit::Done {
+        println!("{text}");
+    } else {
+        eprintln!("{text}");
+    }
+    exit
+}
+
+fn text(cause: impl Display) -> String {
+    cause.to_string()
+}
--- /dev/null
+++ b/src/programs/entry.rs
@@ -0,0 +1,133 @@
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use super::Result;
+use super::listening::{find, listen};
+use crate::entry::{
+    Client, EntryContext, Exchange, draw_health, draw_jobs, draw_workers, operators_router,
+};
+use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
+use crate::settings::{EntrySettings, ListenerSettings};
+use crate::telemetry::Metrics;
+
+/// Starts the services of an entry.
+///
+/// Cancelling `leaving` turns the health check red and asks clients to go elsewhere; stop the
+/// kernel once the balancer has seen it.
+///
+/// # Errors
+/// The service that failed to start, with its cause.
+pub async fn start_entry(
+    settings: EntrySettings,
+    metrics: Metrics,
+    leaving: CancellationToken,
+) -> Result<Kernel> {
+    let settings = Arc::new(settings);
+    let started = KernelBuilder::default()
+        .with(exchange_service(Arc::clone(&settings)))
+        .with(context_service(metrics, leaving))
+        .with(listener_service(&settings, &OPERATORS))
+        .with(listener_service(&settings, &FLEET))
+        .with(listener_service(&settings, &CALLERS))
+        .start()
+        .await;
+    started.map_err(|cause| cause.to_string())
+}
+
+/// Serves as an entry until `stop` is cancelled, then leaves without cutting a request.
+#[must_use]
+pub fn serve_entry(
+    settings: EntrySettings,
+    metrics: Metrics,
+    stop: CancellationToken,
+) -> BoxFuture<'static, Result<()>> {
+    async move {
+        let wait_ms = settings.stop.balancer_wait_ms;
+        let leaving = CancellationToken::new();
+        let kernel = start_entry(settings, metrics, leaving.clone()).await?;
+        stop.cancelled().await;
+        leaving.cancel();
+        info!(event = "leaving", balancer_wait_ms = wait_ms.get());
+        sleep(wait_ms.duration()).await;
+        kernel.stop().await;
+        Ok(())
+    }
+    .boxed()
+}
+
+fn exchange_service(settings: Arc<EntrySettings>) -> Service {
+    Service::new("exchange", &[], move |registry| async move {
+        drop(settings);
+        registry.publish("exchange", Exchange);
+        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        Ok(stop)
+    })
+}
+
+fn context_service(metrics: Metrics, leaving: CancellationToken) -> Service {
+    Service::new("context", &["exchange"], move |registry| async move {
+        let exchange = find::<Exchange>(&registry, "exchange")?;
+        let context = EntryContext {
+            exchange,
+            client: Client,
+            metrics,
+            leaving,
+        };
+        registry.publish("context", context);
+        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        Ok(stop)
+    })
+}
+
+/// One listener of an entry.
+struct EntryListener {
+    name: &'static str,
+    settings: fn(&EntrySettings) -> &ListenerSettings,
+    router: fn(&Arc<EntryContext>) -> Router,
+}
+
+static OPERATORS: EntryListener = EntryListener {
+    name: "operators",
+    settings: |settings| &settings.operators,
+    router: operators_router,
+};
+
+static FLEET: EntryListener = EntryListener {
+    name: "fleet",
+    settings: |settings| &settings.fleet,
+    router: |context| build_simple_router(|builder| draw_workers(builder, context)),
+};
+
+static CALLERS: EntryListener = EntryListener {
+    name: "callers",
+    settings: |settings| &settings.callers,
+    router: |context| {
+        build_simple_router(|builder| {
+            draw_health(builder, context);
+            draw_jobs(builder, context);
+        })
+    },
+};
+
+fn listener_service(settings: &Arc<EntrySettings>, listener: &'static EntryListener) -> Service {
+    let settings = Arc::clone(settings);
+    Service::new(listener.name, &["context"], move |registry| async move {
+        let context = find::<EntryContext>(&registry, "context")?;
+        listen(
+            &registry,
+            listener.name,
+            (listener.settings)(&settings).clone(),
+            (listener.router)(&context),
+            &context.leaving,
+            settings.stop.drain_max_ms,
+        )
+        .await
+    })
+}
--- a/tests/listener_limits.rs
+++ b/tests/listener_limits.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// Bound on every wait for a condition.
 const BOUND: Duration = Duration::from_secs(20);
@@ -69,7 +70,8 @@
     let listener = Listener::bind("test", settings)
         .await
         .expect("a free port is bound");
-    (listener.serve(router(&gates)), gates)
+    let leaving = CancellationToken::new();
+    (listener.serve(router(&gates), &leaving), gates)
 }
 
 fn settings() -> ListenerSettings {
@@ -346,8 +348,16 @@
 
 #[tokio::test]
 async fn leave_closes() {
-    let (listener, _gates) = serve(settings()).await;
-    listener.leave();
+    let gates = Arc::new(Gates {
+        entered: Semaphore::new(0),
+        leave: Semaphore::new(0),
+    });
+    let listener = Listener::bind("test", settings())
+        .await
+        .expect("a free port is bound");
+    let leaving = CancellationToken::new();
+    let listener = listener.serve(router(&gates), &leaving);
+    leaving.cancel();
     let mut client = dial(listener.address).await;
     let request = b"POST /echo HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok";
     client
