--- /dev/null
+++ b/tests/support/fake_worker.rs
@@ -0,0 +1,347 @@
+//! A worker in memory and virtual time, which obeys orders under leases as the contract says.
+
+use std::collections::BTreeMap;
+
+use marjoramknot::fleet::{
+    Checkpoint, TaskKey, TaskOrder, TaskReport, TaskState, TaskWork, Usage, Want, WorkerCapacity,
+    WorkerOrders, WorkerPoll,
+};
+use marjoramknot::scheduler::JobKey;
+use marjoramknot::units::{
+    Accelerators, Attempt, Incarnation, MemoryMb, Millis, OrdersVersion, RackId, Sequence, Term,
+    WorkerId, ZoneId,
+};
+use smol_str::SmolStr;
+
+/// How a worker misbehaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// It refuses every task.
+    pub refuses: bool,
+    /// Every task fails soon after it starts.
+    pub fails_all: bool,
+    /// It never writes a checkpoint.
+    pub ignores_checkpoint: bool,
+    /// Tasks pass their memory where they were ordered less than this.
+    pub needs_memory_mb: u64,
+}
+
+/// What a worker is made of.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub worker: WorkerId,
+    pub zone: ZoneId,
+    pub rack: RackId,
+    pub capacity: WorkerCapacity,
+    pub faults: Faults,
+    /// How long a task runs, from its payload.
+    pub run_ms: fn(&str) -> Option<Millis>,
+}
+
+/// One span in which a task truly ran.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub task: TaskKey,
+    pub term: Term,
+    pub from_ms: Millis,
+    /// Open while it runs.
+    pub to_ms: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    state: TaskState,
+    work: TaskWork,
+    started_ms: Option<Millis>,
+    ran: bool,
+}
+
+/// The worker: a state machine without clock or sockets.
+#[derive(Debug)]
+pub struct FakeWorker {
+    pub spec: Spec,
+    pub incarnation: Incarnation,
+    pub sequence: Sequence,
+    pub term: Term,
+    pub version: OrdersVersion,
+    held: BTreeMap<TaskKey, Task>,
+    /// The highest attempt seen of each job.
+    attempts: BTreeMap<JobKey, Attempt>,
+    lease_ends_ms: Millis,
+    /// Everything that truly ran.
+    pub history: Vec<Ran>,
+}
+
+impl FakeWorker {
+    pub fn new(spec: Spec) -> Self {
+        Self {
+            spec,
+            incarnation: Incarnation(1),
+            sequence: Sequence::ZERO,
+            term: Term::ZERO,
+            version: OrdersVersion::ZERO,
+            held: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            lease_ends_ms: Millis::ZERO,
+            history: Vec::new(),
+        }
+    }
+
+    /// The report and question for orders, as sent now.
+    pub fn poll(&mut self, now: Millis) -> WorkerPoll {
+        self.tick(now);
+        self.sequence = self.sequence.next();
+        let tasks = self.held.iter().map(|(task, held)| TaskReport {
+            task: task.clone(),
+            state: held.state.clone(),
+        });
+        WorkerPoll {
+            worker: self.spec.worker.clone(),
+            zone: self.spec.zone.clone(),
+            rack: self.spec.rack.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            capacity: self.spec.capacity,
+            usage: self.usage(),
+            tasks: tasks.collect(),
+            orders_version: self.version,
+            term: self.term,
+        }
+    }
+
+    fn usage(&self) -> Usage {
+        let busy = self.held.values().filter(|task| holds(&task.state));
+        let accelerators = busy.clone().map(|task| task.work.accelerators.0).sum();
+        let cores_milli = busy
+            .clone()
+            .map(|task| u64::from(task.work.cores.0) * 1_000);
+        Usage {
+            accelerators: Accelerators(accelerators),
+            cores_milli: cores_milli.sum(),
+            memory_mb: MemoryMb(busy.map(|task| task.work.memory_mb.0).sum()),
+            age_ms: Millis::ZERO,
+        }
+    }
+
+    /// Reads orders that answer a poll sent at `sent_ms`.
+    pub fn receive(&mut self, orders: &WorkerOrders, sent_ms: Millis, now: Millis) {
+        self.tick(now);
+        let older = (orders.term, orders.version) < (self.term, self.version);
+        let late = now.since(sent_ms) >= orders.lease_ms;
+        if orders.incarnation != self.incarnation || older || late {
+            return;
+        }
+        let may_start = now.since(sent_ms) < orders.start_valid_ms;
+        let lease_ends_ms = sent_ms.saturating_add(orders.lease_ms);
+        self.lease_ends_ms = self.lease_ends_ms.max(lease_ends_ms);
+        let mut whole = true;
+        for order in &orders.tasks {
+            whole &= self.obey(order, orders.term, may_start, now);
+        }
+        let unnamed: Vec<TaskKey> = self
+            .held
+            .keys()
+            .filter(|task| !orders.tasks.iter().any(|order| order.task == **task))
+            .cloned()
+            .collect();
+        for task in unnamed {
+            self.stop(&task, now);
+        }
+        self.term = orders.term;
+        if whole {
+            self.version = orders.version;
+        }
+    }
+
+    /// Carries out one order; false where it came too late to start anything.
+    fn obey(&mut self, order: &TaskOrder, term: Term, may_start: bool, now: Millis) -> bool {
+        let newest = self.attempts.get(&order.task.job).copied();
+        if newest.is_some_and(|attempt| attempt > order.task.attempt) {
+            if order.want == Want::Stop {
+                self.stop(&order.task, now);
+                self.held.remove(&order.task);
+            }
+            return true;
+        }
+        self.attempts
+            .insert(order.task.job.clone(), order.task.attempt);
+        match order.want {
+            Want::Prepare if self.held.contains_key(&order.task) => true,
+            Want::Prepare => may_start && self.prepare(order),
+            Want::Run | Want::Throttle => self.run(order, term, may_start, now),
+            Want::Checkpoint => {
+                self.checkpoint(&order.task);
+                true
+            }
+            Want::Stop => {
+                self.stop(&order.task, now);
+                self.held.remove(&order.task);
+                true
+            }
+        }
+    }
+
+    fn prepare(&mut self, order: &TaskOrder) -> bool {
+        let Some(work) = order.work.clone() else {
+            return false;
+        };
+        let used = self.usage();
+        let room = self
+            .spec
+            .capacity
+            .accelerators
+            .saturating_sub(used.accelerators);
+        let refused = self.spec.faults.refuses || work.accelerators > room;
+        let state = if refused {
+            TaskState::Refused {
+                reason: SmolStr::new("no room"),
+            }
+        } else {
+            TaskState::Prepared
+        };
+        let task = Task {
+            state,
+            work,
+            started_ms: None,
+            ran: false,
+        };
+        self.held.insert(order.task.clone(), task);
+        true
+    }
+
+    fn run(&mut self, order: &TaskOrder, term: Term, may_start: bool, now: Millis) -> bool {
+        let Some(task) = self.held.get_mut(&order.task) else {
+            return false;
+        };
+        if task.state != TaskState::Prepared {
+            return true;
+        }
+        if !may_start {
+            return false;
+        }
+        task.state = TaskState::Running;
+        task.started_ms = Some(now);
+        task.ran = true;
+        self.history.push(Ran {
+            task: order.task.clone(),
+            term,
+            from_ms: now,
+            to_ms: None,
+        });
+        true
+    }
+
+    fn checkpoint(&mut self, key: &TaskKey) {
+        if self.spec.faults.ignores_checkpoint {
+            return;
+        }
+        if let Some(task) = self.held.get_mut(key)
+            && task.state == TaskState::Running
+        {
+            let text = format!("{}-{}-{}", key.job, key.attempt, key.index);
+            task.state = TaskState::Checkpointed {
+                checkpoint: Checkpoint(text.into()),
+            };
+        }
+    }
+
+    fn stop(&mut self, key: &TaskKey, now: Millis) {
+        let Some(task) = self.held.get_mut(key) else {
+            return;
+        };
+        if holds(&task.state) {
+            task.state = TaskState::Stopped { ran: task.ran };
+        }
+        self.close_history(key, now);
+    }
+
+    fn close_history(&mut self, key: &TaskKey, now: Millis) {
+        for ran in &mut self.history {
+            if ran.task == *key && ran.to_ms.is_none() {
+                ran.to_ms = Some(now);
+            }
+        }
+    }
+
+    /// Lets time pass: tasks end, the lease runs out.
+    pub fn tick(&mut self, now: Millis) {
+        let keys: Vec<TaskKey> = self.held.keys().cloned().collect();
+        for key in keys {
+            if now >= self.lease_ends_ms {
+                self.stop(&key, self.lease_ends_ms);
+            } else {
+                self.finish(&key, now);
+            }
+        }
+    }
+
+    fn finish(&mut self, key: &TaskKey, now: Millis) {
+        let faults = self.spec.faults;
+        let run_ms = self.spec.run_ms;
+        let Some(task) = self.held.get_mut(key) else {
+            return;
+        };
+        let Some(started_ms) = task
+            .started_ms
+            .filter(|_ms| task.state == TaskState::Running)
+        else {
+            return;
+        };
+        let over_memory = task.work.memory_mb.0 < faults.needs_memory_mb;
+        let fails = faults.fails_all || task.work.payload.starts_with("fail");
+        let whole_ms = run_ms(&task.work.payload).unwrap_or(Millis(1_000));
+        let lasts_ms = if over_memory || fails {
+            Millis(100)
+        } else {
+            whole_ms
+        };
+        if now.since(started_ms) < lasts_ms {
+            return;
+        }
+        task.state = if over_memory {
+            TaskState::OverMemory {
+                used_mb: MemoryMb(faults.needs_memory_mb),
+            }
+        } else if fails {
+            TaskState::Failed {
+                cause: SmolStr::new("broken"),
+            }
+        } else {
+            TaskState::Succeeded {
+                result: SmolStr::new(format!("result {}", key.index)),
+            }
+        };
+        self.close_history(key, now);
+    }
+
+    /// The process restarts: all that ran ends, nothing is remembered.
+    pub fn restart(&mut self, now: Millis) {
+        let keys: Vec<TaskKey> = self.held.keys().cloned().collect();
+        for key in keys {
+            self.close_history(&key, now);
+        }
+        self.held.clear();
+        self.attempts.clear();
+        self.incarnation = self.incarnation.next();
+        self.sequence = Sequence::ZERO;
+        self.version = OrdersVersion::ZERO;
+        self.lease_ends_ms = Millis::ZERO;
+    }
+
+    /// Tasks that run at this moment.
+    pub fn running(&self) -> impl Iterator<Item = &TaskKey> {
+        let held = self.held.iter();
+        held.filter(|(_key, task)| matches!(task.state, TaskState::Running | TaskState::Throttled))
+            .map(|(key, _task)| key)
+    }
+}
+
+fn holds(state: &TaskState) -> bool {
+    matches!(
+        state,
+        TaskState::Prepared
+            | TaskState::Running
+            | TaskState::Throttled
+            | TaskState::Checkpointed { .. }
+    )
+}
--- /dev/null
+++ b/tests/support/gang_driver.rs
@@ -0,0 +1,668 @@
+//! Joins a scheduler, its durable state and in-memory workers in virtual time, with seeded faults.
+#![allow(dead_code, reason = "each test binary uses its own part of this fake")]
+
+#[path = "fake_worker.rs"]
+pub mod fake_worker;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use fake_worker::{FakeWorker, Faults, Spec};
+use marjoramknot::fleet::{LEASE_MS, WorkerCapacity, WorkerOrders, WorkerPoll};
+use marjoramknot::release_note::{
+    Adjacency, GuaranteeSpec, GuaranteedCells, InForce, RackSpec, TeamSpec, ZoneSpec, ZoneState,
+};
+use marjoramknot::scheduler::{
+    Action, Event, JobKey, JobOutcome, JobPhase, JobRecord, JobSpec, JobTransition, Scheduler,
+    SchedulerOptions,
+};
+use marjoramknot::units::{Accelerators, Attempt, Cores, MemoryMb, Millis, Sequence, Term, WallMs};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const STEP_MS: Millis = Millis(50);
+const POLL_TIMEOUT_MS: Millis = Millis(2_200);
+
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the test's ids are valid")
+}
+
+/// Zones of racks of workers with 8 accelerators, 32 cores and 64 GB.
+pub fn in_force(zones: &[(&str, u32)], workers: u32) -> InForce {
+    let mut state = InForce::default();
+    for (zone, racks) in zones {
+        let racks = (0..*racks).map(|rack| RackSpec {
+            name: id(&format!("r{rack}")),
+            workers,
+            accelerators: Accelerators(8),
+            cores: Cores(32),
+            memory_mb: MemoryMb(65_536),
+        });
+        let spec = ZoneSpec {
+            name: id(zone),
+            state: ZoneState::In,
+            racks: racks.collect(),
+        };
+        state.zones.insert(spec.name.clone(), spec);
+    }
+    state
+}
+
+pub fn add_team(state: &mut InForce, name: &str, cells: &[(u32, u32, Adjacency)]) {
+    let spec = TeamSpec {
+        name: id(name),
+        attempts_max: 4,
+        queued_jobs_max: 10_000,
+        task_memory_max_mb: MemoryMb(32_768),
+        request_weight: 1,
+    };
+    state.teams.insert(spec.name.clone(), spec);
+    let cells: Vec<GuaranteedCells> = cells
+        .iter()
+        .map(|(count, accelerators, adjacency)| GuaranteedCells {
+            count: *count,
+            accelerators: Accelerators(*accelerators),
+            adjacency: *adjacency,
+        })
+        .collect();
+    if !cells.is_empty() {
+        let team = id(name);
+        state
+            .guarantees
+            .insert(id(name), GuaranteeSpec { team, cells });
+    }
+}
+
+/// An idempotent job whose payload tells how long its tasks run.
+pub fn job(team: &str, name: &str, tasks: u32, accelerators: u32, run_ms: u64) -> JobSpec {
+    JobSpec {
+        key: JobKey {
+            team: id(team),
+            id: id(name),
+        },
+        class: id("any"),
+        tasks,
+        accelerators: Accelerators(accelerators),
+        cores: Cores(accelerators.max(1)),
+        memory_mb: MemoryMb(1_024),
+        adjacency: Adjacency::Zone,
+        idempotent: true,
+        urgent: false,
+        declared_run_ms: Millis(run_ms),
+        deadline_ms: None,
+        payload: format!("run {run_ms}").into(),
+    }
+}
+
+fn run_ms(payload: &str) -> Option<Millis> {
+    payload.split(' ').nth(1)?.parse().ok()
+}
+
+enum Message {
+    Poll(usize, WorkerPoll),
+    Orders(usize, WorkerOrders, Millis),
+}
+
+pub struct Slot {
+    pub worker: FakeWorker,
+    /// Whether the machine is dead.
+    pub dead: bool,
+    /// Whether nothing gets to or from it.
+    pub cut: bool,
+    outstanding: Option<(Sequence, Millis)>,
+    sent: BTreeMap<Sequence, Millis>,
+    held: Option<(WorkerOrders, Millis)>,
+    known: (Term, u64),
+}
+
+/// Network faults, in thousandths and milliseconds.
+#[derive(Clone, Copy, Default)]
+pub struct Network {
+    pub lost_permille: u32,
+    pub doubled_permille: u32,
+    pub delay_max_ms: u64,
+}
+
+pub struct Driver {
+    pub now: Millis,
+    pub scheduler: Scheduler,
+    pub options: SchedulerOptions,
+    pub in_force: InForce,
+    pub records: BTreeMap<JobKey, JobRecord>,
+    pub slots: Vec<Slot>,
+    pub network: Network,
+    pub commit_ms: u64,
+    pub commit_fail_permille: u32,
+    /// When each closed zone was closed; the past closures too.
+    pub closures: Vec<(String, Millis, Option<Millis>)>,
+    /// When a job's first start was committed.
+    pub started_ms: BTreeMap<JobKey, Millis>,
+    pub ended_ms: BTreeMap<JobKey, Millis>,
+    pub submitted_ms: BTreeMap<JobKey, Millis>,
+    /// The order in which starts were committed.
+    pub starts: Vec<(JobKey, Attempt, Millis)>,
+    pub check_each_step: bool,
+    pub term: Term,
+    rng: StdRng,
+    net: BTreeMap<(Millis, u64), Message>,
+    commits: Vec<(Millis, JobTransition)>,
+    counter: u64,
+    ordinal: u64,
+}
+
+impl Driver {
+    pub fn new(state: InForce, options: SchedulerOptions, seed: u64) -> Self {
+        let mut driver = Self {
+            now: Millis(1_000),
+            scheduler: Scheduler::new(options.clone()),
+            options,
+            in_force: state,
+            records: BTreeMap::new(),
+            slots: Vec::new(),
+            network: Network {
+                delay_max_ms: 5,
+                ..Network::default()
+            },
+            commit_ms: 10,
+            commit_fail_permille: 0,
+            closures: Vec::new(),
+            started_ms: BTreeMap::new(),
+            ended_ms: BTreeMap::new(),
+            submitted_ms: BTreeMap::new(),
+            starts: Vec::new(),
+            check_each_step: true,
+            term: Term::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            net: BTreeMap::new(),
+            commits: Vec::new(),
+            counter: 0,
+            ordinal: 0,
+        };
+        driver.add_workers();
+        driver.elect();
+        driver
+    }
+
+    /// A fleet that has polled and a leader that places.
+    pub fn ready(state: InForce, seed: u64) -> Self {
+        let mut driver = Self::new(state, SchedulerOptions::default(), seed);
+        driver.run_for(8_000);
+        driver
+    }
+
+    fn add_workers(&mut self) {
+        for zone in self.in_force.zones.values() {
+            for rack in &zone.racks {
+                for at in 0..rack.workers {
+                    let worker = FakeWorker::new(Spec {
+                        worker: id(&format!("{}-{}-{at}", zone.name, rack.name)),
+                        zone: zone.name.clone(),
+                        rack: rack.name.clone(),
+                        capacity: WorkerCapacity {
+                            accelerators: rack.accelerators,
+                            cores: rack.cores,
+                            memory_mb: rack.memory_mb,
+                        },
+                        faults: Faults::default(),
+                        run_ms,
+                    });
+                    self.slots.push(Slot {
+                        worker,
+                        dead: false,
+                        cut: false,
+                        outstanding: None,
+                        sent: BTreeMap::new(),
+                        held: None,
+                        known: (Term::ZERO, 0),
+                    });
+                }
+            }
+        }
+    }
+
+    /// A new leader takes over; commits in flight are lost or applied by the seed.
+    pub fn elect(&mut self) {
+        for (_at, transition) in std::mem::take(&mut self.commits) {
+            if self.rng.random_bool(0.5) {
+                self.apply(&transition);
+            }
+        }
+        self.term = self.term.next();
+        self.scheduler = Scheduler::new(self.options.clone());
+        let jobs = self.records.values();
+        let unended = jobs.filter(|job| !matches!(job.phase, JobPhase::Ended { .. }));
+        let jobs = unended.cloned().collect();
+        self.give(Event::Elected {
+            term: self.term,
+            in_force: Arc::new(self.in_force.clone()),
+            jobs,
+        });
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) -> JobKey {
+        self.ordinal += 1;
+        let key = spec.key.clone();
+        let record = JobRecord {
+            submitted_ms: WallMs(self.now.0),
+            ordinal: self.ordinal,
+            phase: JobPhase::Waiting,
+            attempt: Attempt::ZERO,
+            started_once: false,
+            cancel_requested: false,
+            checkpoints: Vec::new(),
+            attained_ms: Millis::ZERO,
+            memory_mb: spec.memory_mb,
+            ended_ms: None,
+            spec,
+        };
+        self.records.insert(key.clone(), record.clone());
+        self.submitted_ms.insert(key.clone(), self.now);
+        self.give(Event::Submitted {
+            job: Box::new(record),
+        });
+        key
+    }
+
+    pub fn cancel(&mut self, key: &JobKey) {
+        let transition = JobTransition::CancelRequested { job: key.clone() };
+        let at = self.now.saturating_add(Millis(self.commit_ms));
+        self.commits.push((at, transition));
+    }
+
+    pub fn set_zone(&mut self, zone: &str, state: ZoneState) {
+        let spec = self.in_force.zones.get_mut(zone).expect("the zone exists");
+        spec.state = state;
+        match state {
+            ZoneState::Out => self.closures.push((zone.to_owned(), self.now, None)),
+            ZoneState::In => {
+                let mut closures = self.closures.iter_mut().rev();
+                let open = closures.find(|(name, _from, _to)| name == zone);
+                open.expect("the zone was closed").2 = Some(self.now);
+            }
+        }
+        self.note();
+    }
+
+    /// The state in force changed.
+    pub fn note(&mut self) {
+        self.give(Event::NoteInForce {
+            in_force: Arc::new(self.in_force.clone()),
+        });
+    }
+
+    pub fn give(&mut self, event: Event) {
+        let actions = self.scheduler.handle(event, self.now);
+        for action in actions {
+            match action {
+                Action::Commit(transition) => {
+                    let at = self.now.saturating_add(Millis(self.commit_ms));
+                    self.commits.push((at, transition));
+                }
+                Action::Order(orders) => self.answer(orders),
+                Action::Explain { .. } => {}
+            }
+        }
+        if self.check_each_step {
+            self.scheduler
+                .check_invariants()
+                .expect("the scheduler's books hold");
+        }
+    }
+
+    /// An entry holds unchanged orders back and gives changed ones at once.
+    fn answer(&mut self, orders: WorkerOrders) {
+        let at = self
+            .slots
+            .iter()
+            .position(|slot| slot.worker.spec.worker == orders.worker)
+            .expect("orders are for known workers");
+        let slot = &mut self.slots[at];
+        let version = (orders.term, orders.version.0);
+        if version == slot.known {
+            slot.held = Some((orders, self.now.saturating_add(Millis(1_000))));
+        } else {
+            slot.held = None;
+            self.send_orders(at, orders);
+        }
+    }
+
+    fn send_orders(&mut self, at: usize, orders: WorkerOrders) {
+        let slot = &mut self.slots[at];
+        let Some(sent_ms) = slot.sent.get(&orders.sequence).copied() else {
+            return;
+        };
+        slot.known = (orders.term, orders.version.0);
+        self.send(|| Message::Orders(at, orders.clone(), sent_ms));
+    }
+
+    fn send(&mut self, message: impl Fn() -> Message) {
+        let copies = if self.chance(self.network.lost_permille) {
+            0
+        } else {
+            1 + u32::from(self.chance(self.network.doubled_permille))
+        };
+        for _copy in 0..copies {
+            let delay = self.rng.random_range(0..=self.network.delay_max_ms);
+            self.counter += 1;
+            let at = self.now.saturating_add(Millis(delay));
+            self.net.insert((at, self.counter), message());
+        }
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        permille > 0 && self.rng.random_range(0..1_000) < permille
+    }
+
+    pub fn random(&mut self, below: u32) -> u32 {
+        self.rng.random_range(0..below)
+    }
+
+    pub fn run_for(&mut self, span_ms: u64) {
+        let end = self.now.saturating_add(Millis(span_ms));
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until a condition holds; false where it did not within the span.
+    pub fn run_until(&mut self, span_ms: u64, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now.saturating_add(Millis(span_ms));
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.step();
+        }
+        done(self)
+    }
+
+    pub fn step(&mut self) {
+        self.now = self.now.saturating_add(STEP_MS);
+        self.commit_due();
+        self.deliver_due();
+        for at in 0..self.slots.len() {
+            self.serve_worker(at);
+        }
+        self.deliver_due();
+        if self.now.0.is_multiple_of(100) {
+            self.give(Event::Tick);
+        }
+        self.commit_due();
+    }
+
+    fn commit_due(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.commits)
+            .into_iter()
+            .partition(|(at, _t)| *at <= now);
+        self.commits = later;
+        for (_at, transition) in due {
+            if self.chance(self.commit_fail_permille) {
+                self.give(Event::CommitFailed { transition });
+            } else if self.apply(&transition) {
+                self.give(Event::Committed { transition });
+            }
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        while let Some(entry) = self.net.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Message::Poll(at, poll) => {
+                    if !self.slots[at].cut {
+                        self.give(Event::Polled { poll });
+                    }
+                }
+                Message::Orders(at, orders, sent_ms) => {
+                    let slot = &mut self.slots[at];
+                    if slot.cut || slot.dead {
+                        continue;
+                    }
+                    if slot
+                        .outstanding
+                        .is_some_and(|(sequence, _)| sequence == orders.sequence)
+                    {
+                        slot.outstanding = None;
+                    }
+                    slot.worker.receive(&orders, sent_ms, self.now);
+                }
+            }
+        }
+    }
+
+    fn serve_worker(&mut self, at: usize) {
+        let now = self.now;
+        let slot = &mut self.slots[at];
+        if slot.dead {
+            return;
+        }
+        slot.worker.tick(now);
+        if let Some((orders, _at)) = slot.held.take_if(|(_orders, at)| now >= *at) {
+            self.send_orders(at, orders);
+        }
+        let slot = &mut self.slots[at];
+        let timed_out = slot
+            .outstanding
+            .is_none_or(|(_sequence, sent)| now.since(sent) > POLL_TIMEOUT_MS);
+        if timed_out {
+            let poll = slot.worker.poll(now);
+            slot.outstanding = Some((poll.sequence, now));
+            slot.sent.insert(poll.sequence, now);
+            slot.known = (poll.term, poll.orders_version.0);
+            slot.held = None;
+            if !slot.cut {
+                self.send(|| Message::Poll(at, poll.clone()));
+            }
+        }
+    }
+
+    /// Kills a worker's machine: what ran on it ends now.
+    pub fn kill(&mut self, at: usize) {
+        let now = self.now;
+        self.slots[at].dead = true;
+        self.restart_worker(at, now);
+    }
+
+    pub fn restart_worker(&mut self, at: usize, now: Millis) {
+        let slot = &mut self.slots[at];
+        slot.worker.restart(now);
+        slot.outstanding = None;
+        slot.sent.clear();
+        slot.held = None;
+    }
+
+    pub fn slot_of(&self, worker: &str) -> usize {
+        let named = |slot: &Slot| slot.worker.spec.worker.as_str() == worker;
+        self.slots
+            .iter()
+            .position(named)
+            .expect("the worker exists")
+    }
+
+    /// The replicated machine: applies what fits the job's state.
+    fn apply(&mut self, transition: &JobTransition) -> bool {
+        let now = self.now;
+        let key = match transition {
+            JobTransition::Placed { job, .. }
+            | JobTransition::Started { job, .. }
+            | JobTransition::Requeued { job, .. }
+            | JobTransition::CancelRequested { job }
+            | JobTransition::Ended { job, .. } => job.clone(),
+        };
+        let truly_ran = self.truly_ran(&key);
+        let record = self.records.get_mut(&key).expect("the job is known");
+        if matches!(record.phase, JobPhase::Ended { .. }) {
+            return false;
+        }
+        match transition {
+            JobTransition::Placed {
+                attempt, members, ..
+            } => {
+                assert_eq!(
+                    record.phase,
+                    JobPhase::Waiting,
+                    "only waiting jobs are placed"
+                );
+                assert_eq!(*attempt, record.attempt.next(), "attempts are counted");
+                record.attempt = *attempt;
+                record.phase = JobPhase::Placed {
+                    members: members.clone(),
+                };
+            }
+            JobTransition::Started { attempt, .. } => {
+                assert_eq!(*attempt, record.attempt, "the present attempt starts");
+                let JobPhase::Placed { members } = record.phase.clone() else {
+                    panic!("{key}: only placed jobs start");
+                };
+                let once = record.spec.idempotent || !record.started_once;
+                assert!(once, "{key} may not run again and was started twice");
+                record.phase = JobPhase::Started { members };
+                record.started_once = true;
+                self.started_ms.entry(key.clone()).or_insert(now);
+                self.starts.push((key.clone(), *attempt, now));
+            }
+            JobTransition::Requeued {
+                attempt,
+                checkpoints,
+                attained_ms,
+                memory_mb,
+                ..
+            } => {
+                assert_eq!(*attempt, record.attempt, "the present attempt ends");
+                record.phase = JobPhase::Waiting;
+                record.checkpoints.clone_from(checkpoints);
+                record.attained_ms = *attained_ms;
+                record.memory_mb = *memory_mb;
+            }
+            JobTransition::CancelRequested { .. } => record.cancel_requested = true,
+            JobTransition::Ended { outcome, .. } => {
+                if matches!(outcome, JobOutcome::NotRun { .. }) {
+                    assert!(!truly_ran, "{key} ran and ends as not run");
+                }
+                record.phase = JobPhase::Ended {
+                    outcome: outcome.clone(),
+                };
+                self.ended_ms.insert(key.clone(), now);
+            }
+        }
+        true
+    }
+
+    pub fn truly_ran(&self, key: &JobKey) -> bool {
+        let histories = self.slots.iter().flat_map(|slot| &slot.worker.history);
+        histories.into_iter().any(|ran| ran.task.job == *key)
+    }
+
+    pub fn outcome(&self, key: &JobKey) -> Option<&JobOutcome> {
+        match &self.records[key].phase {
+            JobPhase::Ended { outcome } => Some(outcome),
+            _ => None,
+        }
+    }
+
+    pub fn succeeded(&self, key: &JobKey) -> bool {
+        matches!(self.outcome(key), Some(JobOutcome::Succeeded { .. }))
+    }
+
+    pub fn is_started(&self, key: &JobKey) -> bool {
+        matches!(self.records[key].phase, JobPhase::Started { .. })
+    }
+
+    /// Workers that run a job's present tasks.
+    pub fn runners(&self, key: &JobKey) -> Vec<usize> {
+        let runs = |slot: &Slot| slot.worker.running().any(|task| task.job == *key);
+        (0..self.slots.len())
+            .filter(|at| runs(&self.slots[*at]))
+            .collect()
+    }
+
+    /// Checks what truly ran: whole gangs, at most once where asked, nothing in closed zones.
+    pub fn check_history(&self, partial_max_ms: Millis) {
+        self.check_whole(partial_max_ms);
+        self.check_once();
+        self.check_closures();
+    }
+
+    fn check_whole(&self, partial_max_ms: Millis) {
+        let mut spans: BTreeMap<(JobKey, Attempt), BTreeMap<u32, (Millis, Millis)>> =
+            BTreeMap::new();
+        for ran in self.slots.iter().flat_map(|slot| &slot.worker.history) {
+            let attempt = (ran.task.job.clone(), ran.task.attempt);
+            let to_ms = ran.to_ms.unwrap_or(self.now);
+            spans
+                .entry(attempt)
+                .or_default()
+                .insert(ran.task.index.0, (ran.from_ms, to_ms));
+        }
+        for ((key, attempt), members) in spans {
+            let tasks = self.records[&key].spec.tasks as usize;
+            let last_end = members
+                .values()
+                .map(|(_from, to)| *to)
+                .max()
+                .expect("it ran");
+            let first_start = members
+                .values()
+                .map(|(from, _to)| *from)
+                .min()
+                .expect("it ran");
+            let partial = if members.len() < tasks {
+                last_end.since(first_start)
+            } else if self.succeeded(&key) && self.records[&key].attempt == attempt {
+                Millis::ZERO
+            } else {
+                let first_end = members.values().map(|(_from, to)| *to).min();
+                last_end.since(first_end.expect("it ran"))
+            };
+            assert!(
+                partial <= partial_max_ms,
+                "{key} attempt {attempt} ran in part for {partial}: {members:?}"
+            );
+        }
+    }
+
+    fn check_once(&self) {
+        for (key, record) in &self.records {
+            let ran = self.slots.iter().flat_map(|slot| &slot.worker.history);
+            let ran: Vec<_> = ran.filter(|ran| ran.task.job == *key).collect();
+            if !record.spec.idempotent {
+                let attempts: BTreeSet<_> = ran.iter().map(|ran| ran.task.attempt).collect();
+                assert!(attempts.len() <= 1, "{key} ran in attempts {attempts:?}");
+                let tasks: BTreeSet<_> = ran.iter().map(|ran| ran.task.index).collect();
+                assert_eq!(tasks.len(), ran.len(), "a task of {key} ran twice");
+            }
+            if let JobPhase::Ended {
+                outcome: JobOutcome::NotRun { .. },
+            } = record.phase
+            {
+                assert!(ran.is_empty(), "{key} ended as not run and ran");
+            }
+        }
+    }
+
+    fn check_closures(&self) {
+        for (zone, out_ms, in_ms) in &self.closures {
+            let until = in_ms.unwrap_or(Millis::MAX);
+            let late = out_ms.saturating_add(Millis(3_000));
+            for slot in self
+                .slots
+                .iter()
+                .filter(|s| s.worker.spec.zone.as_str() == zone)
+            {
+                for ran in &slot.worker.history {
+                    let inside = ran.from_ms > late && ran.from_ms < until;
+                    assert!(!inside, "{:?} started in {zone}, out at {out_ms}", ran);
+                }
+            }
+        }
+    }
+}
+
+/// A member may run this long beside one that can't, after a single fault.
+pub const ONE_LEASE_MS: Millis = LEASE_MS;
