Tests: every moment of a gang's life crossed with nine faults

Cause: no gang may run in part. A borrower, a gang that may not run again and a reclaiming owner are struck at 27 moments by lost, silent and restarted workers, lost, doubled and late messages, leader change, a control pause and failed commits.

--- a/tests/gang_life.rs
+++ b/tests/gang_life.rs
@@ -5,6 +5,7 @@
 
 use gang_driver::{Driver, ONE_LEASE_MS, add_team, in_force, job};
 use marjoramknot::release_note::{Adjacency, InForce};
+use rstest::rstest;
 
 fn small_fleet() -> InForce {
     let mut state = in_force(&[("Senec", 1), ("Trnava", 1)], 4);
@@ -28,3 +29,122 @@
             .all(|w| w.accelerators_used.0 == 0)
     );
 }
+
+/// What goes wrong at one moment.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    LostWorker,
+    SilentWorker,
+    RestartedWorker,
+    LostMessages,
+    DoubledMessages,
+    LateMessages,
+    LeaderChange,
+    ControlPause,
+    FailedCommits,
+}
+
+impl Fault {
+    fn strike(self, driver: &mut Driver, at: usize) {
+        match self {
+            Self::LostWorker => driver.kill(at),
+            Self::SilentWorker => driver.slots[at].cut = true,
+            Self::RestartedWorker => {
+                let now = driver.now;
+                driver.restart_worker(at, now);
+            }
+            Self::LostMessages => driver.network.lost_permille = 500,
+            Self::DoubledMessages => driver.network.doubled_permille = 500,
+            Self::LateMessages => driver.network.delay_max_ms = 2_500,
+            Self::LeaderChange => driver.elect(),
+            Self::ControlPause => {
+                driver.slots.iter_mut().for_each(|slot| slot.cut = true);
+                driver.run_for(9_000);
+                driver.elect();
+            }
+            Self::FailedCommits => driver.commit_fail_permille = 500,
+        }
+    }
+
+    fn mend(driver: &mut Driver) {
+        driver.slots.iter_mut().for_each(|slot| slot.cut = false);
+        driver.network.lost_permille = 0;
+        driver.network.doubled_permille = 0;
+        driver.network.delay_max_ms = 100;
+        driver.commit_fail_permille = 0;
+    }
+}
+
+/// A borrower runs, an owner reclaims; a fault strikes at one moment of it.
+fn strike_at(fault: Fault, moment: u64, idempotent: bool) {
+    let seed = moment + 1_000;
+    let mut driver = Driver::ready(small_fleet(), seed);
+    driver.network.delay_max_ms = 100;
+    driver.commit_ms = 100;
+    let borrower = driver.submit(job("guests", "borrower", 4, 8, 5_000));
+    let mut spec = job("ponds", "once", 2, 8, 2_000);
+    spec.idempotent = idempotent;
+    let once = driver.submit(spec);
+    driver.run_for(1_500);
+    let owner = driver.submit(job("ponds", "owner", 2, 8, 2_000));
+    driver.run_for(moment);
+    let at = driver.runners(&once).first().copied().unwrap_or(0);
+    fault.strike(&mut driver, at);
+    driver.run_for(9_000);
+    Fault::mend(&mut driver);
+    let context = format!("{fault:?} at {moment}, idempotent {idempotent}");
+    let ended = driver.run_until(120_000, |d| d.ended_ms.len() == 3);
+    assert!(
+        ended,
+        "{context}: {:?}",
+        driver
+            .records
+            .values()
+            .map(|r| (&r.spec.key, &r.phase))
+            .collect::<Vec<_>>()
+    );
+    driver.run_for(15_000);
+    assert!(
+        driver.succeeded(&borrower),
+        "{context}: {:?}",
+        driver.outcome(&borrower)
+    );
+    assert!(
+        driver.succeeded(&owner),
+        "{context}: {:?}",
+        driver.outcome(&owner)
+    );
+    assert!(
+        !idempotent || driver.succeeded(&once),
+        "{context}: {:?}",
+        driver.outcome(&once)
+    );
+    driver.check_history(ONE_LEASE_MS);
+    let used = |w: &marjoramknot::scheduler::WorkerStatus| w.accelerators_used.0;
+    assert_eq!(
+        driver.scheduler.workers().iter().map(used).sum::<u32>(),
+        0,
+        "{context}"
+    );
+}
+
+#[rstest]
+fn struck_gangs(
+    #[values(
+        Fault::LostWorker,
+        Fault::SilentWorker,
+        Fault::RestartedWorker,
+        Fault::LostMessages,
+        Fault::DoubledMessages,
+        Fault::LateMessages,
+        Fault::LeaderChange,
+        Fault::ControlPause,
+        Fault::FailedCommits
+    )]
+    fault: Fault,
+    #[values(true, false)] idempotent: bool,
+) {
+    for moment in (0..4_000).step_by(150) {
+        strike_at(fault, moment, idempotent);
+    }
+}
