--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -35,6 +35,9 @@
 /// For each endpoint the most that all entries may use, and what lost ones may still use, never
 /// exceeds what it announced. A new book adopts the shares that entries say they hold; what is left
 /// is handed out when every grant of an earlier leader has ended and the endpoint shows it free.
+///
+/// An entry whose grant ends drops its shares and names version 0 from then on: another entry may
+/// hold them by the time it is heard again.
 #[derive(Clone, Debug, Default)]
 pub struct ShareBook {
     /// When every grant of an earlier leader has ended.
@@ -113,6 +116,9 @@
         record.uses.clone_from(&request.uses);
         let adopts = is_new && !settled;
         self.take_uses(&holder, request, adopts, now);
+        if request.shares_version == 0 && !is_new {
+            self.drop_shares(&holder);
+        }
         if is_new {
             self.mark_uneven();
         }
@@ -136,6 +142,7 @@
         self.start(now);
         self.settle(now);
         self.forget_silent(now);
+        self.unfreeze();
         let usable = self.usable(in_force, now);
         let peers = self.peers(&usable);
         let active: Vec<Holder> = self
@@ -243,7 +250,6 @@
             if let Some((held, endpoint)) = held.zip(self.endpoints.get_mut(&id)) {
                 endpoint.adopt(holder, held);
             }
-            unfreeze(record, &self.endpoints);
         }
     }
 
@@ -262,9 +268,17 @@
         }
         self.acknowledge_unnamed(holder, request);
         self.raise_versions(&changed);
-        if let Some(record) = self.entries.get_mut(holder) {
-            unfreeze(record, &self.endpoints);
+    }
+
+    /// An entry whose grant ended has dropped its shares and names no version.
+    fn drop_shares(&mut self, holder: &Holder) {
+        let mut changed = BTreeSet::new();
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.drop_share(holder) {
+                changed.insert(holder.clone());
+            }
         }
+        self.raise_versions(&changed);
     }
 
     /// An endpoint that the entry does not name is one that it does not use.
@@ -293,6 +307,17 @@
         }
     }
 
+    /// Lets entries have this leader's shares once all endpoints that they use are known here.
+    fn unfreeze(&mut self) {
+        for record in self.entries.values_mut().filter(|record| record.frozen) {
+            let known = |held: &EndpointUse| self.endpoints.contains_key(&held.endpoint);
+            if record.uses.iter().all(known) {
+                record.frozen = false;
+                record.version = record.version.saturating_add(1);
+            }
+        }
+    }
+
     fn forget_silent(&mut self, now: Millis) {
         self.endpoints
             .retain(|_, endpoint| now.since(endpoint.heard_ms) <= FORGET_MS);
@@ -384,18 +409,6 @@
     (announcement.incarnation, announcement.sequence) > (known.incarnation, known.sequence)
 }
 
-/// Lets an entry have this leader's shares once all endpoints that it uses are known here.
-fn unfreeze(record: &mut EntryRecord, endpoints: &BTreeMap<EndpointId, SharedEndpoint>) {
-    let known = record
-        .uses
-        .iter()
-        .all(|held| endpoints.contains_key(&held.endpoint));
-    if record.frozen && known {
-        record.frozen = false;
-        record.version = record.version.saturating_add(1);
-    }
-}
-
 fn share_of(endpoint: &SharedEndpoint, holder: &Holder) -> EndpointShare {
     let announced = &endpoint.announcement;
     let holding = endpoint.holdings.get(holder);
