--- /dev/null
+++ b/benches/control_group.rs
@@ -0,0 +1,61 @@
+//! Measures the control group on real files and loopback connections and prints `key=value` lines.
+//!
+//! `cargo bench --bench control_group` runs all parts, `-- commits` just those whose name holds it.
+
+#[path = "control_group/commits.rs"]
+mod commits;
+#[path = "control_group/failover.rs"]
+mod failover;
+#[path = "control_group/group.rs"]
+mod group;
+#[path = "control_group/memory.rs"]
+mod memory;
+#[path = "control_group/restart.rs"]
+mod restart;
+
+use std::fmt::{self, Display};
+
+/// One measured figure.
+#[derive(Debug)]
+pub struct Figure {
+    key: String,
+    value: f64,
+}
+
+impl Figure {
+    fn new(key: impl Into<String>, value: f64) -> Self {
+        Self {
+            key: key.into(),
+            value,
+        }
+    }
+}
+
+impl Display for Figure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}={:.3}", self.key, self.value)
+    }
+}
+
+/// A part with its name. Memory comes first, before other parts leave pages behind.
+type Part = (&'static str, fn() -> Vec<Figure>);
+
+const PARTS: [Part; 4] = [
+    ("memory", memory::measure),
+    ("commits", commits::measure),
+    ("restart", restart::measure),
+    ("failover", failover::measure),
+];
+
+fn main() {
+    let wanted = std::env::args().skip(1).find(|a| !a.starts_with('-'));
+    let is_wanted = |name: &str| wanted.as_ref().is_none_or(|w| name.contains(w.as_str()));
+    let mut figures = Vec::new();
+    for (name, measure) in PARTS.iter().filter(|(name, _)| is_wanted(name)) {
+        println!("measuring {name}");
+        figures.extend(measure());
+    }
+    for figure in figures {
+        println!("{figure}");
+    }
+}
--- /dev/null
+++ b/benches/control_group/group.rs
@@ -0,0 +1,205 @@
+//! Replicas with the project's state machine, on real files and loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use marjoramknot::control::{Command, CommandBody, SharedMachine};
+use marjoramknot::release_note::{NoteItems, ReleaseNote, TeamSpec};
+use marjoramknot::replica::{Handle, Peer, ReplicaOptions, bind, start};
+use marjoramknot::units::{MemoryMb, NoteVersion, WallMs};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// How a group runs.
+#[derive(Clone, Copy)]
+pub struct Settings {
+    pub voters: usize,
+    pub batch_records: usize,
+    pub snapshot_records: u64,
+}
+
+impl Settings {
+    /// The defaults of [`ReplicaOptions`].
+    pub const DEFAULT: Self = Self {
+        voters: 3,
+        batch_records: 512,
+        snapshot_records: 4_096,
+    };
+}
+
+pub struct Replica {
+    pub handle: Handle,
+    pub machine: SharedMachine,
+    task: JoinHandle<()>,
+}
+
+pub struct Group {
+    pub replicas: Vec<Option<Replica>>,
+    pub settings: Settings,
+    peers: Vec<Peer>,
+    folders: TempDir,
+}
+
+impl Group {
+    pub async fn start(settings: Settings) -> Self {
+        let mut peers = Vec::new();
+        let mut listeners = Vec::new();
+        for position in 0..settings.voters {
+            let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+            let listener = listener.expect("loopback has free ports");
+            let address = listener
+                .local_addr()
+                .expect("a bound socket has an address");
+            let name = format!("replica-{position}");
+            peers.push(Peer {
+                name: name.parse().expect("the name is an id"),
+                peer_address: address,
+                control_address: address,
+            });
+            listeners.push(listener);
+        }
+        let mut group = Self {
+            replicas: Vec::new(),
+            settings,
+            peers,
+            folders: tempfile::tempdir().expect("a temporary folder can be made"),
+        };
+        for (position, listener) in listeners.into_iter().enumerate() {
+            let replica = group.replica(position, listener).await;
+            group.replicas.push(Some(replica));
+        }
+        group
+    }
+
+    async fn replica(&self, position: usize, listener: TcpListener) -> Replica {
+        let peer = &self.peers[position];
+        let options = ReplicaOptions::builder()
+            .name(peer.name.clone())
+            .listener(listener)
+            .control_address(peer.control_address)
+            .peers(self.peers.clone())
+            .data_folder(self.folders.path().join(peer.name.as_str()))
+            .seed(position as u64)
+            .batch_records(self.settings.batch_records)
+            .snapshot_records(self.settings.snapshot_records)
+            .build();
+        let machine = SharedMachine::default();
+        let started = start(options, machine.hooks(), CancellationToken::new()).await;
+        let (handle, task) = started.expect("the replica starts");
+        Replica {
+            handle,
+            machine,
+            task,
+        }
+    }
+
+    pub fn replica_at(&self, position: usize) -> &Replica {
+        let replica = self.replicas[position].as_ref();
+        replica.expect("the replica runs")
+    }
+
+    /// Ends a replica without any hand-over.
+    pub async fn kill(&mut self, position: usize) {
+        let replica = self.replicas[position].take();
+        let replica = replica.expect("the replica runs");
+        replica.task.abort();
+        drop(replica.task.await);
+    }
+
+    /// Starts a replica that was killed; the writer's thread has let go of its folder by then.
+    pub async fn revive(&mut self, position: usize) {
+        let address = self.peers[position].peer_address;
+        let listener = loop {
+            match bind(address).await {
+                Ok(listener) => break listener,
+                Err(_busy) => pause().await,
+            }
+        };
+        let replica = self.replica(position, listener).await;
+        self.replicas[position] = Some(replica);
+    }
+
+    pub async fn leader(&self) -> usize {
+        loop {
+            let leads = |r: &Option<Replica>| r.as_ref().is_some_and(|r| r.handle.has_quorum());
+            if let Some(position) = self.replicas.iter().position(leads) {
+                return position;
+            }
+            pause().await;
+        }
+    }
+
+    pub async fn propose(&self, command: &Command) {
+        let bytes = postcard::to_stdvec(command).expect("a command encodes");
+        loop {
+            let leader = self.leader().await;
+            let handle = &self.replica_at(leader).handle;
+            if handle.propose(bytes.clone()).await.is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Proposes commands, up to a thousand at once.
+    pub async fn propose_all(&self, commands: Vec<Command>) {
+        let leader = self.leader().await;
+        let handle = &self.replica_at(leader).handle;
+        for chunk in commands.chunks(1_000) {
+            let encoded = chunk
+                .iter()
+                .map(|c| postcard::to_stdvec(c).expect("a command encodes"));
+            let proposals = encoded.map(|bytes| handle.propose(bytes));
+            for result in futures::future::join_all(proposals).await {
+                result.expect("a leader without faults commits");
+            }
+        }
+    }
+}
+
+pub async fn pause() {
+    tokio::time::sleep(Duration::from_millis(1)).await;
+}
+
+pub fn runtime() -> tokio::runtime::Runtime {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(4).enable_all().build();
+    runtime.expect("a runtime can be made")
+}
+
+/// A note that adds a team, or gives it another weight.
+pub fn note(number: u64) -> Command {
+    /// How many teams the notes go round.
+    const TEAMS: u64 = 300;
+    let team = TeamSpec {
+        name: format!("team-{}", number % TEAMS).parse().expect("an id"),
+        attempts_max: 4,
+        queued_jobs_max: 1_000,
+        task_memory_max_mb: MemoryMb(512 * 1024),
+        request_weight: u32::try_from(number / TEAMS).unwrap_or(u32::MAX).max(1),
+    };
+    let items = NoteItems {
+        teams: vec![team],
+        ..NoteItems::default()
+    };
+    let (added, changed) = if number < TEAMS {
+        (items, NoteItems::default())
+    } else {
+        (NoteItems::default(), items)
+    };
+    let note = ReleaseNote {
+        version: NoteVersion(number + 1),
+        added,
+        changed,
+        withdrawn: marjoramknot::release_note::WithdrawnNames::default(),
+    };
+    let digest = note.digest();
+    Command {
+        wall_ms: WallMs(number),
+        body: CommandBody::ApplyNote {
+            note: Box::new(note),
+            digest,
+        },
+    }
+}
--- /dev/null
+++ b/benches/control_group/memory.rs
@@ -0,0 +1,100 @@
+//! Memory of one replica that holds the letter's size: jobs of a day, running tasks and teams.
+
+use marjoramknot::control::{Command, CommandBody};
+use marjoramknot::release_note::Adjacency;
+use marjoramknot::scheduler::{JobKey, JobSpec, JobTransition, Member};
+use marjoramknot::units::{
+    Accelerators, Attempt, Cores, Incarnation, MemoryMb, Millis, TaskIndex, WallMs,
+};
+
+use crate::Figure;
+use crate::group::{Group, Settings, note, runtime};
+
+const JOBS: u32 = 7_000;
+const RUNNING_TASKS: u32 = 38_000;
+const TEAMS: u32 = 300;
+const WORKERS: u32 = 4_600;
+const NOTES: u64 = 15_000;
+
+pub fn measure() -> Vec<Figure> {
+    let before = resident_mb();
+    let (after, state_mb) = runtime().block_on(run());
+    vec![
+        Figure::new("replica_mb", after),
+        Figure::new("replica_empty_process_mb", before),
+        Figure::new("replica_encoded_state_mb", state_mb),
+    ]
+}
+
+async fn run() -> (f64, f64) {
+    let settings = Settings {
+        voters: 1,
+        ..Settings::DEFAULT
+    };
+    let group = Group::start(settings).await;
+    group.propose_all((0..NOTES).map(note).collect()).await;
+    group.propose_all((0..JOBS).map(submit).collect()).await;
+    group.propose_all((0..JOBS).map(place).collect()).await;
+    let machine = &group.replica_at(0).machine;
+    let encoded = u32::try_from(machine.read(|m| m.snapshot().len())).unwrap_or(u32::MAX);
+    (resident_mb(), f64::from(encoded) / 1e6)
+}
+
+fn key(job: u32) -> JobKey {
+    JobKey {
+        team: format!("team-{}", job % TEAMS).parse().expect("an id"),
+        id: format!("job-{job}").parse().expect("an id"),
+    }
+}
+
+fn tasks(job: u32) -> u32 {
+    RUNNING_TASKS / JOBS + u32::from(job < RUNNING_TASKS % JOBS)
+}
+
+fn submit(job: u32) -> Command {
+    let spec = JobSpec {
+        key: key(job),
+        class: "rescore".parse().expect("an id"),
+        tasks: tasks(job),
+        accelerators: Accelerators(1),
+        cores: Cores(4),
+        memory_mb: MemoryMb(8 * 1024),
+        adjacency: Adjacency::default(),
+        idempotent: true,
+        urgent: false,
+        declared_run_ms: Millis(3_600_000),
+        deadline_ms: None,
+        payload: "render --heat 17 --pond senec --course long".into(),
+    };
+    Command {
+        wall_ms: WallMs(NOTES),
+        body: CommandBody::SubmitJob(Box::new(spec)),
+    }
+}
+
+fn place(job: u32) -> Command {
+    let members = (0..tasks(job)).map(|task| Member {
+        index: TaskIndex(task),
+        worker: format!("worker-{}", (job * 7 + task) % WORKERS)
+            .parse()
+            .expect("an id"),
+        incarnation: Incarnation(1),
+    });
+    let transition = JobTransition::Placed {
+        job: key(job),
+        attempt: Attempt(1),
+        members: members.collect(),
+    };
+    Command {
+        wall_ms: WallMs(NOTES),
+        body: CommandBody::Job(Box::new(transition)),
+    }
+}
+
+/// Resident memory of this process.
+fn resident_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok());
+    kilobytes.map_or(f64::NAN, |kb| kb / 1024.0)
+}
--- /dev/null
+++ b/benches/control_group/restart.rs
@@ -0,0 +1,50 @@
+//! How long a replica takes to come back after many changes, with and without snapshots.
+
+use std::time::Instant;
+
+use crate::Figure;
+use crate::group::{Group, Settings, note, pause, runtime};
+
+const CHANGES: u64 = 10_000;
+
+pub fn measure() -> Vec<Figure> {
+    let runtime = runtime();
+    let without = Settings {
+        snapshot_records: u64::MAX,
+        ..Settings::DEFAULT
+    };
+    let with_ms = runtime.block_on(run(Settings::DEFAULT));
+    let without_ms = runtime.block_on(run(without));
+    vec![
+        Figure::new("restart_ms", with_ms),
+        Figure::new("restart_without_snapshots_ms", without_ms),
+    ]
+}
+
+/// From the start of a killed follower until it has applied all that is committed.
+async fn run(settings: Settings) -> f64 {
+    let mut group = Group::start(settings).await;
+    group.propose_all((0..CHANGES).map(note).collect()).await;
+    let leader = group.leader().await;
+    let follower = (leader + 1) % settings.voters;
+    let changes = group
+        .replica_at(leader)
+        .machine
+        .read(marjoramknot::control::Machine::applied);
+    let caught_up = |group: &Group| {
+        let machine = &group.replica_at(follower).machine;
+        machine.read(|m| m.applied() >= changes)
+    };
+    while !caught_up(&group) {
+        pause().await;
+    }
+    group.kill(follower).await;
+    // The writer's thread ends after its last write.
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    let from = Instant::now();
+    group.revive(follower).await;
+    while !caught_up(&group) {
+        pause().await;
+    }
+    from.elapsed().as_secs_f64() * 1e3
+}
