Replica: a disk that hangs deposes no leader; voters are named without addresses

Failure found by hanging_disks (followers, busy): followers whose disks hang answered nothing until the sync, so the leader's lease ended and no leader could stay while proposals came in. A follower now answers at once, twice a heartbeat at most, with what is synced already; the promise that the lease rests on needs no sync, as a restarted replica keeps it too.

The group's records name voters only; the leader's address comes from the settings, which may have changed since the record was made. Of retired folders only the last is kept.

--- a/src/replica/core/election.rs
+++ b/src/replica/core/election.rs
@@ -39,7 +39,7 @@
         let Role::Leader(state) = &self.role else {
             return None;
         };
-        let own = &self.config.member.node;
+        let own = &self.config.node;
         let answered = self.voters().into_iter().map(|node| {
             if node == *own {
                 return Some(now);
@@ -97,7 +97,7 @@
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
         self.leader = None;
         self.retry_election(now);
-        let own = self.config.member.node.clone();
+        let own = self.config.node.clone();
         let granted = BTreeSet::from([own.clone()]);
         self.role = Role::PreCandidate { granted };
         let body = Body::PreVote {
@@ -126,7 +126,7 @@
     }
 
     fn start_election(&mut self, transfer: bool, now: Millis) {
-        let own = self.config.member.node.clone();
+        let own = self.config.node.clone();
         self.enter_term(self.hard.term.next(), now);
         self.hard.vote = Some(own.clone());
         self.unsaved.hard = Some(self.hard.clone());
@@ -240,7 +240,7 @@
     }
 
     fn lead(&mut self, now: Millis) {
-        let own = self.config.member.node.clone();
+        let own = self.config.node.clone();
         let next = self.log.last_index().next();
         let others = self.voters().into_iter().filter(|node| *node != own);
         let progress: BTreeMap<_, _> = others.map(|node| (node, Progress::new(next))).collect();
--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use super::{Core, Role};
-use crate::replica::{Body, Member, Membership, Message, Node, Snapshot, SnapshotMeta};
+use crate::replica::{Body, Membership, Message, Node, Snapshot, SnapshotMeta};
 use crate::units::{GroupId, LogIndex, Millis, ReplicaId, Term};
 
 /// How long a peer's word that it is blank counts.
@@ -14,7 +14,7 @@
     /// When it next asks its peers.
     pub(super) ask_at_ms: Millis,
     /// Peers that said that they are blank, and when.
-    pub(super) blank_peers: BTreeMap<Node, (Member, Millis)>,
+    pub(super) blank_peers: BTreeMap<Node, Millis>,
     /// Whether an earlier folder was damaged: then it never forms a new group.
     pub(super) after_damage: bool,
 }
@@ -30,7 +30,7 @@
     fn message_by_name(&self, name: ReplicaId, body: Body) -> Message {
         Message {
             group: self.group.clone(),
-            from: self.config.member.node.clone(),
+            from: self.config.node.clone(),
             to: name,
             to_folder: None,
             term: self.hard.term,
@@ -53,13 +53,11 @@
             return;
         }
         self.formation.ask_at_ms = now.saturating_add(self.config.ask_ms);
-        let member = self.config.member.clone();
-        self.ask_all(&Body::Join(member));
+        self.ask_all(&Body::Join);
     }
 
     fn hello_answer(&self) -> Body {
         Body::HelloAnswer {
-            member: self.config.member.clone(),
             blank: self.group.is_none() && !self.formation.after_damage,
             members: self.log.members().cloned(),
         }
@@ -73,27 +71,26 @@
     pub(super) fn hear_hello(
         &mut self,
         group: Option<GroupId>,
-        (member, blank): (Member, bool),
+        from: Node,
+        blank: bool,
         members: Option<Membership>,
         now: Millis,
     ) {
         if self.group.is_some() {
             return;
         }
-        let configured = self.config.peers.contains(&member.node.name);
+        let configured = self.config.peers.contains(&from.name);
         if !configured {
             self.dropped.unknown_sender += 1;
             return;
         }
         let Some(group) = group else {
-            let name = member.node.name.clone();
+            let name = from.name.clone();
             self.formation
                 .blank_peers
                 .retain(|node, _| node.name != name);
             if blank {
-                self.formation
-                    .blank_peers
-                    .insert(member.node.clone(), (member, now));
+                self.formation.blank_peers.insert(from, now);
             }
             self.form_group(now);
             return;
@@ -101,7 +98,7 @@
         self.group = Some(group.clone());
         self.unsaved.group = Some(group);
         self.formation.ask_at_ms = now;
-        if let Some(members) = members.filter(|m| m.contains(&self.config.member.node)) {
+        if let Some(members) = members.filter(|m| m.contains(&self.config.node)) {
             self.start_voting(members);
             self.reset_election(now);
         }
@@ -109,34 +106,32 @@
 
     /// Forms the group where all configured peers are blank and this replica's name is the lowest.
     fn form_group(&mut self, now: Millis) {
-        let own = self.config.member.clone();
+        let own = self.config.node.clone();
         let peers = &self.config.peers;
-        if self.formation.after_damage || peers.iter().any(|name| *name <= own.node.name) {
+        if self.formation.after_damage || peers.iter().any(|name| *name <= own.name) {
             return;
         }
-        let fresh = self.formation.blank_peers.values();
+        let fresh = self.formation.blank_peers.iter();
         let fresh = fresh.filter(|(_, at)| now < at.saturating_add(BLANK_WORD_MS));
-        let blank: Vec<_> = fresh.map(|(member, _)| member.clone()).collect();
-        let all = peers
-            .iter()
-            .all(|p| blank.iter().any(|m| m.node.name == *p));
+        let blank: Vec<_> = fresh.map(|(node, _)| node.clone()).collect();
+        let all = peers.iter().all(|p| blank.iter().any(|n| n.name == *p));
         if !all {
             return;
         }
-        let name = format!("group-{}", own.node.folder);
+        let name = format!("group-{}", own.folder);
         let group: GroupId = name
             .parse()
             .expect("a folder id with a prefix is a group id");
         let mut members = Membership { voters: vec![own] };
-        for member in blank {
-            members = members.with(member);
+        for node in blank {
+            members = members.with(node);
         }
         self.group = Some(group.clone());
         self.unsaved.group = Some(group);
         self.start_voting(members);
         self.election_at_ms = now.saturating_add(self.config.ask_ms);
         let body = self.hello_answer();
-        let own = self.config.member.node.clone();
+        let own = self.config.node.clone();
         for node in self.voters().into_iter().filter(|n| *n != own) {
             self.send_held(&node, body.clone());
         }
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -65,6 +65,8 @@
     heard_leader_ms: Option<Millis>,
     election_at_ms: Millis,
     formation: Formation,
+    /// When the leader last got an answer that did not wait for the disk.
+    answered_ms: Millis,
     disk_full: bool,
     leaving: bool,
     unsaved: Save,
@@ -104,6 +106,7 @@
             snapshot_asked: false,
             heard_leader_ms: formed.then_some(now),
             election_at_ms: now,
+            answered_ms: now,
             formation: Formation {
                 ask_at_ms: now,
                 after_damage: recovered.after_damage,
@@ -190,29 +193,27 @@
     }
 
     fn receive(&mut self, message: Message, now: Millis) {
-        if message.to != self.config.member.node.name {
+        if message.to != self.config.node.name {
             self.dropped.other_receiver += 1;
             return;
         }
         let folder = message.to_folder.as_ref();
-        if folder.is_some_and(|folder| *folder != self.config.member.node.folder) {
+        if folder.is_some_and(|folder| *folder != self.config.node.folder) {
             self.dropped.other_receiver += 1;
             return;
         }
         match message.body {
             Body::Hello => self.answer_hello(&message.from),
-            Body::HelloAnswer {
-                member,
-                blank,
-                members,
-            } => self.hear_hello(message.group, (member, blank), members, now),
+            Body::HelloAnswer { blank, members } => {
+                self.hear_hello(message.group, message.from, blank, members, now);
+            }
             _ if message.group.is_none() || message.group != self.group => {
                 self.dropped.other_group += 1;
             }
-            _ if folder.is_none() && !matches!(message.body, Body::Join(_)) => {
+            _ if folder.is_none() && !matches!(message.body, Body::Join) => {
                 self.dropped.other_receiver += 1;
             }
-            Body::Join(member) => self.hear_join(member, now),
+            Body::Join => self.hear_join(message.from, now),
             _ => self.receive_member(message, now),
         }
     }
@@ -255,7 +256,7 @@
             } => {
                 self.follow(&from, now);
                 let outcome = self.append_received(prev_index, prev_term, entries, commit);
-                self.send_held(&from, Body::AppendAnswer { outcome, sent_ms });
+                self.answer_append(&from, outcome, sent_ms, now);
             }
             Body::AppendAnswer { outcome, sent_ms } => {
                 self.hear_append_answer(&from, &outcome, sent_ms, now);
@@ -278,7 +279,7 @@
             Body::TimeoutNow => self.take_over(now),
             Body::Hello
             | Body::HelloAnswer { .. }
-            | Body::Join(_)
+            | Body::Join
             | Body::PreVote { .. }
             | Body::PreVoteAnswer { .. }
             | Body::Vote { .. } => {}
@@ -316,7 +317,7 @@
 
     /// Sends a message, or takes it in where it is for this replica itself.
     fn release(&mut self, message: Message, now: Millis) {
-        if message.to_folder.as_ref() == Some(&self.config.member.node.folder) {
+        if message.to_folder.as_ref() == Some(&self.config.node.folder) {
             if message.term == self.hard.term
                 && let Body::VoteAnswer { granted } = message.body
             {
@@ -352,13 +353,13 @@
     }
 
     fn is_self(&self, message: &Message) -> bool {
-        message.to_folder.as_ref() == Some(&self.config.member.node.folder)
+        message.to_folder.as_ref() == Some(&self.config.node.folder)
     }
 
     fn message(&self, to: &Node, body: Body) -> Message {
         Message {
             group: self.group.clone(),
-            from: self.config.member.node.clone(),
+            from: self.config.node.clone(),
             to: to.name.clone(),
             to_folder: Some(to.folder.clone()),
             term: self.hard.term,
@@ -412,13 +413,13 @@
     }
 
     fn is_voter(&self) -> bool {
-        let node = &self.config.member.node;
+        let node = &self.config.node;
         self.log.members().is_some_and(|m| m.contains(node))
     }
 
     fn voters(&self) -> Vec<Node> {
         let members = self.log.members().map_or(&[][..], |m| &m.voters);
-        members.iter().map(|m| m.node.clone()).collect()
+        members.to_vec()
     }
 
     fn quorum(&self) -> usize {
--- a/src/replica/core/progress.rs
+++ b/src/replica/core/progress.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::replica::{Member, Node, Snapshot};
+use crate::replica::{Node, Snapshot};
 use crate::units::{LogIndex, Millis};
 
 /// A snapshot on its way to a follower.
@@ -27,8 +27,8 @@
     pub(super) heard_ms: Option<Millis>,
     /// The snapshot that it is being sent.
     pub(super) snapshot: Option<SnapshotSend>,
-    /// Its addresses, where it is a learner.
-    pub(super) learner: Option<Member>,
+    /// Whether it does not vote yet.
+    pub(super) is_learner: bool,
 }
 
 impl Progress {
@@ -40,7 +40,7 @@
             acked_ms: None,
             heard_ms: None,
             snapshot: None,
-            learner: None,
+            is_learner: false,
         }
     }
 
--- a/src/replica/core/repair.rs
+++ b/src/replica/core/repair.rs
@@ -1,34 +1,34 @@
 use super::progress::Progress;
 use super::{Core, Role};
-use crate::replica::{Member, Membership, Node, Payload};
+use crate::replica::{Membership, Node, Payload};
 use crate::units::{LogIndex, Millis};
 
 impl Core {
     /// Takes in a node that lost its folder as a learner, where a voter had its name.
-    pub(super) fn hear_join(&mut self, member: Member, now: Millis) {
+    pub(super) fn hear_join(&mut self, from: Node, now: Millis) {
         let Some(members) = self.log.members() else {
             return;
         };
-        let configured = self.config.peers.contains(&member.node.name);
-        if !configured || members.contains(&member.node) {
+        let configured = self.config.peers.contains(&from.name);
+        if !configured || members.contains(&from) {
             return;
         }
         let next = self.log.last_index().next();
         let Role::Leader(state) = &mut self.role else {
             return;
         };
-        if let Some(progress) = state.progress.get_mut(&member.node) {
+        if let Some(progress) = state.progress.get_mut(&from) {
             progress.heard_ms = Some(now);
             return;
         }
-        let name = &member.node.name;
+        let name = &from.name;
         state
             .progress
-            .retain(|node, p| p.learner.is_none() || node.name != *name);
+            .retain(|node, p| !p.is_learner || node.name != *name);
         let mut progress = Progress::new(next);
         progress.heard_ms = Some(now);
-        progress.learner = Some(member.clone());
-        state.progress.insert(member.node, progress);
+        progress.is_learner = true;
+        state.progress.insert(from, progress);
     }
 
     /// Replaces a voter by the learner of the same name, once that holds the whole state.
@@ -52,16 +52,13 @@
             return None;
         }
         let members = self.log.members()?;
-        let learners = state.progress.values().filter(|p| p.learner.is_some());
-        let mut ready = learners.filter(|p| p.matched >= self.commit && self.is_live(p, now));
-        let learner = ready.find_map(|p| p.learner.clone())?;
-        let old = members
-            .voters
-            .iter()
-            .find(|m| m.node.name == learner.node.name);
+        let mut learners = state.progress.iter().filter(|(_, p)| p.is_learner);
+        let is_ready = |p: &Progress| p.matched >= self.commit && self.is_live(p, now);
+        let (learner, _) = learners.find(|(_, p)| is_ready(p))?;
+        let old = members.voters.iter().find(|v| v.name == learner.name);
         let next = match old {
-            Some(old) => members.without(&old.node),
-            None => members.with(learner),
+            Some(old) => members.without(old),
+            None => members.with(learner.clone()),
         };
         self.can_commit(&next, now).then_some(next)
     }
@@ -76,10 +73,10 @@
         let Role::Leader(state) = &self.role else {
             return false;
         };
-        let own = &self.config.member.node;
-        let live = members.voters.iter().filter(|member| {
-            let progress = state.progress.get(&member.node);
-            member.node == *own || progress.is_some_and(|p| self.is_live(p, now))
+        let own = &self.config.node;
+        let live = members.voters.iter().filter(|voter| {
+            let progress = state.progress.get(voter);
+            *voter == own || progress.is_some_and(|p| self.is_live(p, now))
         });
         live.count() >= members.quorum()
     }
@@ -87,7 +84,7 @@
     /// Follows the voters now in force; nodes that are no longer among them are dropped.
     fn update_progress(&mut self) {
         let voters = self.voters();
-        let own = self.config.member.node.clone();
+        let own = self.config.node.clone();
         let next = self.log.last_index();
         let Role::Leader(state) = &mut self.role else {
             return;
@@ -95,17 +92,17 @@
         let is_voter = |node: &Node| voters.contains(node);
         state
             .progress
-            .retain(|node, p| is_voter(node) || p.learner.is_some());
+            .retain(|node, p| is_voter(node) || p.is_learner);
         for node in voters.iter().filter(|node| **node != own) {
             let progress = state.progress.entry(node.clone());
-            progress.or_insert_with(|| Progress::new(next)).learner = None;
+            progress.or_insert_with(|| Progress::new(next)).is_learner = false;
         }
     }
 
     /// What the leader knows of each node, for operators: synced position and time since it was heard.
     #[must_use]
     pub fn node_states(&self, now: Millis) -> Vec<NodeState> {
-        let own = &self.config.member.node;
+        let own = &self.config.node;
         // A change of the voters may still be lost before it is committed.
         let settled = self.log.members_at(self.commit);
         let votes = |node: &Node| settled.is_some_and(|members| members.contains(node));
--- a/src/replica/core/replication.rs
+++ b/src/replica/core/replication.rs
@@ -49,6 +49,30 @@
         AppendOutcome::Matched(last)
     }
 
+    /// Answers the leader: that records are held once they are synced, all else at once.
+    ///
+    /// From time to time an answer goes out before the sync as well, which tells only of what is
+    /// synced already, so that a disk that hangs does not end the leader's lease.
+    pub(super) fn answer_append(
+        &mut self,
+        leader: &Node,
+        outcome: AppendOutcome,
+        sent_ms: Millis,
+        now: Millis,
+    ) {
+        let AppendOutcome::Matched(index) = outcome else {
+            self.send(leader, Body::AppendAnswer { outcome, sent_ms });
+            return;
+        };
+        let wait = Millis(self.config.heartbeat_ms.get() / 2);
+        if index > self.synced && now >= self.answered_ms.saturating_add(wait) {
+            self.answered_ms = now;
+            let outcome = AppendOutcome::Matched(self.synced);
+            self.send(leader, Body::AppendAnswer { outcome, sent_ms });
+        }
+        self.send_held(leader, Body::AppendAnswer { outcome, sent_ms });
+    }
+
     /// The last position before `index` that may agree: records of the conflicting term are skipped.
     fn last_agreeing(&self, index: LogIndex) -> LogIndex {
         let last = self.log.last_index();
@@ -140,7 +164,7 @@
         let Role::Leader(state) = &self.role else {
             return;
         };
-        let own = &self.config.member.node;
+        let own = &self.config.node;
         let matched = self.voters().into_iter().map(|node| {
             if node == *own {
                 return self.synced;
--- a/src/replica/core/snapshot.rs
+++ b/src/replica/core/snapshot.rs
@@ -149,7 +149,13 @@
             self.send_held(from, Body::AppendAnswer { outcome, sent_ms });
             return;
         }
-        if total > MAX_SNAPSHOT_BYTES || self.installing.is_some() {
+        if self.installing.is_some() {
+            // The leader hears that this replica is there while the snapshot is being written.
+            let outcome = AppendOutcome::NeedsSnapshot;
+            self.send(from, Body::AppendAnswer { outcome, sent_ms });
+            return;
+        }
+        if total > MAX_SNAPSHOT_BYTES {
             return;
         }
         let same = |i: &Incoming| i.snapshot.meta == meta && i.total == total;
--- a/src/replica/core/types.rs
+++ b/src/replica/core/types.rs
@@ -3,14 +3,14 @@
 use bon::Builder;
 use serde::{Deserialize, Serialize};
 
-use crate::replica::{Entry, Member, Message, Node, Snapshot};
+use crate::replica::{Entry, Message, Node, Snapshot};
 use crate::units::{Bytes, GroupId, LogIndex, Millis, ReplicaId, Term};
 
 /// Limits and times of the consensus core.
 #[derive(Builder, Clone, Debug)]
 pub struct CoreConfig {
     /// This replica.
-    pub member: Member,
+    pub node: Node,
     /// The names of the other configured replicas.
     pub peers: Vec<ReplicaId>,
     /// Seed of the election times.
--- a/src/replica/files/opening.rs
+++ b/src/replica/files/opening.rs
@@ -104,13 +104,17 @@
     start: NewFolder,
     segment_bytes: u64,
 ) -> Result<Good> {
-    for file in folder.list()? {
-        if file.starts_with(RETIRED_PREFIX) {
-            continue;
-        }
+    let names = folder.list()?;
+    let (old, present): (Vec<_>, Vec<_>) = names
+        .into_iter()
+        .partition(|file| file.starts_with(RETIRED_PREFIX));
+    let mut kept = Vec::new();
+    for file in present {
         // The identity goes first: without it no other file is ever taken for this replica's.
         if start.after_damage && file != RESERVE_FILE {
-            folder.rename(&file, &format!("{RETIRED_PREFIX}{file}"))?;
+            let retired = format!("{RETIRED_PREFIX}{file}");
+            folder.rename(&file, &retired)?;
+            kept.push(retired);
         } else {
             folder.remove(&file)?;
         }
@@ -120,6 +124,10 @@
     identity.after_damage = start.after_damage;
     identity.group = start.group;
     let slot = identity.create(folder)?;
+    // Only the files that were retired last are kept for the operator.
+    for file in old.iter().filter(|file| !kept.contains(file)) {
+        folder.remove(file)?;
+    }
     Ok(Good {
         identity,
         slot,
--- a/src/replica/message.rs
+++ b/src/replica/message.rs
@@ -1,5 +1,4 @@
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -23,33 +22,18 @@
     }
 }
 
-/// A node with its addresses.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Member {
-    /// The node.
-    pub node: Node,
-    /// Where entries reach it.
-    pub control_address: SocketAddr,
-}
-
 /// The voters of the group, sorted by node.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Membership {
     /// The voters.
-    pub voters: Vec<Member>,
+    pub voters: Vec<Node>,
 }
 
 impl Membership {
     /// Whether this node votes.
     #[must_use]
     pub fn contains(&self, node: &Node) -> bool {
-        self.voters.iter().any(|member| member.node == *node)
-    }
-
-    /// The voter with this node.
-    #[must_use]
-    pub fn get(&self, node: &Node) -> Option<&Member> {
-        self.voters.iter().find(|member| member.node == *node)
+        self.voters.contains(node)
     }
 
     /// How many voters decide.
@@ -60,17 +44,17 @@
 
     /// The same voters with one more.
     #[must_use]
-    pub fn with(&self, member: Member) -> Self {
+    pub fn with(&self, node: Node) -> Self {
         let mut voters = self.voters.clone();
-        voters.push(member);
-        voters.sort_by(|a, b| a.node.cmp(&b.node));
+        voters.push(node);
+        voters.sort();
         Self { voters }
     }
 
     /// The same voters without this node.
     #[must_use]
     pub fn without(&self, node: &Node) -> Self {
-        let kept = self.voters.iter().filter(|member| member.node != *node);
+        let kept = self.voters.iter().filter(|voter| *voter != node);
         Self {
             voters: kept.cloned().collect(),
         }
@@ -160,15 +144,13 @@
     Hello,
     /// The answer to it.
     HelloAnswer {
-        /// Who answers.
-        member: Member,
         /// Whether it may form a group: it never belonged to one.
         blank: bool,
         /// The voters, where the answering replica belongs to a group.
         members: Option<Membership>,
     },
     /// A node that is not a voter asks the leader to feed it.
-    Join(Member),
+    Join,
     /// Asks whether an election could be won, without raising any term.
     PreVote {
         /// The term that the election would have.
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -19,7 +19,7 @@
 };
 pub use lease::LeaseClock;
 pub use message::{
-    AppendOutcome, Body, Entry, Member, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
+    AppendOutcome, Body, Entry, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
 };
 pub use options::{Peer, ReplicaError, ReplicaOptions};
 pub use start::{bind, start, start_on};
--- a/src/replica/runner.rs
+++ b/src/replica/runner.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
     Applied, Entry, Leadership, MachineHooks, Message, Payload, Proposal, ProposeError, Result,
 };
 use crate::control::{GroupStatus, ReplicaStatus};
-use crate::units::{LogIndex, Millis, Term};
+use crate::units::{LogIndex, Millis, ReplicaId, Term};
 
 /// How often the core is told that time has passed.
 const TICK: Duration = Duration::from_millis(20);
@@ -36,6 +37,8 @@
     status_at: Millis,
     lease: Arc<LeaseClock>,
     waiting: BTreeMap<LogIndex, (Term, Reply)>,
+    /// Where the settings say that entries reach each replica.
+    control_addresses: BTreeMap<ReplicaId, SocketAddr>,
     batch_records: usize,
     failed: bool,
 }
@@ -47,7 +50,7 @@
         links: Links,
         writer: Writer,
         (leadership, status): (watch::Sender<Leadership>, watch::Sender<GroupStatus>),
-        origin: Instant,
+        control_addresses: BTreeMap<ReplicaId, SocketAddr>,
         batch_records: usize,
     ) -> Self {
         Self {
@@ -58,8 +61,9 @@
             leadership,
             status,
             status_at: Millis::ZERO,
-            lease: Arc::new(LeaseClock::new(origin)),
+            lease: Arc::new(LeaseClock::new(Instant::now())),
             waiting: BTreeMap::new(),
+            control_addresses,
             batch_records,
             failed: false,
         }
@@ -80,6 +84,7 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::new();
         let mut stopping: Option<Millis> = None;
+        let mut is_open = true;
         while !self.failed && !self.may_stop(stopping) {
             tokio::select! {
                 () = shutdown.cancelled(), if stopping.is_none() => {
@@ -88,14 +93,10 @@
                 }
                 Some(event) = disk.recv() => self.disk_event(event),
                 Some(message) = messages.recv() => self.handle(Event::Received(Box::new(message))),
-                taken = proposals.recv_many(&mut batch, self.batch_records) => {
-                    if taken > 0 {
-                        self.propose(&mut batch);
-                    } else {
-                        // All handles are gone; the replica still serves its peers.
-                        tick.tick().await;
-                        self.handle(Event::Tick);
-                    }
+                taken = proposals.recv_many(&mut batch, self.batch_records), if is_open => {
+                    // The replica serves its peers also after all handles are gone.
+                    is_open = taken > 0;
+                    self.propose(&mut batch);
                 }
                 _ = tick.tick() => self.handle(Event::Tick),
             }
@@ -221,12 +222,11 @@
         let until = self.core.lease_until(now).unwrap_or(Millis::ZERO);
         self.lease.set(until);
         let leader = self.core.leader();
-        let members = self.core.members();
-        let member = leader.and_then(|node| members.and_then(|m| m.get(node)));
+        let address = leader.and_then(|node| self.control_addresses.get(&node.name));
         let next = Leadership {
             term: self.core.term(),
             leader: leader.map(|node| node.name.clone()),
-            leader_address: member.map(|m| m.control_address),
+            leader_address: address.copied(),
             leads: self.core.leads(),
             has_quorum: self.core.has_quorum(now),
         };
--- a/src/replica/start.rs
+++ b/src/replica/start.rs
@@ -1,6 +1,6 @@
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -14,7 +14,7 @@
 use super::peer::{Links, serve};
 use super::runner::Runner;
 use super::writer::Writer;
-use super::{Handle, Leadership, MachineHooks, Member, Node, Peer, ReplicaError, ReplicaOptions};
+use super::{Handle, Leadership, MachineHooks, Node, Peer, ReplicaError, ReplicaOptions};
 use crate::control::GroupStatus;
 use crate::units::{FolderId, LogIndex, Millis, Term};
 
@@ -73,6 +73,11 @@
     log_opened(&options, &opened);
 
     let peers = other_peers(&options);
+    let mut control_addresses: BTreeMap<_, _> = peers
+        .iter()
+        .map(|peer| (peer.name.clone(), peer.control_address))
+        .collect();
+    control_addresses.insert(options.name.clone(), options.control_address);
     let config = core_config(&options, &peers, opened.folder);
     let core = Core::new(config, opened.recovered, Millis::ZERO);
     let (disk_sender, disk_events) = mpsc::unbounded_channel();
@@ -94,7 +99,7 @@
         Links::start(&peers),
         writer,
         (leadership, status),
-        Instant::now(),
+        control_addresses,
         options.batch_records.max(1),
     );
     let lease = runner.lease();
@@ -143,15 +148,12 @@
 }
 
 fn core_config(options: &ReplicaOptions, peers: &[Peer], folder: FolderId) -> CoreConfig {
-    let member = Member {
-        node: Node {
-            name: options.name.clone(),
-            folder,
-        },
-        control_address: options.control_address,
+    let node = Node {
+        name: options.name.clone(),
+        folder,
     };
     CoreConfig::builder()
-        .member(member)
+        .node(node)
         .peers(peers.iter().map(|p| p.name.clone()).collect())
         .seed(options.seed)
         .election_min_ms(options.election_min_ms)
--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -6,7 +6,7 @@
 use assert_matches::assert_matches;
 use marjoramknot::replica::core::{Action, Core, CoreConfig, Dropped, Event, Recovered, Refusal};
 use marjoramknot::replica::{
-    AppendOutcome, Body, Entry, Member, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
+    AppendOutcome, Body, Entry, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
 };
 use marjoramknot::units::{LogIndex, Millis, Term};
 use rstest::rstest;
@@ -261,6 +261,36 @@
     world.check_end();
 }
 
+/// Which disks hang.
+#[rstest]
+#[case::followers(&[1, 2])]
+#[case::leader(&[0])]
+fn hanging_disks(#[case] hanging: &[usize], #[values(false, true)] busy: bool) {
+    let (mut world, leader) = with_leader(3, 6);
+    let term = world.core(leader).term();
+    commit(&mut world);
+    for offset in hanging {
+        world.replicas[(leader + offset) % 3].disk_full = true;
+    }
+    for _ in 0..500 {
+        if busy {
+            world.propose(leader);
+        }
+        world.step();
+    }
+    assert_eq!(
+        world.leader(),
+        Some(leader),
+        "disks that hang depose no leader"
+    );
+    assert_eq!(world.core(leader).term(), term);
+    for offset in hanging {
+        world.replicas[(leader + offset) % 3].disk_full = false;
+    }
+    commit(&mut world);
+    world.check_end();
+}
+
 fn node(name: &str) -> Node {
     let folder = format!("{name}-folder");
     Node {
@@ -269,24 +299,17 @@
     }
 }
 
-fn member(name: &str) -> Member {
-    Member {
-        node: node(name),
-        control_address: ([127, 0, 0, 1], 1).into(),
-    }
-}
-
 fn config() -> CoreConfig {
     let names = ["b", "c", "d", "e"];
     CoreConfig::builder()
-        .member(member("a"))
+        .node(node("a"))
         .peers(names.iter().map(|name| node(name).name).collect())
         .build()
 }
 
 /// Replica a of five, with a record of term 1 and one of term 2.
 fn recovered() -> Recovered {
-    let voters = ["a", "b", "c", "d", "e"].map(member).to_vec();
+    let voters = ["a", "b", "c", "d", "e"].map(node).to_vec();
     let meta = SnapshotMeta {
         index: LogIndex::ZERO,
         term: Term::ZERO,
--- a/tests/replica_core/world.rs
+++ b/tests/replica_core/world.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use marjoramknot::replica::core::{Action, Core, CoreConfig, Event, Recovered, Save};
-use marjoramknot::replica::{Entry, Member, Message, Node, Payload};
+use marjoramknot::replica::{Entry, Message, Node, Payload};
 use marjoramknot::units::{LogIndex, Millis, Term};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -133,7 +133,7 @@
         let replica = &mut self.replicas[position];
         let peers = (0..count).filter(|other| *other != position);
         let config = CoreConfig::builder()
-            .member(member(&replica.node))
+            .node(replica.node.clone())
             .peers(peers.map(|other| node(other, 0).name).collect())
             .seed(seed)
             .snapshot_records(12)
@@ -521,13 +521,6 @@
     }
 }
 
-fn member(node: &Node) -> Member {
-    Member {
-        node: node.clone(),
-        control_address: ([127, 0, 0, 1], 1).into(),
-    }
-}
-
 fn position_of(message: &Message) -> usize {
     let digits = message.to.as_str().trim_start_matches('r');
     digits.parse().expect("names end in their position")
--- a/tests/replica_shell/files.rs
+++ b/tests/replica_shell/files.rs
@@ -4,7 +4,7 @@
 
 use marjoramknot::replica::core::{HardState, Recovered, Save};
 use marjoramknot::replica::files::{Opened, is_full, open_store};
-use marjoramknot::replica::{Entry, Member, Membership, Node, Payload, Snapshot, SnapshotMeta};
+use marjoramknot::replica::{Entry, Membership, Node, Payload, Snapshot, SnapshotMeta};
 use marjoramknot::units::{LogIndex, ReplicaId, Term};
 use rstest::rstest;
 
@@ -37,12 +37,7 @@
         name: name(),
         folder: "any".parse().expect("the folder is an id"),
     };
-    let members = Membership {
-        voters: vec![Member {
-            node,
-            control_address: ([127, 0, 0, 1], 1).into(),
-        }],
-    };
+    let members = Membership { voters: vec![node] };
     Arc::new(Snapshot {
         meta: SnapshotMeta {
             index: LogIndex(index),
