Replica: a voter that was replaced while its folder was away joins again

Failure found by restored_folder: a voter whose old folder was put back after its repair waited for ever, as the group knows another folder under its name.

Ids of folders and groups are shorter, as every message carries them; pings wait longer than a heartbeat. Leadership is logged and counted.

--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -5,6 +5,8 @@
 use crate::replica::{Body, Membership, Message, Node, Snapshot, SnapshotMeta};
 use crate::units::{GroupId, LogIndex, Millis, ReplicaId, Term};
 
+/// How long a voter hears no leader before it asks whether it was replaced.
+const REPLACED_AFTER_MS: Millis = Millis(5_000);
 /// How long a peer's word that it is blank counts.
 const BLANK_WORD_MS: Millis = Millis(2_000);
 
@@ -48,6 +50,15 @@
         self.form_group(now);
     }
 
+    /// A voter that hears no leader for long asks to join: it may have been replaced, for example
+    /// where an operator put back the folder of a replica that was repaired meanwhile.
+    pub(super) fn ask_if_replaced(&mut self, now: Millis) {
+        let heard = self.heard_leader_ms.unwrap_or_default();
+        if now >= heard.saturating_add(REPLACED_AFTER_MS) {
+            self.ask_to_join(now);
+        }
+    }
+
     pub(super) fn ask_to_join(&mut self, now: Millis) {
         if now < self.formation.ask_at_ms {
             return;
@@ -118,7 +129,7 @@
         if !all {
             return;
         }
-        let name = format!("group-{}", own.folder);
+        let name = format!("g-{}", own.folder);
         let group: GroupId = name
             .parse()
             .expect("a folder id with a prefix is a group id");
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -187,7 +187,10 @@
             Role::Leader(_) => self.check_quorum(now),
             _ if self.group.is_none() => self.ask_blank_peers(now),
             _ if !self.is_voter() => self.ask_to_join(now),
-            _ if now >= self.election_at_ms && !self.leaving => self.start_pre_vote(now),
+            _ if now >= self.election_at_ms && !self.leaving => {
+                self.start_pre_vote(now);
+                self.ask_if_replaced(now);
+            }
             _ => {}
         }
     }
--- a/src/replica/files/identity.rs
+++ b/src/replica/files/identity.rs
@@ -27,8 +27,8 @@
 impl Identity {
     /// A new identity with a folder id that was never used before.
     pub(super) fn draw(name: ReplicaId) -> Self {
-        let number: u128 = rand::rng().random();
-        let folder = format!("f{number:032x}");
+        let number: u64 = rand::rng().random();
+        let folder = format!("f{number:016x}");
         Self {
             name,
             folder: folder.parse().expect("hexadecimal digits are an id"),
--- a/src/replica/peer/link.rs
+++ b/src/replica/peer/link.rs
@@ -23,7 +23,7 @@
 const ANSWER_DEADLINE: Duration = Duration::from_millis(250);
 /// A connection that was not used for this long is pinged: the other direction may be silent as well
 /// and nothing be sent here because of it.
-const PING_AFTER: Duration = Duration::from_millis(200);
+const PING_AFTER: Duration = Duration::from_millis(250);
 /// How long a dial may take.
 const DIAL_DEADLINE: Duration = Duration::from_millis(400);
 /// How long to wait after a dial that failed.
--- a/src/replica/runner.rs
+++ b/src/replica/runner.rs
@@ -235,13 +235,39 @@
             *present = next;
             differs
         });
+        if changed {
+            self.log_leadership();
+        }
         if changed || now >= self.status_at {
             self.status_at = now.saturating_add(STATUS_INTERVAL);
             self.publish_status(now);
         }
     }
 
+    fn log_leadership(&self) {
+        let now = self.leadership.borrow();
+        let leader = now.leader.as_ref().map_or("none", ReplicaId::as_str);
+        let (term, leads, has_quorum) = (now.term, now.leads, now.has_quorum);
+        info!(event = "leadership", %term, leader, leads, has_quorum);
+    }
+
+    fn publish_metrics(&self) {
+        metrics::gauge!("replica_term").set(as_float(self.core.term().get()));
+        metrics::gauge!("replica_committed").set(as_float(self.core.committed().get()));
+        let dropped = self.core.dropped();
+        let causes = [
+            ("other_group", dropped.other_group),
+            ("other_receiver", dropped.other_receiver),
+            ("unknown_sender", dropped.unknown_sender),
+            ("stale_term", dropped.stale_term),
+        ];
+        for (cause, count) in causes {
+            metrics::counter!("replica_messages_dropped", "cause" => cause).absolute(count);
+        }
+    }
+
     fn publish_status(&self, now: Millis) {
+        self.publish_metrics();
         let replicas = self.core.node_states(now).into_iter();
         let replicas = replicas.map(|state| ReplicaStatus {
             replica: state.node.name,
@@ -259,6 +285,11 @@
     }
 }
 
+/// Gauges are floating-point; a term or position is far below where that loses digits.
+fn as_float(number: u64) -> f64 {
+    u32::try_from(number).map_or(f64::from(u32::MAX), f64::from)
+}
+
 fn answer(reply: Reply, result: Result<Applied>) {
     // The proposer may have given up waiting.
     drop(reply.send(result));
--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -196,6 +196,52 @@
     }
 }
 
+/// The replica that formed the group loses its disk before all the others heard of the group.
+#[test]
+fn lost_founder() {
+    let mut world = World::started(3, 8);
+    // It tells the others only after its own sync.
+    world.faults.max_sync_ms = 500;
+    world.run_until(5_000, "a founder", |w| w.core(0).group().is_some());
+    world.isolate(2);
+    world.run_until(5_000, "a group of two", |w| w.core(1).group().is_some());
+    assert!(world.core(2).group().is_none());
+    world.crash(0);
+    world.lose_disk(0, false);
+    world.start(0);
+    world.cuts.clear();
+    world.run_until(10_000, "a whole group", World::is_whole);
+    world.check_end();
+}
+
+/// An operator puts back the folder that a voter had before it was replaced.
+#[test]
+fn restored_folder() {
+    let (mut world, leader) = with_leader(3, 2);
+    let position = (leader + 1) % 3;
+    commit(&mut world);
+    world.crash(position);
+    let old = (
+        world.replicas[position].node.clone(),
+        world.replicas[position].disk.clone(),
+    );
+    world.lose_disk(position, false);
+    world.start(position);
+    world.run_until(5_000, "the repair", World::is_whole);
+    commit(&mut world);
+    let term = world.core(leader).term();
+    world.crash(position);
+    (world.replicas[position].node, world.replicas[position].disk) = old;
+    world.start(position);
+    world.run_until(20_000, "the second repair", World::is_whole);
+    assert_eq!(
+        world.core(leader).term(),
+        term,
+        "the old folder deposes nobody"
+    );
+    world.check_end();
+}
+
 #[test]
 fn second_loss() {
     for seed in 0..20 {
