Replica: files with one job each, in the core and its tests

Sending and saving stand in outbox.rs, what others may look at in view.rs; the checks of the world, the raw protocol and the full disk have files of their own.

--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -6,11 +6,13 @@
 mod election;
 mod formation;
 mod log;
+mod outbox;
 mod progress;
 mod repair;
 mod replication;
 mod snapshot;
 mod types;
+mod view;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -21,9 +23,9 @@
 use self::formation::Formation;
 use self::log::Log;
 use self::progress::LeaderState;
-pub use self::repair::NodeState;
 pub use self::types::{Action, CoreConfig, Dropped, Event, HardState, Recovered, Refusal, Save};
-use super::{Body, Entry, Membership, Message, Node, Payload, Snapshot};
+pub use self::view::NodeState;
+use super::{Body, Membership, Message, Node, Payload, Snapshot};
 use crate::units::{GroupId, LogIndex, Millis, Term};
 
 /// What the replica is doing.
@@ -298,89 +300,6 @@
         }
     }
 
-    fn saved(&mut self, sequence: u64, now: Millis) {
-        self.persisted = self.persisted.max(sequence);
-        while let Some((step, index, term)) = self.saving.front().copied() {
-            if step > sequence {
-                break;
-            }
-            self.saving.pop_front();
-            if self.log.term_at(index) == Some(term) {
-                self.synced = self.synced.max(index);
-            }
-        }
-        self.finish_install();
-        while self.held.front().is_some_and(|(step, _)| *step <= sequence) {
-            let Some((_, message)) = self.held.pop_front() else {
-                break;
-            };
-            self.release(message, now);
-        }
-    }
-
-    /// Sends a message, or takes it in where it is for this replica itself.
-    fn release(&mut self, message: Message, now: Millis) {
-        if message.to_folder.as_ref() == Some(&self.config.node.folder) {
-            if message.term == self.hard.term
-                && let Body::VoteAnswer { granted } = message.body
-            {
-                self.hear_vote_answer(message.from, granted, now);
-            }
-            return;
-        }
-        self.out.push(Action::Send(message));
-    }
-
-    fn save_unsaved(&mut self) {
-        if !self.unsaved.is_empty() {
-            self.sequence += 1;
-            let mut save = std::mem::take(&mut self.unsaved);
-            save.sequence = self.sequence;
-            let end = (self.log.last_index(), self.log.last_term());
-            self.saving.push_back((self.sequence, end.0, end.1));
-            if let Some((step, _)) = &mut self.installing
-                && *step == 0
-            {
-                *step = self.sequence;
-            }
-            self.out.push(Action::Save(save));
-        }
-        let sequence = self.sequence;
-        for message in std::mem::take(&mut self.held_now) {
-            if self.persisted >= sequence && !self.is_self(&message) {
-                self.out.push(Action::Send(message));
-            } else {
-                self.held.push_back((sequence, message));
-            }
-        }
-    }
-
-    fn is_self(&self, message: &Message) -> bool {
-        message.to_folder.as_ref() == Some(&self.config.node.folder)
-    }
-
-    fn message(&self, to: &Node, body: Body) -> Message {
-        Message {
-            group: self.group.clone(),
-            from: self.config.node.clone(),
-            to: to.name.clone(),
-            to_folder: Some(to.folder.clone()),
-            term: self.hard.term,
-            body,
-        }
-    }
-
-    fn send(&mut self, to: &Node, body: Body) {
-        let message = self.message(to, body);
-        self.out.push(Action::Send(message));
-    }
-
-    /// Sends once everything that was decided so far is durable.
-    fn send_held(&mut self, to: &Node, body: Body) {
-        let message = self.message(to, body);
-        self.held_now.push(message);
-    }
-
     fn apply_committed(&mut self) {
         if self.commit <= self.applied || self.installing.is_some() {
             return;
@@ -428,58 +347,4 @@
     fn quorum(&self) -> usize {
         self.log.members().map_or(usize::MAX, Membership::quorum)
     }
-
-    /// The last record that is applied.
-    #[must_use]
-    pub const fn applied(&self) -> LogIndex {
-        self.applied
-    }
-
-    /// The last record that is known to be committed.
-    #[must_use]
-    pub const fn committed(&self) -> LogIndex {
-        self.commit
-    }
-
-    /// The present term.
-    #[must_use]
-    pub const fn term(&self) -> Term {
-        self.hard.term
-    }
-
-    /// The group, where the replica belongs to one.
-    #[must_use]
-    pub const fn group(&self) -> Option<&GroupId> {
-        self.group.as_ref()
-    }
-
-    /// The known leader.
-    #[must_use]
-    pub const fn leader(&self) -> Option<&Node> {
-        self.leader.as_ref()
-    }
-
-    /// The voters now in force.
-    #[must_use]
-    pub fn members(&self) -> Option<&Membership> {
-        self.log.members()
-    }
-
-    /// The position of the record that named the voters now in force.
-    #[must_use]
-    pub fn members_index(&self) -> LogIndex {
-        self.log.members_index()
-    }
-
-    /// The record at a position, where it is kept in memory.
-    #[must_use]
-    pub fn entry(&self, index: LogIndex) -> Option<&Arc<Entry>> {
-        self.log.get(index)
-    }
-
-    /// Messages that were dropped.
-    #[must_use]
-    pub const fn dropped(&self) -> Dropped {
-        self.dropped
-    }
 }
--- a/src/replica/core/repair.rs
+++ b/src/replica/core/repair.rs
@@ -1,7 +1,7 @@
 use super::progress::Progress;
 use super::{Core, Role};
 use crate::replica::{Membership, Node, Payload};
-use crate::units::{LogIndex, Millis};
+use crate::units::Millis;
 
 impl Core {
     /// Takes in a node that lost its folder as a learner, where a voter had its name.
@@ -98,49 +98,4 @@
             progress.or_insert_with(|| Progress::new(next)).is_learner = false;
         }
     }
-
-    /// What the leader knows of each node, for operators: synced position and time since it was heard.
-    #[must_use]
-    pub fn node_states(&self, now: Millis) -> Vec<NodeState> {
-        let own = &self.config.node;
-        // A change of the voters may still be lost before it is committed.
-        let settled = self.log.members_at(self.commit);
-        let votes = |node: &Node| settled.is_some_and(|members| members.contains(node));
-        let mut states = vec![NodeState {
-            node: own.clone(),
-            voter: votes(own),
-            matched: self.synced,
-            silent_ms: Some(Millis::ZERO),
-        }];
-        if let Role::Leader(state) = &self.role {
-            states.extend(state.progress.iter().map(|(node, p)| NodeState {
-                node: node.clone(),
-                voter: votes(node),
-                matched: p.matched,
-                silent_ms: p.heard_ms.map(|at| now.since(at)),
-            }));
-        } else {
-            let others = self.voters().into_iter().filter(|node| node != own);
-            states.extend(others.map(|node| NodeState {
-                voter: votes(&node),
-                node,
-                matched: LogIndex::ZERO,
-                silent_ms: None,
-            }));
-        }
-        states
-    }
-}
-
-/// One node as the leader knows it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct NodeState {
-    /// The node.
-    pub node: Node,
-    /// Whether it votes.
-    pub voter: bool,
-    /// The last record that it has synced.
-    pub matched: LogIndex,
-    /// How long ago it was heard; none where it never was.
-    pub silent_ms: Option<Millis>,
 }
--- /dev/null
+++ b/src/replica/core/view.rs
@@ -0,0 +1,106 @@
+use std::sync::Arc;
+
+use super::{Core, Dropped, Role};
+use crate::replica::{Entry, Membership, Node};
+use crate::units::{GroupId, LogIndex, Millis, Term};
+
+/// One node as the leader knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeState {
+    /// The node.
+    pub node: Node,
+    /// Whether it votes.
+    pub voter: bool,
+    /// The last record that it has synced.
+    pub matched: LogIndex,
+    /// How long ago it was heard; none where it never was.
+    pub silent_ms: Option<Millis>,
+}
+
+impl Core {
+    /// The last record that is applied.
+    #[must_use]
+    pub const fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// The last record that is known to be committed.
+    #[must_use]
+    pub const fn committed(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// The present term.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// The group, where the replica belongs to one.
+    #[must_use]
+    pub const fn group(&self) -> Option<&GroupId> {
+        self.group.as_ref()
+    }
+
+    /// The known leader.
+    #[must_use]
+    pub const fn leader(&self) -> Option<&Node> {
+        self.leader.as_ref()
+    }
+
+    /// The voters now in force.
+    #[must_use]
+    pub fn members(&self) -> Option<&Membership> {
+        self.log.members()
+    }
+
+    /// The position of the record that named the voters now in force.
+    #[must_use]
+    pub fn members_index(&self) -> LogIndex {
+        self.log.members_index()
+    }
+
+    /// The record at a position, where it is kept in memory.
+    #[must_use]
+    pub fn entry(&self, index: LogIndex) -> Option<&Arc<Entry>> {
+        self.log.get(index)
+    }
+
+    /// Messages that were dropped.
+    #[must_use]
+    pub const fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// What the leader knows of each node, for operators: synced position and time since it was heard.
+    #[must_use]
+    pub fn node_states(&self, now: Millis) -> Vec<NodeState> {
+        let own = &self.config.node;
+        // A change of the voters may still be lost before it is committed.
+        let settled = self.log.members_at(self.commit);
+        let votes = |node: &Node| settled.is_some_and(|members| members.contains(node));
+        let mut states = vec![NodeState {
+            node: own.clone(),
+            voter: votes(own),
+            matched: self.synced,
+            silent_ms: Some(Millis::ZERO),
+        }];
+        if let Role::Leader(state) = &self.role {
+            states.extend(state.progress.iter().map(|(node, p)| NodeState {
+                node: node.clone(),
+                voter: votes(node),
+                matched: p.matched,
+                silent_ms: p.heard_ms.map(|at| now.since(at)),
+            }));
+        } else {
+            let others = self.voters().into_iter().filter(|node| node != own);
+            states.extend(others.map(|node| NodeState {
+                voter: votes(&node),
+                node,
+                matched: LogIndex::ZERO,
+                silent_ms: None,
+            }));
+        }
+        states
+    }
+}
--- /dev/null
+++ b/tests/replica_core/checks.rs
@@ -0,0 +1,106 @@
+//! What must hold in a [`World`] after each step, and after all faults have ended.
+
+use std::collections::BTreeSet;
+
+use marjoramknot::units::Millis;
+
+use crate::world::{Replica, World};
+
+impl World {
+    /// The state of all replicas, for a test that fails.
+    pub fn describe(&self) -> String {
+        let lines = self.replicas.iter().map(|replica| {
+            let core = replica.core.as_ref().map(|core| {
+                let voters = core.members().map_or(0, |m| m.voters.len());
+                let (committed, applied) = (core.committed(), core.applied());
+                let states = core.node_states(Millis(self.now_ms));
+                let leads = core.is_leader();
+                format!(
+                    "{} term={} leader={:?} leads={leads} committed={committed} applied={applied} voters={voters} {states:?}",
+                    replica.node, core.term(), core.leader(),
+                )
+            });
+            core.unwrap_or_default()
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
+    /// Checks that each term has one leader, and that one replica at most holds a lease.
+    pub fn check_leaders(&mut self) {
+        let seed = self.seed;
+        let mut holders = Vec::new();
+        for (position, replica) in self.replicas.iter_mut().enumerate() {
+            let Some(core) = &replica.core else {
+                continue;
+            };
+            if !core.is_leader() {
+                replica.waiting.clear();
+                continue;
+            }
+            let known = self.leaders.entry(core.term());
+            let leader = known.or_insert_with(|| replica.node.clone());
+            assert_eq!(
+                *leader, replica.node,
+                "seed {seed}: two leaders in one term"
+            );
+            let local = Millis(self.now_ms + self.now_ms * replica.fast / 1_000);
+            if core.has_quorum(local) {
+                holders.push((position, core.term()));
+            }
+        }
+        assert!(
+            holders.len() <= 1,
+            "seed {seed}: two leases at once: {holders:?}"
+        );
+    }
+
+    /// Whether all replicas vote under their present folders and have applied the same.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let members = self.core(leader).members();
+        let votes = |r: &Replica| members.is_some_and(|m| m.contains(&r.node));
+        let index = self.core(leader).committed();
+        let count = members.map_or(0, |m| m.voters.len());
+        count == self.replicas.len()
+            && self
+                .replicas
+                .iter()
+                .all(|r| votes(r) && r.applied_index == index)
+    }
+
+    /// Checks after the end of all faults that the group works and nothing acknowledged is lost.
+    pub fn check_end(&mut self) {
+        self.heal();
+        let seed = self.seed;
+        self.run_until(20_000, "a whole group", Self::is_whole);
+        let leader = self.leader().expect("a whole group has a leader");
+        let before = self.acknowledged.len();
+        assert!(
+            self.propose(leader),
+            "seed {seed}: a whole group takes proposals"
+        );
+        self.run_until(2_000, "a commit", |w| w.acknowledged.len() > before);
+        self.run_until(5_000, "the same state everywhere", Self::is_whole);
+        let applied: BTreeSet<_> = self.replicas[leader].applied.iter().collect();
+        for command in &self.acknowledged {
+            assert!(
+                applied.contains(command),
+                "seed {seed}: an acknowledged change is lost"
+            );
+        }
+        for command in &self.refused {
+            assert!(
+                !applied.contains(command),
+                "seed {seed}: a refused change was applied"
+            );
+        }
+        for replica in &self.replicas {
+            assert_eq!(
+                replica.applied, self.replicas[leader].applied,
+                "seed {seed}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/replica_core/protocol.rs
@@ -0,0 +1,190 @@
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use marjoramknot::replica::core::{Action, Core, CoreConfig, Dropped, Event, Recovered, Refusal};
+use marjoramknot::replica::{
+    AppendOutcome, Body, Entry, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
+};
+use marjoramknot::units::{LogIndex, Millis, Term};
+use rstest::rstest;
+
+fn node(name: &str) -> Node {
+    let folder = format!("{name}-folder");
+    Node {
+        name: name.parse().expect("the name is an id"),
+        folder: folder.parse().expect("the folder is an id"),
+    }
+}
+
+fn config() -> CoreConfig {
+    let names = ["b", "c", "d", "e"];
+    CoreConfig::builder()
+        .node(node("a"))
+        .peers(names.iter().map(|name| node(name).name).collect())
+        .build()
+}
+
+/// Replica a of five, with a record of term 1 and one of term 2.
+fn recovered() -> Recovered {
+    let voters = ["a", "b", "c", "d", "e"].map(node).to_vec();
+    let meta = SnapshotMeta {
+        index: LogIndex::ZERO,
+        term: Term::ZERO,
+        members: Membership { voters },
+    };
+    let entry = |number: u64| {
+        Arc::new(Entry {
+            index: LogIndex(number),
+            term: Term(number),
+            payload: Payload::Command(vec![1]),
+        })
+    };
+    let mut recovered = Recovered {
+        group: "group".parse().ok(),
+        snapshot: Some(Arc::new(Snapshot {
+            meta,
+            data: Vec::new(),
+        })),
+        entries: vec![entry(1), entry(2)],
+        ..Recovered::default()
+    };
+    recovered.hard.term = Term(3);
+    recovered
+}
+
+fn message(from: &str, term: Term, body: Body) -> Message {
+    Message {
+        group: "group".parse().ok(),
+        from: node(from),
+        to: node("a").name,
+        to_folder: Some(node("a").folder),
+        term,
+        body,
+    }
+}
+
+fn receive(core: &mut Core, message: Message, now: u64) -> Vec<Action> {
+    core.handle(Event::Received(Box::new(message)), Millis(now))
+}
+
+/// Replica a, elected in term 4 by b and c.
+fn elected() -> Core {
+    let mut core = Core::new(config(), recovered(), Millis::ZERO);
+    core.handle(Event::Tick, Millis(2_000));
+    for from in ["b", "c"] {
+        let body = Body::PreVoteAnswer {
+            next_term: Term(4),
+            granted: true,
+        };
+        receive(&mut core, message(from, Term(3), body), 2_000);
+    }
+    core.handle(Event::Persisted { sequence: 1 }, Millis(2_000));
+    for from in ["b", "c"] {
+        let body = Body::VoteAnswer { granted: true };
+        receive(&mut core, message(from, Term(4), body), 2_000);
+    }
+    assert!(core.is_leader());
+    core
+}
+
+fn matched(core: &mut Core, from: &str, index: u64) {
+    let body = Body::AppendAnswer {
+        outcome: AppendOutcome::Matched(LogIndex(index)),
+        sent_ms: Millis(2_000),
+    };
+    receive(core, message(from, Term(4), body), 2_010);
+}
+
+#[test]
+fn earlier_terms() {
+    let mut core = elected();
+    for from in ["b", "c", "d", "e"] {
+        matched(&mut core, from, 2);
+    }
+    // A record of an earlier term may still be replaced, however many hold it.
+    assert_eq!(core.committed(), LogIndex::ZERO);
+    assert!(!core.leads());
+    matched(&mut core, "b", 3);
+    assert_eq!(core.committed(), LogIndex::ZERO);
+    matched(&mut core, "c", 3);
+    assert_eq!(
+        core.committed(),
+        LogIndex::ZERO,
+        "the leader's own record is not yet synced"
+    );
+    core.handle(Event::Persisted { sequence: 2 }, Millis(2_020));
+    assert_eq!(core.committed(), LogIndex(3));
+    assert!(core.leads());
+}
+
+#[test]
+fn lease_end() {
+    let config = config();
+    assert!(config.lease_ms().with_clock_margin() <= config.election_min_ms);
+    let mut core = elected();
+    assert!(!core.has_quorum(Millis(2_010)), "votes are no lease");
+    matched(&mut core, "b", 2);
+    assert!(!core.has_quorum(Millis(2_010)));
+    matched(&mut core, "c", 2);
+    // The lease counts from when the messages were sent.
+    assert!(core.has_quorum(Millis(2_899)));
+    assert!(!core.has_quorum(Millis(2_900)));
+    core.handle(Event::Tick, Millis(3_000));
+    assert!(!core.is_leader());
+}
+
+#[rstest]
+#[case::other_group(|m: &mut Message| m.group = "other".parse().ok(), |d: Dropped| d.other_group)]
+#[case::no_group(|m: &mut Message| m.group = None, |d: Dropped| d.other_group)]
+#[case::other_name(|m: &mut Message| m.to = node("x").name, |d: Dropped| d.other_receiver)]
+#[case::old_folder(
+    |m: &mut Message| m.to_folder = Some(node("x").folder),
+    |d: Dropped| d.other_receiver
+)]
+#[case::no_folder(|m: &mut Message| m.to_folder = None, |d: Dropped| d.other_receiver)]
+#[case::unknown_sender(|m: &mut Message| m.from = node("x"), |d: Dropped| d.unknown_sender)]
+#[case::lost_folder(
+    |m: &mut Message| m.from.folder = node("x").folder,
+    |d: Dropped| d.unknown_sender
+)]
+#[case::stale_term(|m: &mut Message| m.term = Term(1), |d: Dropped| d.stale_term)]
+fn foreign_messages(#[case] change: fn(&mut Message), #[case] count: fn(Dropped) -> u64) {
+    let mut core = elected();
+    let body = Body::AppendAnswer {
+        outcome: AppendOutcome::Matched(LogIndex(3)),
+        sent_ms: Millis(2_000),
+    };
+    let mut foreign = message("b", Term(4), body);
+    change(&mut foreign);
+    receive(&mut core, foreign, 2_010);
+    assert_eq!(count(core.dropped()), 1);
+    let states = core.node_states(Millis(2_010));
+    assert!(
+        states
+            .iter()
+            .all(|s| s.node == node("a") || s.matched == LogIndex::ZERO)
+    );
+}
+
+#[test]
+fn deposed_by_term() {
+    let mut core = elected();
+    let body = Body::VoteAnswer { granted: false };
+    receive(&mut core, message("b", Term(9), body), 2_010);
+    assert!(!core.is_leader());
+    assert_eq!(core.term(), Term(9));
+    assert_matches!(core.propose(vec![1]), Err(Refusal::NotLeader));
+}
+
+#[test]
+fn large_command() {
+    let mut core = elected();
+    let bytes = usize::try_from(config().uncommitted_bytes.get()).expect("the limit fits");
+    assert_matches!(core.propose(vec![0; bytes]), Err(Refusal::TooLarge));
+    let mut taken = 0;
+    while core.propose(vec![0; bytes / 4]).is_ok() {
+        taken += 1;
+        assert!(taken < 10, "records that wait are bounded");
+    }
+    assert_matches!(core.propose(vec![0; 1]), Err(Refusal::TooMuchWaiting));
+}
--- a/tests/replica_core/world.rs
+++ b/tests/replica_core/world.rs
@@ -34,10 +34,10 @@
     pub applied_index: LogIndex,
     leaving: bool,
     unsynced: VecDeque<(u64, Save)>,
-    waiting: BTreeMap<LogIndex, (Term, Vec<u8>)>,
+    pub waiting: BTreeMap<LogIndex, (Term, Vec<u8>)>,
     folders: u64,
     /// Parts in a thousand by which its clock runs fast.
-    fast: u64,
+    pub fast: u64,
 }
 
 impl Replica {
@@ -61,7 +61,7 @@
     pub refused: Vec<Vec<u8>>,
     pub sent: u64,
     rng: StdRng,
-    seed: u64,
+    pub seed: u64,
     flying: BTreeMap<(u64, u64), Message>,
     next_message: u64,
     next_command: u64,
@@ -259,24 +259,6 @@
         self.now_ms - from
     }
 
-    /// The state of all replicas, for a test that fails.
-    fn describe(&self) -> String {
-        let lines = self.replicas.iter().map(|replica| {
-            let core = replica.core.as_ref().map(|core| {
-                let voters = core.members().map_or(0, |m| m.voters.len());
-                let (committed, applied) = (core.committed(), core.applied());
-                let states = core.node_states(Millis(self.now_ms));
-                let leads = core.is_leader();
-                format!(
-                    "{} term={} leader={:?} leads={leads} committed={committed} applied={applied} voters={voters} {states:?}",
-                    replica.node, core.term(), core.leader(),
-                )
-            });
-            core.unwrap_or_default()
-        });
-        lines.collect::<Vec<_>>().join("\n")
-    }
-
     /// The replica that leads with a lease and has applied all earlier records.
     pub fn leader(&self) -> Option<usize> {
         (0..self.replicas.len()).find(|position| {
@@ -432,84 +414,6 @@
             self.event(position, Event::Persisted { sequence });
         }
     }
-
-    fn check_leaders(&mut self) {
-        let seed = self.seed;
-        let mut holders = Vec::new();
-        for (position, replica) in self.replicas.iter_mut().enumerate() {
-            let Some(core) = &replica.core else {
-                continue;
-            };
-            if !core.is_leader() {
-                replica.waiting.clear();
-                continue;
-            }
-            let known = self.leaders.entry(core.term());
-            let leader = known.or_insert_with(|| replica.node.clone());
-            assert_eq!(
-                *leader, replica.node,
-                "seed {seed}: two leaders in one term"
-            );
-            let local = Millis(self.now_ms + self.now_ms * replica.fast / 1_000);
-            if core.has_quorum(local) {
-                holders.push((position, core.term()));
-            }
-        }
-        assert!(
-            holders.len() <= 1,
-            "seed {seed}: two leases at once: {holders:?}"
-        );
-    }
-
-    /// Whether all replicas vote under their present folders and have applied the same.
-    pub fn is_whole(&self) -> bool {
-        let Some(leader) = self.leader() else {
-            return false;
-        };
-        let members = self.core(leader).members();
-        let votes = |r: &Replica| members.is_some_and(|m| m.contains(&r.node));
-        let index = self.core(leader).committed();
-        let count = members.map_or(0, |m| m.voters.len());
-        count == self.replicas.len()
-            && self
-                .replicas
-                .iter()
-                .all(|r| votes(r) && r.applied_index == index)
-    }
-
-    /// Checks after the end of all faults that the group works and nothing acknowledged is lost.
-    pub fn check_end(&mut self) {
-        self.heal();
-        let seed = self.seed;
-        self.run_until(20_000, "a whole group", Self::is_whole);
-        let leader = self.leader().expect("a whole group has a leader");
-        let before = self.acknowledged.len();
-        assert!(
-            self.propose(leader),
-            "seed {seed}: a whole group takes proposals"
-        );
-        self.run_until(2_000, "a commit", |w| w.acknowledged.len() > before);
-        self.run_until(5_000, "the same state everywhere", Self::is_whole);
-        let applied: BTreeSet<_> = self.replicas[leader].applied.iter().collect();
-        for command in &self.acknowledged {
-            assert!(
-                applied.contains(command),
-                "seed {seed}: an acknowledged change is lost"
-            );
-        }
-        for command in &self.refused {
-            assert!(
-                !applied.contains(command),
-                "seed {seed}: a refused change was applied"
-            );
-        }
-        for replica in &self.replicas {
-            assert_eq!(
-                replica.applied, self.replicas[leader].applied,
-                "seed {seed}"
-            );
-        }
-    }
 }
 
 fn node(position: usize, folder: u64) -> Node {
--- a/tests/replica_shell/files.rs
+++ b/tests/replica_shell/files.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use marjoramknot::replica::core::{HardState, Recovered, Save};
-use marjoramknot::replica::files::{Opened, is_full, open_store};
+use marjoramknot::replica::files::{Opened, open_store};
 use marjoramknot::replica::{Entry, Membership, Node, Payload, Snapshot, SnapshotMeta};
 use marjoramknot::units::{LogIndex, ReplicaId, Term};
 use rstest::rstest;
@@ -11,17 +11,17 @@
 use crate::disk::{FakeDisk, Unsynced};
 
 /// Small segments, so that a few records need several.
-const SEGMENT_BYTES: u64 = 200;
+pub const SEGMENT_BYTES: u64 = 200;
 
-fn name() -> ReplicaId {
+pub fn name() -> ReplicaId {
     "a".parse().expect("the name is an id")
 }
 
-fn open(disk: &FakeDisk) -> Opened {
+pub fn open(disk: &FakeDisk) -> Opened {
     open_store(disk.folder(), &name(), SEGMENT_BYTES).expect("the fake disk works")
 }
 
-fn entry(index: u64, term: u64) -> Arc<Entry> {
+pub fn entry(index: u64, term: u64) -> Arc<Entry> {
     let mut command = format!("command {index} of term {term}").into_bytes();
     // Zeros at the end of a record must not look like an unfinished write.
     command.resize(60, 0);
@@ -32,7 +32,7 @@
     })
 }
 
-fn snapshot(index: u64, term: u64) -> Arc<Snapshot> {
+pub fn snapshot(index: u64, term: u64) -> Arc<Snapshot> {
     let node = Node {
         name: name(),
         folder: "any".parse().expect("the folder is an id"),
@@ -56,7 +56,7 @@
     }
 }
 
-fn records(from: u64, to: u64, term: u64) -> Save {
+pub fn records(from: u64, to: u64, term: u64) -> Save {
     Save {
         entries: (from..=to).map(|index| entry(index, term)).collect(),
         ..Save::default()
@@ -243,7 +243,7 @@
 }
 
 /// A disk with a state, a snapshot and several segments.
-fn lived() -> (FakeDisk, Opened) {
+pub fn lived() -> (FakeDisk, Opened) {
     let disk = FakeDisk::default();
     let mut opened = open(&disk);
     for save in [first_state(), vote(1, "one"), records(1, 9, 1)] {
@@ -400,72 +400,3 @@
     opened.store.sync().expect("the fake disk works");
     assert_eq!(open(&disk).recovered.entries.len(), 12);
 }
-
-#[test]
-fn full_disk() {
-    for free in (0..400).step_by(20) {
-        let (disk, mut opened) = lived();
-        assert!(opened.store.fill_reserve().expect("there is space"));
-        disk.limit(Some(free));
-        let save = records(10, 40, 1);
-        let mut tries = 0;
-        while let Err(error) = opened.store.apply(&save).and_then(|()| opened.store.sync()) {
-            assert!(is_full(&error), "free {free}: {error}");
-            tries += 1;
-            assert!(tries < 5, "free {free}: the reserve is enough");
-            opened.store.free_reserve().expect("the reserve goes");
-        }
-        assert!(tries > 0, "free {free}");
-        disk.limit(Some(0));
-        assert!(
-            !opened
-                .store
-                .fill_reserve()
-                .expect("a full disk is no failure")
-        );
-        disk.limit(None);
-        assert!(opened.store.fill_reserve().expect("there is space again"));
-        disk.crash(Unsynced::Lost);
-        let again = open(&disk);
-        assert_eq!(again.damage, None, "free {free}");
-        assert_eq!(again.recovered.entries.len(), 40, "free {free}");
-    }
-}
-
-#[test]
-fn full_disk_snapshot() {
-    let (disk, mut opened) = lived();
-    disk.limit(Some(10));
-    let save = Save {
-        snapshot: Some(snapshot(9, 1)),
-        compact_to: Some(LogIndex(8)),
-        ..Save::default()
-    };
-    opened.store.apply(&save).expect("a snapshot can wait");
-    disk.crash(Unsynced::Lost);
-    let again = open(&disk);
-    assert_eq!(again.folder, opened.folder);
-    assert_eq!(
-        again.recovered.entries.len(),
-        9,
-        "the log that the snapshot replaces is kept"
-    );
-}
-
-#[test]
-fn one_sync() {
-    let (disk, mut opened) = lived();
-    // The segment that is open has space for these.
-    let before = disk.syncs();
-    for index in 10..12 {
-        opened
-            .store
-            .apply(&records(index, index, 1))
-            .expect("the fake disk works");
-    }
-    opened.store.sync().expect("the fake disk works");
-    assert!(
-        disk.syncs() - before <= 1 + 3,
-        "one sync for the records, three for a new segment"
-    );
-}
--- a/tests/replica_shell/main.rs
+++ b/tests/replica_shell/main.rs
@@ -5,3 +5,4 @@
 mod group;
 mod proxy;
 mod running;
+mod space;
