--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -1,15 +1,25 @@
 //! Measures the slopes behind docs/CAPACITY.md and prints its tables in Markdown.
 
+#[path = "capacity/durable.rs"]
+mod durable;
+#[path = "capacity/fleet.rs"]
+mod fleet;
 #[path = "capacity/messages.rs"]
 mod messages;
 #[path = "capacity/slope.rs"]
 mod slope;
 
+use std::alloc::System;
 use std::hint::black_box;
 use std::time::Instant;
 
+use fleet::{Fleet, Size};
 use marjoramknot::fleet::WorkerPoll;
 use slope::Line;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 const RUNS: u32 = 5;
 const ROUNDS: u32 = 2_000;
@@ -21,6 +31,58 @@
 
 fn main() {
     print_messages();
+    print_durable();
+    print_scheduler();
+}
+
+fn print_durable() {
+    let sizes = [125, 250, 500, 1_000];
+    let log = slope::measure(&sizes, 1, |jobs| durable::measure(jobs).log_bytes);
+    let snapshot = slope::measure(&sizes, 1, |jobs| durable::measure(jobs).snapshot_bytes);
+    let apply = slope::measure(&sizes, RUNS, |jobs| durable::measure(jobs).apply_us);
+    println!("\n| slope | at no job | each job of 32 tasks | spread of the runs |");
+    println!("| --- | --- | --- | --- |");
+    row("log bytes from submission to end", log);
+    row("snapshot bytes while it runs", snapshot);
+    row("encode, decode and apply its records, us", apply);
+    println!("\nsmall_note_bytes={:.0}", durable::small_note_bytes());
+}
+
+fn print_scheduler() {
+    println!(
+        "\n| workers | tasks running | state, MB | poll p50, us | poll p99, us | tick p50, us | tick p99, us |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for part in [1, 2, 4, 8] {
+        let size = Size::eighths(part);
+        let mut fleet = Fleet::new(size);
+        fleet.run(60);
+        fleet.poll_us.clear();
+        fleet.tick_us.clear();
+        fleet.run(20);
+        let tasks = fleet.running_tasks();
+        let polls = (
+            percentile(&mut fleet.poll_us, 50),
+            percentile(&mut fleet.poll_us, 99),
+        );
+        let ticks = (
+            percentile(&mut fleet.tick_us, 50),
+            percentile(&mut fleet.tick_us, 99),
+        );
+        let region = Region::new(ALLOCATOR);
+        fleet.drop_scheduler();
+        let freed = region.change();
+        let state_mb = (freed.bytes_deallocated - freed.bytes_allocated) as f64 / 1e6;
+        println!(
+            "| {} | {tasks} | {state_mb:.1} | {:.1} | {:.1} | {:.0} | {:.0} |",
+            size.workers, polls.0, polls.1, ticks.0, ticks.1
+        );
+    }
+}
+
+fn percentile(values: &mut [f64], percent: usize) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[(values.len() - 1) * percent / 100]
 }
 
 fn json_len<T: serde::Serialize>(value: &T) -> f64 {
--- /dev/null
+++ b/benches/capacity/durable.rs
@@ -0,0 +1,137 @@
+//! What the log and the replicated state cost for each job.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use marjoramknot::control::{Command, CommandBody, Machine};
+use marjoramknot::release_note::{NoteItems, ReleaseNote, TeamSpec};
+use marjoramknot::scheduler::{JobOutcome, JobTransition, Member};
+use marjoramknot::units::{
+    Attempt, Incarnation, LogIndex, MemoryMb, NoteVersion, TaskIndex, WallMs,
+};
+
+use crate::fleet::{self, Size};
+use crate::messages::id;
+
+/// What some jobs cost in the log and in the state.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    /// Log bytes.
+    pub log_bytes: f64,
+    /// Time to encode and apply all records, in microseconds.
+    pub apply_us: f64,
+    /// Bytes of a snapshot while they run.
+    pub snapshot_bytes: f64,
+}
+
+/// Runs `jobs` jobs of 32 tasks through the replicated state up to their start, then ends them.
+pub fn measure(jobs: u32) -> Cost {
+    let mut machine = Machine::default();
+    let mut index = 0;
+    let mut log_bytes = 0_usize;
+    let start = Instant::now();
+    let mut apply = |machine: &mut Machine, body: CommandBody| {
+        index += 1;
+        let command = Command {
+            wall_ms: WallMs(index),
+            body,
+        };
+        let bytes = postcard::to_allocvec(&command).expect("a command encodes");
+        log_bytes += bytes.len();
+        let command: Command = postcard::from_bytes(&bytes).expect("a command decodes");
+        black_box(machine.apply(LogIndex(index), &command));
+    };
+    apply(&mut machine, note(1));
+    let size = Size {
+        running: jobs,
+        waiting: 0,
+        ..Size::eighths(8)
+    };
+    let records = fleet::records(size);
+    for record in &records {
+        apply(
+            &mut machine,
+            CommandBody::SubmitJob(Box::new(record.spec.clone())),
+        );
+        let job = record.spec.key.clone();
+        let attempt = Attempt(1);
+        let placed = JobTransition::Placed {
+            job: job.clone(),
+            attempt,
+            members: members(record.spec.tasks),
+        };
+        apply(&mut machine, CommandBody::Job(Box::new(placed)));
+        apply(
+            &mut machine,
+            CommandBody::Job(Box::new(JobTransition::Started { job, attempt })),
+        );
+    }
+    let snapshot_bytes = machine.snapshot().len();
+    for record in &records {
+        let results =
+            vec!["ok".into(); usize::try_from(record.spec.tasks).expect("a small number")];
+        let outcome = JobOutcome::Succeeded { results };
+        let ended = JobTransition::Ended {
+            job: record.spec.key.clone(),
+            outcome,
+        };
+        apply(&mut machine, CommandBody::Job(Box::new(ended)));
+    }
+    Cost {
+        log_bytes: float(log_bytes),
+        apply_us: start.elapsed().as_secs_f64() * 1e6,
+        snapshot_bytes: float(snapshot_bytes),
+    }
+}
+
+fn float(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("under 4 GB"))
+}
+
+fn members(tasks: u32) -> Vec<Member> {
+    let member = |index| Member {
+        index: TaskIndex(index),
+        worker: id("worker", index),
+        incarnation: Incarnation(1_764_829_800_000),
+    };
+    (0..tasks).map(member).collect()
+}
+
+/// A note that declares the letter's zones and teams.
+fn note(version: u64) -> CommandBody {
+    let state = fleet::in_force(Size::eighths(8));
+    let note = ReleaseNote {
+        version: NoteVersion(version),
+        added: NoteItems {
+            teams: state.teams.into_values().collect(),
+            zones: state.zones.into_values().collect(),
+            ..NoteItems::default()
+        },
+        ..ReleaseNote::default()
+    };
+    let digest = note.digest();
+    CommandBody::ApplyNote {
+        note: Box::new(note),
+        digest,
+    }
+}
+
+/// Bytes of one note that changes one team, as the log and each entry's exchange carry it.
+pub fn small_note_bytes() -> f64 {
+    let team = TeamSpec {
+        name: id("team", 7),
+        attempts_max: 4,
+        queued_jobs_max: 10_000,
+        task_memory_max_mb: MemoryMb(65_536),
+        request_weight: 2,
+    };
+    let note = ReleaseNote {
+        version: NoteVersion(17),
+        changed: NoteItems {
+            teams: vec![team],
+            ..NoteItems::default()
+        },
+        ..ReleaseNote::default()
+    };
+    float(postcard::to_allocvec(&note).expect("a note encodes").len())
+}
--- a/benches/capacity/messages.rs
+++ b/benches/capacity/messages.rs
@@ -14,7 +14,7 @@
 
 const TEAMS: u32 = 300;
 
-fn id<T: std::str::FromStr>(prefix: &str, number: u32) -> T {
+pub fn id<T: std::str::FromStr>(prefix: &str, number: u32) -> T {
     let text = format!("{prefix}-{number:05}");
     text.parse()
         .ok()
