--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -18,6 +18,8 @@
 
 /// How long one try of a call may take before its connection counts as silent.
 const TRY_MS: Millis = Millis(1_000);
+/// How long a call is tried where its caller sets no deadline.
+const CALL_MS: Millis = Millis(5_000);
 /// How much longer than its hold an exchange or a held look-up may take.
 const HOLD_SLACK_MS: Millis = Millis(400);
 /// The pause before another try where no replica is known to lead.
@@ -35,6 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     connections: Arc<Connections>,
+    deadline_ms: Millis,
 }
 
 /// How a try ended that gave no final answer.
@@ -57,6 +60,16 @@
     pub fn with_dial(addresses: Vec<SocketAddr>, dial: Dial) -> Self {
         Self {
             connections: Arc::new(Connections::new(addresses, dial)),
+            deadline_ms: CALL_MS,
+        }
+    }
+
+    /// The same client with another deadline for each call; it shares the connections.
+    #[must_use]
+    pub fn with_deadline(&self, deadline_ms: Millis) -> Self {
+        Self {
+            connections: Arc::clone(&self.connections),
+            deadline_ms,
         }
     }
 
@@ -68,8 +81,9 @@
     /// [`ControlError::NotLeader`] and [`ControlError::Unreachable`] where another should be asked.
     pub async fn exchange(&self, request: &ExchangeRequest) -> Result<ExchangeAnswer> {
         let limit = EXCHANGE_HOLD_MS.saturating_add(HOLD_SLACK_MS);
-        let call = async |client: ControlApiClient, context| {
-            client.exchange(context, request.clone()).await
+        let call = move |client: ControlApiClient, context| {
+            let request = request.clone();
+            async move { client.exchange(context, request).await }
         };
         let mut unsure = false;
         match self.attempt(limit.duration(), &mut unsure, &call).await {
@@ -81,10 +95,10 @@
     /// Passes reports on.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn report(&self, batch: &ReportBatch, deadline_ms: Millis) -> Result<ReportAnswer> {
+    /// The group gave no answer within the deadline.
+    pub async fn report(&self, batch: ReportBatch) -> Result<ReportAnswer> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
             async |client: ControlApiClient, context| client.report(context, batch.clone()).await,
         )
@@ -95,12 +109,13 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the note may have been applied.
-    pub async fn apply_note(&self, note: &ReleaseNote, deadline_ms: Millis) -> Result<NoteAnswer> {
+    pub async fn apply_note(&self, note: ReleaseNote) -> Result<NoteAnswer> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.apply_note(context, note.clone()).await
+            move |client: ControlApiClient, context| {
+                let note = note.clone();
+                async move { client.apply_note(context, note).await }
             },
         )
         .await
@@ -110,16 +125,13 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the begin may have been recorded.
-    pub async fn begin_request(
-        &self,
-        request: &BeginRequest,
-        deadline_ms: Millis,
-    ) -> Result<BeginAnswer> {
+    pub async fn begin_request(&self, request: BeginRequest) -> Result<BeginAnswer> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.begin_request(context, request.clone()).await
+            move |client: ControlApiClient, context| {
+                let request = request.clone();
+                async move { client.begin_request(context, request).await }
             },
         )
         .await
@@ -129,16 +141,13 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the end may have been recorded.
-    pub async fn finish_request(
-        &self,
-        request: &FinishRequest,
-        deadline_ms: Millis,
-    ) -> Result<FinishAnswer> {
+    pub async fn finish_request(&self, request: FinishRequest) -> Result<FinishAnswer> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.finish_request(context, request.clone()).await
+            move |client: ControlApiClient, context| {
+                let request = request.clone();
+                async move { client.finish_request(context, request).await }
             },
         )
         .await
@@ -148,12 +157,13 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the job may have been accepted.
-    pub async fn submit_job(&self, spec: &JobSpec, deadline_ms: Millis) -> Result<SubmitAnswer> {
+    pub async fn submit_job(&self, spec: JobSpec) -> Result<SubmitAnswer> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.submit_job(context, spec.clone()).await
+            move |client: ControlApiClient, context| {
+                let spec = spec.clone();
+                async move { client.submit_job(context, spec).await }
             },
         )
         .await
@@ -164,12 +174,12 @@
     ///
     /// # Errors
     /// The group gave no answer in time.
-    pub async fn job(&self, key: &JobKey, wait_ms: Millis) -> Result<Option<JobView>> {
+    pub async fn job(&self, key: JobKey, wait_ms: Millis) -> Result<Option<JobView>> {
         let deadline = Instant::now() + wait_ms.duration();
         loop {
             let left: Millis = deadline.saturating_duration_since(Instant::now()).into();
             let step = left.min(TRY_MS);
-            let view = self.job_step(key, step).await?;
+            let view = self.job_step(&key, step).await?;
             let is_open = view.as_ref().is_some_and(|view| view.outcome.is_none());
             if !is_open || left <= step {
                 return Ok(view);
@@ -191,10 +201,10 @@
     /// Lists jobs.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn jobs(&self, filter: &JobFilter, deadline_ms: Millis) -> Result<Vec<JobView>> {
+    /// The group gave no answer within the deadline.
+    pub async fn jobs(&self, filter: JobFilter) -> Result<Vec<JobView>> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
             async |client: ControlApiClient, context| client.jobs(context, filter.clone()).await,
         )
@@ -205,12 +215,13 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where some may have been cancelled.
-    pub async fn cancel_jobs(&self, keys: &[JobKey], deadline_ms: Millis) -> Result<Vec<JobView>> {
+    pub async fn cancel_jobs(&self, keys: Vec<JobKey>) -> Result<Vec<JobView>> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.cancel_jobs(context, keys.to_vec()).await
+            move |client: ControlApiClient, context| {
+                let keys = keys.clone();
+                async move { client.cancel_jobs(context, keys).await }
             },
         )
         .await
@@ -219,10 +230,10 @@
     /// The whole status.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn status(&self, deadline_ms: Millis) -> Result<Status> {
+    /// The group gave no answer within the deadline.
+    pub async fn status(&self) -> Result<Status> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
             async |client: ControlApiClient, context| client.status(context).await,
         )
@@ -230,12 +241,11 @@
     }
 
     /// Tries until there is an answer or the deadline.
-    async fn call<T>(
-        &self,
-        deadline_ms: Millis,
-        try_ms: Millis,
-        call: impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
-    ) -> Result<T> {
+    async fn call<T, C, F>(&self, deadline_ms: Millis, try_ms: Millis, call: C) -> Result<T>
+    where
+        C: Fn(ControlApiClient, Context) -> F,
+        F: Future<Output = Tried<T>>,
+    {
         let deadline = Instant::now() + deadline_ms.duration();
         let mut unsure = false;
         loop {
@@ -256,12 +266,16 @@
     }
 
     /// Tries once; sets `unsure` where the call went out and its answer is not known.
-    async fn attempt<T>(
+    async fn attempt<T, C, F>(
         &self,
         limit: Duration,
         unsure: &mut bool,
-        call: &impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
-    ) -> std::result::Result<Result<T>, Again> {
+        call: &C,
+    ) -> std::result::Result<Result<T>, Again>
+    where
+        C: Fn(ControlApiClient, Context) -> F,
+        F: Future<Output = Tried<T>>,
+    {
         let Some(address) = self.connections.target() else {
             return Err(Again::Later);
         };
--- a/src/control/lead_loop.rs
+++ b/src/control/lead_loop.rs
@@ -139,12 +139,9 @@
 
     /// Whether this replica may grant and answer reads now.
     pub(super) fn may_act(&self) -> bool {
-        let seen = self.leadership.borrow();
-        let same_term = self
-            .lead
-            .as_ref()
-            .is_some_and(|lead| lead.term == seen.term);
-        seen.leads && seen.has_quorum && same_term && !self.stopping
+        let term = self.leadership.borrow().term;
+        let same_term = self.lead.as_ref().is_some_and(|lead| lead.term == term);
+        self.handle.has_quorum() && same_term && !self.stopping
     }
 
     pub(super) fn not_leader(&self) -> ControlError {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -23,7 +23,7 @@
 use crate::codec;
 use crate::kernel::Clock;
 use crate::release_note::{NoteAnswer, ReleaseNote};
-use crate::replica::{Handle, Leadership};
+use crate::replica::Handle;
 use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
 use crate::scheduler::{
     Explanation, JobKey, JobPhase, JobRecord, JobSpec, JobTransition, SchedulerOptions,
@@ -76,7 +76,7 @@
         let server = ControlServer {
             asks,
             machine: machine.clone(),
-            leadership: handle.leadership(),
+            handle: handle.clone(),
         };
         let lead_loop = LeadLoop::new(handle, machine, options.scheduler, Clock::start());
         let lead_loop = tokio::spawn(lead_loop.run(taken, stop.subscribe()));
@@ -160,7 +160,7 @@
 struct ControlServer {
     asks: mpsc::Sender<Ask>,
     machine: SharedMachine,
-    leadership: watch::Receiver<Leadership>,
+    handle: Handle,
 }
 
 impl ControlServer {
@@ -179,10 +179,10 @@
 
     /// Reads are answered only under the quorum lease: a deposed leader's state may be old.
     fn check_leads(&self) -> Result<()> {
-        let seen = self.leadership.borrow();
-        if seen.leads && seen.has_quorum {
+        if self.handle.has_quorum() {
             return Ok(());
         }
+        let seen = self.handle.leadership().borrow().clone();
         let leader = if seen.leads {
             None
         } else {
--- /dev/null
+++ b/src/entry/reports.rs
@@ -0,0 +1,132 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Duration, Instant, timeout_at};
+use tracing::debug;
+
+use super::grant::EntryState;
+use super::held_polls::HeldPolls;
+use crate::control::{Client, ControlError, ReportAnswer, ReportBatch, Result};
+use crate::fleet::{EndpointAnnouncement, EndpointAnswer, WorkerPoll};
+use crate::kernel::Clock;
+use crate::units::{EntryId, Incarnation, Millis, WorkerId};
+
+/// How long reports are gathered before they are passed on.
+const GATHER: Duration = Duration::from_millis(20);
+/// The most reports of one batch.
+const BATCH_MAX: usize = 512;
+/// How long a batch is tried.
+const REPORT_MS: Millis = Millis(1_800);
+
+/// Something to pass on to the leader.
+#[derive(Debug)]
+pub(super) enum Report {
+    /// A worker's poll, held under this id.
+    Poll { poll: Box<WorkerPoll>, id: u64 },
+    /// A poll that is no longer held.
+    Released { worker: WorkerId },
+    /// An endpoint's announcement.
+    Announced {
+        announcement: Box<EndpointAnnouncement>,
+        answer: oneshot::Sender<Result<EndpointAnswer>>,
+    },
+}
+
+/// Gathers reports and passes them on, one batch at a time so that they stay in order.
+#[derive(Debug)]
+pub(super) struct Reporter {
+    pub(super) entry: EntryId,
+    pub(super) incarnation: Incarnation,
+    pub(super) client: Client,
+    pub(super) polls: Arc<HeldPolls>,
+    pub(super) state: watch::Receiver<EntryState>,
+    pub(super) clock: Clock,
+}
+
+impl Reporter {
+    /// Runs until all senders of reports are gone.
+    pub(super) async fn run(self, mut reports: mpsc::Receiver<Report>) {
+        while let Some(first) = reports.recv().await {
+            let gathered = gather(first, &mut reports).await;
+            self.pass_on(gathered).await;
+        }
+    }
+
+    async fn pass_on(&self, gathered: Vec<Report>) {
+        let (batch, waiters) = self.batch(gathered);
+        let client = self.client.with_deadline(REPORT_MS);
+        match client.report(batch).await {
+            Ok(answer) => self.deliver(answer, waiters),
+            Err(cause) => {
+                debug!(event = "report_failed", %cause);
+                for waiter in waiters {
+                    drop(waiter.send(Err(cause.clone())));
+                }
+            }
+        }
+    }
+
+    fn batch(&self, gathered: Vec<Report>) -> (ReportBatch, Vec<Waiter>) {
+        let mut released = BTreeSet::new();
+        let (mut workers, mut endpoints) = (Vec::new(), Vec::new());
+        let mut waiters = Vec::new();
+        for report in gathered {
+            match report {
+                Report::Poll { poll, id } if self.polls.holds(&poll.worker, id) => {
+                    workers.push(*poll);
+                }
+                Report::Poll { .. } => {}
+                Report::Released { worker } => {
+                    released.insert(worker);
+                }
+                Report::Announced {
+                    announcement,
+                    answer,
+                } => {
+                    endpoints.push(*announcement);
+                    waiters.push(answer);
+                }
+            }
+        }
+        let batch = ReportBatch {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+            workers,
+            released: released.into_iter().collect(),
+            endpoints,
+        };
+        (batch, waiters)
+    }
+
+    /// Relays orders only under a grant: without one the workers' leases must run out.
+    fn deliver(&self, answer: ReportAnswer, waiters: Vec<Waiter>) {
+        if self.state.borrow().may_start(self.clock.now()) {
+            for orders in answer.orders {
+                self.polls.give(orders);
+            }
+            for orders in answer.unchanged {
+                self.polls.keep_unchanged(orders);
+            }
+        }
+        let mut answers = answer.endpoints.into_iter();
+        for waiter in waiters {
+            let answer = answers.next().map(|(_, answer)| answer);
+            drop(waiter.send(answer.ok_or(ControlError::Uncertain)));
+        }
+    }
+}
+
+type Waiter = oneshot::Sender<Result<EndpointAnswer>>;
+
+async fn gather(first: Report, reports: &mut mpsc::Receiver<Report>) -> Vec<Report> {
+    let until = Instant::now() + GATHER;
+    let mut gathered = vec![first];
+    while gathered.len() < BATCH_MAX {
+        match timeout_at(until, reports.recv()).await {
+            Ok(Some(report)) => gathered.push(report),
+            Ok(None) | Err(_) => break,
+        }
+    }
+    gathered
+}
