--- a/src/entry/held_polls.rs
+++ b/src/entry/held_polls.rs
@@ -93,12 +93,19 @@
     }
 
     /// Stops holding this very poll; gives its unchanged orders where it was still held.
-    pub(super) fn release(&self, worker: &WorkerId, id: u64) -> Option<Option<WorkerOrders>> {
+    pub(super) fn release(&self, worker: &WorkerId, id: u64) -> Released {
         let mut state = self.lock();
-        if state.by_worker.get(worker).is_none_or(|held| held.id != id) {
-            return None;
+        let is_held = state
+            .by_worker
+            .get(worker)
+            .is_some_and(|held| held.id == id);
+        if !is_held {
+            return Released::NotHeld;
         }
-        state.by_worker.remove(worker).map(|held| held.unchanged)
+        let held = state.by_worker.remove(worker);
+        held.map_or(Released::NotHeld, |held| Released::Held {
+            unchanged: held.unchanged,
+        })
     }
 
     /// Stops holding all polls; their waiters see that they were dropped.
