--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,8 +19,8 @@
 mod service;
 
 pub use api::{
-    ControlApi, ControlApiClient, ControlError, GroupStatus, JobFilter, JobView, ReplicaStatus,
-    Result, Status,
+    ControlApi, ControlApiClient, ControlApiRequest, ControlApiResponse, ControlError, GroupStatus,
+    JobFilter, JobView, ReplicaStatus, Result, Status,
 };
 pub use client::Client;
 pub use command::{Command, CommandBody, Reply};
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -7,9 +7,10 @@
 use futures::future::join_all;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
+use tarpc::{ClientMessage, Response, Transport};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 use tokio::time::{Duration, Instant, timeout, timeout_at};
 use tracing::{debug, info, warn};
 
@@ -17,8 +18,9 @@
 use super::job_table::is_ended;
 use super::lead_loop::LeadLoop;
 use super::{
-    CommandBody, ControlApi, ControlError, ExchangeAnswer, ExchangeRequest, JobFilter, JobView,
-    Machine, Reply, ReportAnswer, ReportBatch, Result, SharedMachine, Status,
+    CommandBody, ControlApi, ControlApiRequest, ControlApiResponse, ControlError, ExchangeAnswer,
+    ExchangeRequest, JobFilter, JobView, Machine, Reply, ReportAnswer, ReportBatch, Result,
+    SharedMachine, Status,
 };
 use crate::codec;
 use crate::kernel::Clock;
@@ -54,6 +56,7 @@
 #[derive(Debug)]
 pub struct ControlService {
     address: SocketAddr,
+    server: ControlServer,
     stop: watch::Sender<bool>,
     lead_loop: JoinHandle<()>,
     accepts: JoinHandle<()>,
@@ -80,10 +83,11 @@
         };
         let lead_loop = LeadLoop::new(handle, machine, options.scheduler, Clock::start());
         let lead_loop = tokio::spawn(lead_loop.run(taken, stop.subscribe()));
-        let accepts = tokio::spawn(accept(listener, server));
+        let accepts = tokio::spawn(accept(listener, server.clone()));
         info!(event = "control_listens", %address);
         Ok(Self {
             address,
+            server,
             stop,
             lead_loop,
             accepts,
@@ -96,6 +100,17 @@
         self.address
     }
 
+    /// Serves one more connection, for example one inside this process.
+    pub fn attach<T>(&self, transport: T) -> AbortHandle
+    where
+        T: Transport<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>
+            + Send
+            + 'static,
+        T::Error: Send + Sync,
+    {
+        tokio::spawn(serve(transport, self.server.clone())).abort_handle()
+    }
+
     /// Sends entries away, finishes the changes in progress and closes all connections.
     pub async fn stop(self) {
         self.stop.send_replace(true);
@@ -122,7 +137,7 @@
                 debug!(event = "entry_connected", %peer);
                 let server = server.clone();
                 connections.spawn(async move {
-                    serve(stream, server).await;
+                    serve_stream(stream, server).await;
                     drop(place);
                 });
             }
@@ -134,12 +149,19 @@
     }
 }
 
-/// Serves one connection until it closes; its handlers end with it.
-async fn serve(stream: TcpStream, server: ControlServer) {
+async fn serve_stream(stream: TcpStream, server: ControlServer) {
     if let Err(cause) = stream.set_nodelay(true) {
         debug!(event = "nodelay_failed", %cause);
     }
-    let channel = BaseChannel::with_defaults(codec::transport(stream));
+    serve(codec::transport(stream), server).await;
+}
+
+/// Serves one connection until it closes; its handlers end with it.
+async fn serve<T>(transport: T, server: ControlServer)
+where
+    T: Transport<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>> + 'static,
+{
+    let channel = BaseChannel::with_defaults(transport);
     let mut requests = Box::pin(channel.execute(server.serve()));
     let mut handlers = JoinSet::new();
     loop {
