Exchange tests: cuts, new leaders, restarts, silent connections, resends

A zone-out note is checked at each 10 ms: whenever it is reported in force, no entry that may start work lacks it.

--- /dev/null
+++ b/tests/exchange_cuts.rs
@@ -0,0 +1,359 @@
+//! Grants and notes in force under cuts, new leaders, restarts and silent connections.
+
+#[path = "support/control_net.rs"]
+mod control_net;
+#[path = "support/notes.rs"]
+mod notes;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use assert_matches::assert_matches;
+use control_net::{FakeReplica, Network, SharedLog};
+use marjoramknot::control::{Client, ControlError, Status};
+use marjoramknot::entry::exchange::Exchange;
+use marjoramknot::release_note::NoteAnswer;
+use marjoramknot::units::{Millis, Revision};
+use notes::{FIRST, deadline_note, note, zone_note};
+use rstest::rstest;
+use tokio::time::{Duration, Instant, sleep};
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// One leader with the first note in force, and a client that is never cut.
+struct World {
+    log: SharedLog,
+    leader: Arc<FakeReplica>,
+    operator: Client,
+}
+
+impl World {
+    async fn start() -> Self {
+        let log = SharedLog::default();
+        let leader = Arc::new(FakeReplica::start(&log).await);
+        leader.lead(&log, 1);
+        let operator = Network::new(&[Arc::clone(&leader)]).client();
+        let world = Self {
+            log,
+            leader,
+            operator,
+        };
+        let first = world.operator.apply_note(note(FIRST)).await;
+        assert_matches!(first, Ok(NoteAnswer::Accepted { .. }));
+        world
+    }
+
+    fn network(&self) -> Network {
+        Network::new(&[Arc::clone(&self.leader)])
+    }
+}
+
+async fn status(client: &Client) -> Status {
+    client.status().await.expect("the leader answers")
+}
+
+fn revision(entry: &Exchange) -> Revision {
+    entry.state().borrow().in_force.revision
+}
+
+async fn until(what: &str, limit_ms: u64, mut holds: impl FnMut() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        let waited = start.elapsed();
+        assert!(
+            waited <= Duration::from_millis(limit_ms),
+            "{what} within {limit_ms} ms"
+        );
+        sleep(STEP).await;
+    }
+    start.elapsed()
+}
+
+/// Waits until the leader reports the revision in force, and checks at each step that no entry that
+/// may start work lacks it by then.
+async fn in_force_soundly(client: &Client, wanted: Revision, entries: &[&Exchange]) -> Duration {
+    let start = Instant::now();
+    loop {
+        let reported = client
+            .status()
+            .await
+            .map(|status| status.in_force_everywhere);
+        if reported.is_ok_and(|reported| reported >= wanted) {
+            for entry in entries {
+                assert!(!entry.may_start() || revision(entry) >= wanted);
+            }
+            return start.elapsed();
+        }
+        assert!(start.elapsed() < Duration::from_secs(20));
+        sleep(STEP).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn note_everywhere() {
+    let world = World::start().await;
+    let entries: Vec<_> = (0..9)
+        .map(|index| world.network().entry(&format!("e{index}"), 1))
+        .collect();
+    sleep(Duration::from_secs(5)).await;
+    let answer = world.operator.apply_note(deadline_note(2, 7)).await;
+    let revision = assert_matches!(answer, Ok(NoteAnswer::Accepted { revision }) => revision);
+    let entries: Vec<_> = entries.iter().collect();
+    let took = in_force_soundly(&world.operator, revision, &entries).await;
+    assert!(took <= Duration::from_secs(3), "{took:?}");
+    for entry in entries {
+        assert_eq!(entry.state().borrow().in_force.revision, revision);
+        assert!(entry.may_start());
+    }
+}
+
+#[rstest]
+#[case::reports_lost(true, false)]
+#[case::answers_lost(false, true)]
+#[case::both_lost(true, true)]
+#[tokio::test(start_paused = true)]
+async fn zone_out_under_cut(#[case] to_control: bool, #[case] to_entry: bool) {
+    let world = World::start().await;
+    let network = world.network();
+    let (near, far) = (world.network().entry("e1", 1), network.entry("e2", 1));
+    for offset_ms in [0, 330, 770, 1_010] {
+        sleep(Duration::from_millis(6_000 + offset_ms)).await;
+        assert!(near.may_start() && far.may_start());
+        network.cut(world.leader.address).set(to_control, to_entry);
+        let before = status(&world.operator).await.revision;
+        let version = before.get() * 10;
+        let out = zone_note(version, if offset_ms % 20 == 10 { "in" } else { "out" });
+        let answer = world.operator.apply_note(out).await;
+        let wanted = assert_matches!(answer, Ok(NoteAnswer::Accepted { revision }) => revision);
+        let took = in_force_soundly(&world.operator, wanted, &[&near, &far]).await;
+        assert!(took <= Duration::from_secs(5), "{took:?}");
+        network.cut(world.leader.address).set(false, false);
+        until("the entry returns", 3_000, || {
+            far.may_start() && revision(&far) >= wanted
+        })
+        .await;
+    }
+}
+
+#[rstest]
+#[case::reports_lost(true, false)]
+#[case::answers_lost(false, true)]
+#[case::both_lost(true, true)]
+#[tokio::test(start_paused = true)]
+async fn grant_ends(#[case] to_control: bool, #[case] to_entry: bool) {
+    let world = World::start().await;
+    let network = world.network();
+    let entry = network.entry("e1", 1);
+    until("the first grant", 2_000, || entry.may_start()).await;
+    for offset_ms in [0, 450, 990] {
+        sleep(Duration::from_millis(2_000 + offset_ms)).await;
+        network.cut(world.leader.address).set(to_control, to_entry);
+        until("the grant ends", 3_000, || !entry.may_start()).await;
+        sleep(Duration::from_hours(1)).await;
+        assert!(!entry.may_start());
+        network.cut(world.leader.address).set(false, false);
+        until("the grant returns", 2_000, || entry.may_start()).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_quorum() {
+    let world = World::start().await;
+    let entry = world.network().entry("e1", 1);
+    until("the first grant", 2_000, || entry.may_start()).await;
+    sleep(Duration::from_secs(4)).await;
+    world.leader.lose_quorum();
+    let refused = world.operator.with_deadline(Millis(500)).status().await;
+    assert_matches!(refused, Err(ControlError::Unreachable));
+    let refused = world
+        .operator
+        .with_deadline(Millis(500))
+        .apply_note(deadline_note(2, 7))
+        .await;
+    assert_matches!(refused, Err(ControlError::Unreachable));
+    until("the grant ends", 3_000, || !entry.may_start()).await;
+    world.leader.lead(&world.log, 1);
+    until("the grant returns", 2_000, || entry.may_start()).await;
+    assert_eq!(status(&world.operator).await.revision, Revision(1));
+}
+
+/// A new leader does not know who holds grants of the old one.
+#[tokio::test(start_paused = true)]
+async fn new_leader() {
+    let world = World::start().await;
+    let second = Arc::new(FakeReplica::start(&world.log).await);
+    let both = [Arc::clone(&world.leader), Arc::clone(&second)];
+    let network = Network::new(&both);
+    let (near, far) = (Network::new(&both).entry("e1", 1), network.entry("e2", 1));
+    until("both grants", 3_000, || near.may_start() && far.may_start()).await;
+    sleep(Duration::from_secs(4)).await;
+    // The far entry has just got a grant of the old leader and reaches nobody from now on.
+    for address in network.addresses() {
+        network.cut(address).set(true, true);
+    }
+    world.leader.follow(2, Some(second.address));
+    second.lead(&world.log, 2);
+    let operator = Network::new(&both).client();
+    let answer = operator.apply_note(zone_note(2, "out")).await;
+    let wanted = assert_matches!(answer, Ok(NoteAnswer::Accepted { revision }) => revision);
+    let took = in_force_soundly(&operator, wanted, &[&near, &far]).await;
+    assert!(took >= Duration::from_secs(3), "{took:?}");
+    assert!(near.may_start(), "the near entry follows the new leader");
+    for address in network.addresses() {
+        network.cut(address).set(false, false);
+    }
+    until("the far entry follows", 3_000, || revision(&far) >= wanted).await;
+    // The old leader returns from its cut and still believes that it leads.
+    world.leader.lose_quorum();
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(revision(&near), wanted);
+    assert_eq!(revision(&far), wanted);
+}
+
+#[tokio::test(start_paused = true)]
+async fn entry_restarts() {
+    let world = World::start().await;
+    let network = world.network();
+    let old = network.entry("e1", 1);
+    until("the first grant", 2_000, || old.may_start()).await;
+    sleep(Duration::from_secs(4)).await;
+    // The old process still runs with its grant, although a new one has started.
+    network.cut(world.leader.address).set(true, true);
+    let new = world.network().entry("e1", 2);
+    assert!(!new.may_start(), "no state yet");
+    assert_eq!(revision(&new), Revision::ZERO);
+    until("the new grant", 2_000, || new.may_start()).await;
+    let answer = world.operator.apply_note(zone_note(2, "out")).await;
+    let wanted = assert_matches!(answer, Ok(NoteAnswer::Accepted { revision }) => revision);
+    in_force_soundly(&world.operator, wanted, &[&old, &new]).await;
+    network.cut(world.leader.address).set(false, false);
+    sleep(Duration::from_secs(10)).await;
+    assert!(!old.may_start(), "a replaced process gets no grant");
+    assert_eq!(revision(&new), wanted);
+}
+
+/// Connections go silent for good while new ones work.
+#[tokio::test(start_paused = true)]
+async fn silent_connection() {
+    let world = World::start().await;
+    let network = world.network();
+    let entry = network.entry("e1", 1);
+    until("the first grant", 2_000, || entry.may_start()).await;
+    for offset_ms in [0, 130, 510, 890] {
+        sleep(Duration::from_millis(5_000 + offset_ms)).await;
+        network.cut(world.leader.address).silence_open();
+        let start = Instant::now();
+        let client = entry.client().clone();
+        let version = status(&world.operator).await.revision.get() + 100;
+        let note = deadline_note(version + offset_ms, version);
+        let change = tokio::spawn(async move { client.apply_note(note).await });
+        let mut answered = None;
+        while start.elapsed() < Duration::from_secs(5) {
+            assert!(entry.may_start(), "the grant lasts through the recovery");
+            if answered.is_none() && change.is_finished() {
+                answered = Some(start.elapsed());
+            }
+            sleep(STEP).await;
+        }
+        assert_matches!(change.await, Ok(Ok(NoteAnswer::Accepted { .. })));
+        let answered = answered.expect("the change was answered");
+        assert!(answered <= Duration::from_secs(2), "{answered:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn racing_entries() {
+    let world = World::start().await;
+    let (a, b) = (world.network().client(), world.network().client());
+    let (mine, theirs) = (deadline_note(2, 5), deadline_note(2, 6));
+    let (first, second) = tokio::join!(a.apply_note(mine.clone()), b.apply_note(theirs.clone()));
+    let (winner, loser) = match first {
+        Ok(NoteAnswer::Accepted { .. }) => (mine, second),
+        _ => (theirs, first),
+    };
+    let expected = NoteAnswer::VersionTaken {
+        digest: winner.digest(),
+        revision: Revision(2),
+    };
+    assert_eq!(loser, Ok(expected));
+}
+
+/// The answer to a note is lost, and its operator resends it: at the same leader or a new one.
+#[rstest]
+#[case::same_leader(false)]
+#[case::new_leader(true)]
+#[tokio::test(start_paused = true)]
+async fn resent_note(#[case] elected: bool) {
+    let world = World::start().await;
+    let second = Arc::new(FakeReplica::start(&world.log).await);
+    let both = [Arc::clone(&world.leader), Arc::clone(&second)];
+    let network = Network::new(&both);
+    let client = network.client();
+    status(&client).await;
+    network
+        .cut(world.leader.address)
+        .to_entry
+        .store(true, Ordering::SeqCst);
+    let sending = tokio::spawn(async move { client.apply_note(deadline_note(2, 5)).await });
+    sleep(Duration::from_millis(500)).await;
+    if elected {
+        world.leader.follow(2, Some(second.address));
+        second.lead(&world.log, 2);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let others = Network::new(&both).client();
+    let later = others.apply_note(deadline_note(3, 9)).await;
+    assert_matches!(later, Ok(NoteAnswer::Accepted { .. }));
+    network
+        .cut(world.leader.address)
+        .to_entry
+        .store(false, Ordering::SeqCst);
+    let answer = sending.await.expect("the task ends").expect("an answer");
+    assert_matches!(
+        answer,
+        NoteAnswer::Accepted { revision } | NoteAnswer::AlreadyAccepted { revision } if revision <= Revision(3)
+    );
+    let again = others.apply_note(deadline_note(2, 5)).await;
+    assert_matches!(again, Ok(NoteAnswer::AlreadyAccepted { .. }));
+}
+
+/// A change that is not committed in time may still take effect, and is never said not to.
+#[tokio::test(start_paused = true)]
+async fn uncertain_change() {
+    let world = World::start().await;
+    world.leader.stalled.store(true, Ordering::SeqCst);
+    let client = world.network().client().with_deadline(Millis(2_500));
+    let sending = tokio::spawn(async move { client.apply_note(deadline_note(2, 5)).await });
+    sleep(Duration::from_millis(1_500)).await;
+    world.leader.follow(2, None);
+    let answer = sending.await.expect("the task ends");
+    assert_eq!(answer, Err(ControlError::Uncertain));
+}
+
+#[tokio::test(start_paused = true)]
+async fn planned_stop() {
+    let world = World::start().await;
+    let (entry, other) = (
+        world.network().entry("e1", 1),
+        world.network().entry("e2", 1),
+    );
+    until("both grants", 3_000, || {
+        entry.may_start() && other.may_start()
+    })
+    .await;
+    let start = Instant::now();
+    entry.leave().await;
+    assert!(
+        start.elapsed() < Duration::from_secs(1),
+        "the leader knows at once"
+    );
+    assert!(!entry.may_start());
+    let left = status(&world.operator).await;
+    let left = left
+        .entries
+        .iter()
+        .find(|known| known.entry.as_str() == "e1");
+    assert_matches!(left, Some(known) if known.grant_ms.is_none());
+    sleep(Duration::from_secs(10)).await;
+    assert!(!entry.may_start() && other.may_start());
+}
