Order tests: jobs, cancels, released polls and no order without a grant

Seen on the way: the scheduler gives an order without tasks when it places a gang, before the placement is committed, so a held poll is used up by it and the worker polls once more.

--- /dev/null
+++ b/tests/exchange_orders.rs
@@ -0,0 +1,406 @@
+//! Jobs reach workers through entry, leader and scheduler, and no order is relayed without a grant.
+
+#[path = "support/control_net.rs"]
+mod control_net;
+#[path = "support/notes.rs"]
+mod notes;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use assert_matches::assert_matches;
+use control_net::{FakeReplica, Network, SharedLog};
+use marjoramknot::control::{Client, ControlError, JobFilter};
+use marjoramknot::entry::exchange::Exchange;
+use marjoramknot::fleet::{
+    EndpointAnnouncement, EndpointAnswer, TaskReport, TaskState, Usage, Want, WorkerCapacity,
+    WorkerOrders, WorkerPoll,
+};
+use marjoramknot::release_note::{Adjacency, NoteAnswer};
+use marjoramknot::scheduler::{JobKey, JobOutcome, JobSpec, SubmitAnswer};
+use marjoramknot::units::{
+    Accelerators, Cores, Incarnation, MemoryMb, Millis, OrdersVersion, Sequence, Slots, Term,
+};
+use notes::{FIRST, note, zone_note};
+use tokio::task::JoinHandle;
+use tokio::time::{Duration, Instant, sleep, timeout};
+
+/// A worker that does what it is ordered, through the entries in turn.
+struct Worker {
+    poll: WorkerPoll,
+    /// How many polls a task runs for.
+    run_polls: u64,
+    /// Tasks that ever ran, as text.
+    ran: Vec<String>,
+}
+
+impl Worker {
+    fn new(name: &str, zone: &str, accelerators: u32) -> Self {
+        let capacity = WorkerCapacity {
+            accelerators: Accelerators(accelerators),
+            cores: Cores(32),
+            memory_mb: MemoryMb(65_536),
+        };
+        let poll = WorkerPoll {
+            worker: name.parse().expect("an id"),
+            zone: zone.parse().expect("an id"),
+            rack: "r1".parse().expect("an id"),
+            incarnation: Incarnation(1),
+            sequence: Sequence(0),
+            capacity,
+            usage: Usage::default(),
+            tasks: Vec::new(),
+            orders_version: OrdersVersion::ZERO,
+            term: Term::ZERO,
+        };
+        Self {
+            poll,
+            run_polls: 3,
+            ran: Vec::new(),
+        }
+    }
+
+    fn next_poll(&mut self) -> WorkerPoll {
+        self.poll.sequence = self.poll.sequence.next();
+        self.poll.clone()
+    }
+
+    fn obey(&mut self, orders: &WorkerOrders) {
+        if orders.term < self.poll.term {
+            return;
+        }
+        self.poll.term = orders.term;
+        self.poll.orders_version = orders.version;
+        let mut tasks = Vec::new();
+        for order in &orders.tasks {
+            let task = order.task.clone();
+            let known = self.poll.tasks.iter().find(|known| known.task == task);
+            let state = match (order.want, known.map(|known| &known.state)) {
+                (Want::Stop, _) => continue,
+                (_, Some(ended @ TaskState::Succeeded { .. })) => ended.clone(),
+                (Want::Run, Some(TaskState::Running)) if self.run_polls == 0 => {
+                    TaskState::Succeeded {
+                        result: "done".into(),
+                    }
+                }
+                (Want::Run, _) => {
+                    self.run_polls = self.run_polls.saturating_sub(1);
+                    self.ran.push(format!("{} {}", task.job, task.attempt));
+                    TaskState::Running
+                }
+                _ => TaskState::Prepared,
+            };
+            tasks.push(TaskReport { task, state });
+        }
+        self.poll.tasks = tasks;
+    }
+
+    /// Polls for ever.
+    fn run(mut self, entries: Vec<Arc<Exchange>>) -> JoinHandle<()> {
+        tokio::spawn(async move {
+            let mut turn = 0;
+            loop {
+                turn += 1;
+                let poll = self.next_poll();
+                match entries[turn % entries.len()].poll_worker(poll).await {
+                    Ok(orders) => self.obey(&orders),
+                    Err(_) => sleep(Duration::from_millis(100)).await,
+                }
+            }
+        })
+    }
+}
+
+fn job(id: &str) -> JobSpec {
+    JobSpec {
+        key: JobKey {
+            team: "ponds".parse().expect("an id"),
+            id: id.parse().expect("an id"),
+        },
+        class: "rescore".parse().expect("an id"),
+        tasks: 2,
+        accelerators: Accelerators(4),
+        cores: Cores(1),
+        memory_mb: MemoryMb(1_024),
+        adjacency: Adjacency::Rack,
+        idempotent: true,
+        urgent: false,
+        declared_run_ms: Millis(1_000),
+        deadline_ms: None,
+        payload: "work".into(),
+    }
+}
+
+struct World {
+    leader: Arc<FakeReplica>,
+    client: Client,
+}
+
+impl World {
+    async fn start() -> Self {
+        let log = SharedLog::default();
+        let leader = Arc::new(FakeReplica::start(&log).await);
+        leader.lead(&log, 1);
+        let client = Network::new(&[Arc::clone(&leader)]).client();
+        let answer = client.apply_note(note(FIRST)).await;
+        assert_matches!(answer, Ok(NoteAnswer::Accepted { .. }));
+        Self { leader, client }
+    }
+
+    fn network(&self) -> Network {
+        Network::new(&[Arc::clone(&self.leader)])
+    }
+
+    async fn entry(&self, network: &Network, id: &str) -> Arc<Exchange> {
+        let entry = Arc::new(network.entry(id, 1));
+        while !entry.may_start() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        entry
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn whole_job() {
+    let world = World::start().await;
+    let network = world.network();
+    let entries = vec![
+        world.entry(&network, "e1").await,
+        world.entry(&network, "e2").await,
+    ];
+    let workers: Vec<_> = ["w1", "w2"]
+        .map(|name| Worker::new(name, "senec", 8).run(entries.clone()))
+        .into();
+    let spec = job("a");
+    assert_eq!(
+        world.client.submit_job(spec.clone()).await,
+        Ok(SubmitAnswer::Accepted)
+    );
+    assert_eq!(
+        world.client.submit_job(spec.clone()).await,
+        Ok(SubmitAnswer::Accepted),
+        "a resend gets the same answer"
+    );
+    let view = world.client.job(spec.key.clone(), Millis(60_000)).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    assert_matches!(view.outcome, Some(JobOutcome::Succeeded { results }) if results.len() == 2);
+    assert_eq!(view.attempt.get(), 1);
+    let listed = world
+        .client
+        .jobs(JobFilter {
+            limit: 10,
+            ..JobFilter::default()
+        })
+        .await;
+    assert_eq!(listed.expect("the leader answers").len(), 1);
+    for worker in workers {
+        worker.abort();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancelled_jobs() {
+    let world = World::start().await;
+    let keys: Vec<JobKey> = ["a", "b", "c"].map(|id| job(id).key).into();
+    for id in ["a", "b", "c"] {
+        let answer = world.client.submit_job(job(id)).await;
+        assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    }
+    let views = world.client.cancel_jobs(keys.clone()).await;
+    assert_eq!(views.expect("the leader answers").len(), 3);
+    for key in keys {
+        let view = world.client.job(key, Millis(20_000)).await;
+        let view = view.expect("the leader answers").expect("the job is known");
+        assert_matches!(view.outcome, Some(JobOutcome::NotRun { .. }));
+    }
+}
+
+/// The entry still hears the leader's orders, but not its grants.
+#[tokio::test(start_paused = true)]
+async fn no_order_without_grant() {
+    let world = World::start().await;
+    let network = world.network();
+    let entry = world.entry(&network, "e1").await;
+    let mut worker = Worker::new("w1", "senec", 8);
+    let orders = entry.poll_worker(worker.next_poll()).await;
+    worker.obey(&orders.expect("the first orders"));
+    network
+        .cut(world.leader.address)
+        .exchanges
+        .store(true, Ordering::SeqCst);
+    while entry.may_start() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    for _poll in 0..5 {
+        let answer = entry.poll_worker(worker.next_poll()).await;
+        assert_eq!(answer, Err(ControlError::Unreachable));
+    }
+    network
+        .cut(world.leader.address)
+        .exchanges
+        .store(false, Ordering::SeqCst);
+    sleep(Duration::from_secs(2)).await;
+    assert_matches!(entry.poll_worker(worker.next_poll()).await, Ok(_));
+}
+
+#[tokio::test(start_paused = true)]
+async fn released_polls() {
+    let world = World::start().await;
+    let network = world.network();
+    let (first, second) = (
+        world.entry(&network, "e1").await,
+        world.entry(&network, "e2").await,
+    );
+    let mut workers = [Worker::new("w1", "senec", 8), Worker::new("w2", "senec", 8)];
+    // Both workers poll through the first entry until nothing is new to them.
+    for _round in 0..3 {
+        for worker in &mut workers {
+            let orders = first.poll_worker(worker.next_poll()).await;
+            worker.obey(&orders.expect("orders under a grant"));
+        }
+    }
+    // Their connections break while the polls are held; they poll again through the other entry.
+    for worker in &mut workers {
+        let held = first.poll_worker(worker.next_poll());
+        let broken = timeout(Duration::from_millis(300), held).await;
+        assert_matches!(broken, Err(_));
+    }
+    let held = workers.map(|mut worker| {
+        let second = Arc::clone(&second);
+        tokio::spawn(async move {
+            let mut prepared = 0;
+            for _poll in 0..2 {
+                if let Ok(orders) = second.poll_worker(worker.next_poll()).await {
+                    let wanted = orders.tasks.iter();
+                    prepared += wanted.filter(|order| order.want == Want::Prepare).count();
+                    worker.obey(&orders);
+                }
+            }
+            (prepared, Instant::now())
+        })
+    });
+    sleep(Duration::from_millis(200)).await;
+    let start = Instant::now();
+    let answer = world.client.submit_job(job("a")).await;
+    assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    let mut prepared = 0;
+    for task in held {
+        let (tasks, when) = task.await.expect("the worker ends");
+        prepared += tasks;
+        let took = when.duration_since(start);
+        assert!(tasks == 0 || took < Duration::from_secs(1), "{took:?}");
+    }
+    assert_eq!(
+        prepared, 2,
+        "the orders come to the entry that holds the polls"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn replaced_poll() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let mut worker = Worker::new("w1", "senec", 8);
+    let orders = entry.poll_worker(worker.next_poll()).await;
+    worker.obey(&orders.expect("the first orders"));
+    let older = worker.next_poll();
+    let held = {
+        let entry = Arc::clone(&entry);
+        tokio::spawn(async move { entry.poll_worker(older).await })
+    };
+    sleep(Duration::from_millis(100)).await;
+    let newer = entry.poll_worker(worker.next_poll()).await;
+    assert_matches!(newer, Ok(orders) if orders.sequence == Sequence(3));
+    assert_matches!(held.await, Ok(Err(ControlError::Refused { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_entry() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let mut worker = Worker::new("w1", "senec", 8);
+    let orders = entry.poll_worker(worker.next_poll()).await;
+    worker.obey(&orders.expect("the first orders"));
+    let poll = worker.next_poll();
+    let held = {
+        let entry = Arc::clone(&entry);
+        tokio::spawn(async move { entry.poll_worker(poll).await })
+    };
+    sleep(Duration::from_millis(100)).await;
+    entry.leave().await;
+    assert_matches!(held.await, Ok(Err(ControlError::Refused { .. })));
+    let refused = entry.poll_worker(worker.next_poll()).await;
+    assert_matches!(refused, Err(ControlError::Refused { .. }));
+}
+
+/// A zone that is taken out stops what runs there within its lease's renewals.
+#[tokio::test(start_paused = true)]
+async fn zone_out_stops() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let mut worker = Worker::new("n1", "nitra", 4);
+    worker.run_polls = 10_000;
+    let mut spec = job("a");
+    spec.tasks = 1;
+    spec.adjacency = Adjacency::Zone;
+    world
+        .client
+        .submit_job(spec)
+        .await
+        .expect("the leader answers");
+    while worker.ran.is_empty() {
+        if let Ok(orders) = entry.poll_worker(worker.next_poll()).await {
+            worker.obey(&orders);
+        }
+    }
+    let out = world.client.apply_note(zone_note(2, "out")).await;
+    assert_matches!(out, Ok(NoteAnswer::Accepted { .. }));
+    let start = Instant::now();
+    let mut runs = true;
+    while runs {
+        assert!(start.elapsed() < Duration::from_secs(45));
+        if let Ok(orders) = entry.poll_worker(worker.next_poll()).await {
+            runs = orders.tasks.iter().any(|order| order.want == Want::Run);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn announced_endpoint() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let mut announcement = EndpointAnnouncement {
+        endpoint: "booking-1".parse().expect("an id"),
+        service: "booking".parse().expect("an id"),
+        zone: "senec".parse().expect("an id"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        incarnation: Incarnation(1),
+        sequence: Sequence(1),
+        slots: Slots(8),
+        connections: Slots(64),
+        slots_used: Slots::ZERO,
+        connections_used: Slots::ZERO,
+        leaving: false,
+    };
+    let mut slots = 0;
+    for _second in 0..20 {
+        let answer = entry.announce(announcement.clone()).await;
+        assert_matches!(answer, Ok(EndpointAnswer::Accepted { .. }));
+        announcement.sequence = announcement.sequence.next();
+        sleep(Duration::from_secs(1)).await;
+        slots = entry
+            .state()
+            .borrow()
+            .shares
+            .iter()
+            .map(|share| share.slots.get())
+            .sum();
+        if slots > 0 {
+            break;
+        }
+    }
+    assert!(slots > 0 && slots <= 8, "{slots}");
+    announcement.endpoint = "swap-1".parse().expect("an id");
+    let refused = entry.announce(announcement).await;
+    assert_matches!(refused, Ok(EndpointAnswer::Refused { .. }));
+}
