Scheduler: reclaim, closed zones and adoption hold over random histories

A gang with one member in a closed zone ran in part for 30.1 s. A gang paused for a checkpoint by an earlier leader stayed paused for good. Work that may not run again and needs a whole zone never started while other guarantees were spread over all zones; unused guarantees are now bound elsewhere for it. Ruled out: dropping the partial-run bound; it is counted from the last leader change, as a new leader knows of no silence before it.

--- a/src/scheduler/binding.rs
+++ b/src/scheduler/binding.rs
@@ -134,11 +134,56 @@
         if self.accelerators_missing() < missed {
             return;
         }
-        for at in &order {
+        self.restore(&order, &before, pool);
+    }
+
+    /// Binds all cells of other teams on some workers elsewhere; false where that can't be done.
+    pub(super) fn vacate(
+        &mut self,
+        workers: &BTreeSet<u32>,
+        except: &TeamId,
+        pool: &mut Pool,
+        now: Millis,
+    ) -> bool {
+        let stands_there = |group: &Group| group.cells.iter().any(|ix| workers.contains(ix));
+        let groups = self.groups.iter().enumerate();
+        let standing = groups.filter(|(_at, g)| g.team != *except && stands_there(g));
+        let standing: Vec<usize> = standing.map(|(at, _group)| at).collect();
+        if standing.is_empty() {
+            return false;
+        }
+        let before: Vec<Vec<u32>> = self.groups.iter().map(|g| g.cells.clone()).collect();
+        for ix in workers {
+            pool.worker_mut(*ix).vacating = true;
+        }
+        for at in &standing {
+            let group = &mut self.groups[*at];
+            let (leaving, staying) = group.cells.iter().partition(|ix| workers.contains(*ix));
+            group.cells = staying;
+            let leaving: Vec<u32> = leaving;
+            for ix in leaving {
+                unbind_cell(group, pool, ix);
+            }
+        }
+        let mut moved = true;
+        for at in &standing {
+            moved &= bind(&mut self.groups[*at], pool, now);
+        }
+        for ix in workers {
+            pool.worker_mut(*ix).vacating = false;
+        }
+        if !moved {
+            self.restore(&standing, &before, pool);
+        }
+        moved
+    }
+
+    fn restore(&mut self, positions: &[usize], cells: &[Vec<u32>], pool: &mut Pool) {
+        for at in positions {
             unbind_all(&mut self.groups[*at], pool);
         }
-        for at in &order {
-            for ix in &before[*at] {
+        for at in positions {
+            for ix in &cells[*at] {
                 bind_cell(&mut self.groups[*at], pool, *ix);
             }
         }
@@ -272,7 +317,7 @@
     let mut slots = Vec::new();
     for ix in domain {
         let worker = pool.worker(*ix);
-        if !worker.usable(now) || worker.capacity.accelerators < size {
+        if worker.vacating || !worker.usable(now) || worker.capacity.accelerators < size {
             continue;
         }
         let fits = worker.cells_that_fit(&group.team, size);
--- a/src/scheduler/core.rs
+++ b/src/scheduler/core.rs
@@ -46,6 +46,8 @@
     /// Whether anything changed that may let a job start.
     pub(super) dirty: bool,
     pub(super) housekeeping_ms: Millis,
+    /// When guarantees were last bound elsewhere to make room.
+    pub(super) vacated_ms: Millis,
 }
 
 impl Scheduler {
@@ -71,6 +73,7 @@
             retry: Vec::new(),
             dirty: false,
             housekeeping_ms: Millis::ZERO,
+            vacated_ms: Millis::ZERO,
         }
     }
 
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -73,6 +73,10 @@
                 Seen::Refused | Seen::Stopped | Seen::Gone | Seen::Failed | Seen::OverMemory
             )
         });
+        let barred = gang
+            .places
+            .iter()
+            .any(|p| p.seen == Seen::Prepared && self.pool.worker(p.worker).is_closed());
         match &gang.stage {
             Stage::Preparing if broken => {
                 self.stop(ordinal, Then::Requeue(EndCause::PrepareFailed), now);
@@ -95,6 +99,17 @@
                 };
                 self.stop(ordinal, Then::Requeue(cause), now);
             }
+            Stage::Running if gang.any(Seen::Checkpointed) => {
+                // An earlier leader had begun to move it; a paused member does not go on by itself.
+                self.evict(ordinal, EndCause::Moved, now);
+            }
+            Stage::Running if barred => {
+                self.stop(ordinal, Then::Requeue(EndCause::ZoneOut), now);
+            }
+            Stage::Checkpointing { cause, .. } if gang.any(Seen::Prepared) => {
+                let then = Then::Requeue(cause.clone());
+                self.stop(ordinal, then, now);
+            }
             Stage::Checkpointing { cause, .. } => {
                 let done = |p: &Place| matches!(p.seen, Seen::Checkpointed | Seen::Succeeded);
                 if gang.places.iter().all(done) {
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -111,6 +111,8 @@
     pub(super) load: Load,
     /// Whether it may not be reclaimed: it runs inside its team's guarantee, or may not run again.
     pub(super) firm: bool,
+    /// Whether an earlier leader placed it, so that the books may count its room twice for a while.
+    pub(super) adopted: bool,
     /// Whether the start was committed.
     pub(super) started: bool,
     /// When this leader chose the places.
--- a/src/scheduler/invariant.rs
+++ b/src/scheduler/invariant.rs
@@ -57,7 +57,12 @@
                 }
             }
             let overfull = worker.used.accelerators > worker.offered.accelerators;
-            if worker.heard && worker.open && overfull {
+            let mut gangs = worker
+                .members
+                .iter()
+                .filter_map(|member| self.gang(member.0));
+            let adopted = gangs.any(|gang| gang.adopted);
+            if worker.heard && worker.open && overfull && !adopted {
                 return Err(format!(
                     "{}: {:?} of {:?} held",
                     worker.id, worker.used, worker.offered
--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -61,6 +61,7 @@
         let mut gang = new_gang(job, places, firm, now);
         gang.attempt = job.record.attempt;
         gang.stage = stage;
+        gang.adopted = true;
         gang.started = started;
         self.hold_places(ordinal, gang);
     }
@@ -218,6 +219,7 @@
         places,
         load: job.task_load(),
         firm,
+        adopted: false,
         started: false,
         placed_ms: now,
         started_ms: Millis::ZERO,
--- a/src/scheduler/load.rs
+++ b/src/scheduler/load.rs
@@ -19,6 +19,13 @@
         memory_mb: 0,
     };
 
+    /// More than any worker has.
+    pub(super) const MAX: Self = Self {
+        accelerators: u32::MAX,
+        cores: u32::MAX,
+        memory_mb: u64::MAX,
+    };
+
     pub(super) const fn of_capacity(capacity: &WorkerCapacity) -> Self {
         Self {
             accelerators: capacity.accelerators.0,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod reserve;
 mod search;
 mod status;
+mod vacate;
 mod worker;
 
 pub use admit::admit;
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -118,7 +118,9 @@
                 return;
             }
             let needed = self.jobs[&key.ordinal].accelerators();
-            if needed > unused || self.claims.by_job.contains_key(&key.ordinal) {
+            let claim = self.claims.by_job.get(&key.ordinal);
+            let reclaims = claim.is_some_and(|claim| claim.kind == ClaimKind::Reclaim);
+            if needed > unused || reclaims {
                 continue;
             }
             let started = self.try_guaranteed(key.ordinal, now, searches)
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -6,7 +6,7 @@
 use super::load::Load;
 use super::pool::Pool;
 use super::{EndCause, Scheduler};
-use crate::units::Millis;
+use crate::units::{Millis, TeamId};
 
 /// Why places are claimed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,6 +22,7 @@
 /// Places claimed for one job.
 #[derive(Clone, Debug)]
 pub(super) struct Claim {
+    pub(super) team: TeamId,
     pub(super) places: Vec<u32>,
     pub(super) load: Load,
     pub(super) kind: ClaimKind,
@@ -63,22 +64,39 @@
         }
     }
 
-    /// What other jobs claim of a worker, seen by a job that is expected to end at a time.
-    pub(super) fn on(&self, ix: u32, except: u64, end_ms: Millis) -> Load {
-        let Some(jobs) = self.by_worker.get(&ix) else {
-            return Load::ZERO;
-        };
-        let others = jobs.iter().filter(|ordinal| **ordinal != except);
-        others.fold(Load::ZERO, |sum, ordinal| {
-            let claim = &self.by_job[ordinal];
-            if matches!(claim.kind, ClaimKind::Reserve { until_ms } if end_ms <= until_ms) {
-                return sum;
-            }
+    fn sum_on(&self, ix: u32, counts: impl Fn(u64, &Claim) -> bool) -> Load {
+        let jobs = self.by_worker.get(&ix).into_iter().flatten();
+        let claims = jobs.map(|ordinal| (*ordinal, &self.by_job[ordinal]));
+        let counted = claims.filter(|(ordinal, claim)| counts(*ordinal, claim));
+        counted.fold(Load::ZERO, |sum, (_ordinal, claim)| {
             let tasks = claim.places.iter().filter(|place| **place == ix);
             tasks.fold(sum, |sum, _place| sum.plus(claim.load))
         })
     }
 
+    /// What other jobs claim of a worker, seen by a job that is expected to end at a time.
+    pub(super) fn on(&self, ix: u32, except: u64, end_ms: Millis) -> Load {
+        self.sum_on(ix, |ordinal, claim| {
+            let ends_before =
+                matches!(claim.kind, ClaimKind::Reserve { until_ms } if end_ms <= until_ms);
+            ordinal != except && !ends_before
+        })
+    }
+
+    /// What other jobs claim of a worker for guarantees.
+    pub(super) fn reclaims_on(&self, ix: u32, except: u64) -> Load {
+        self.sum_on(ix, |ordinal, claim| {
+            ordinal != except && claim.kind == ClaimKind::Reclaim
+        })
+    }
+
+    /// What other jobs claim of a worker for the guarantee of this team.
+    pub(super) fn of_team_on(&self, ix: u32, except: u64, team: &TeamId) -> Load {
+        self.sum_on(ix, |ordinal, claim| {
+            ordinal != except && claim.kind == ClaimKind::Reclaim && claim.team == *team
+        })
+    }
+
     pub(super) fn count(&self, reserves: bool) -> usize {
         let claims = self.by_job.values();
         claims
@@ -104,7 +122,7 @@
         }
         let mut victims = BTreeSet::new();
         for (ix, need) in &needs {
-            if !self.choose_victims(*ix, *need, &mut victims, now) {
+            if !self.choose_victims(ordinal, *ix, *need, &mut victims, now) {
                 return false;
             }
         }
@@ -124,6 +142,7 @@
     /// Adds gangs to the victims until the worker has room, least lost work first.
     fn choose_victims(
         &self,
+        ordinal: u64,
         ix: u32,
         need: Load,
         victims: &mut BTreeSet<u64>,
@@ -138,7 +157,7 @@
                 *held = held.plus(gang.load);
             }
         }
-        let mut taken = worker.used;
+        let mut taken = worker.used.plus(self.claims.reclaims_on(ix, ordinal));
         let limit = worker.capacity.minus(worker.foreign);
         let fits = |taken: Load| taken.plus(need).fits_in(limit);
         for (ordinal, held) in &used {
--- a/src/scheduler/report.rs
+++ b/src/scheduler/report.rs
@@ -56,6 +56,18 @@
             self.bindings.dirty = true;
             self.freed();
         }
+        if appeared && self.pool.worker(ix).is_closed() {
+            self.leave_worker(ix, now);
+        }
+    }
+
+    /// Takes gangs off a worker that turns out to stand in a closed zone.
+    fn leave_worker(&mut self, ix: u32, now: Millis) {
+        let members = self.pool.worker(ix).members.iter();
+        let gangs: BTreeSet<u64> = members.map(|(ordinal, _index)| *ordinal).collect();
+        for ordinal in gangs {
+            self.evict(ordinal, EndCause::ZoneOut, now);
+        }
     }
 
     fn take_reports(&mut self, ix: u32, poll: &WorkerPoll, now: Millis) {
@@ -287,7 +299,7 @@
     }
 
     fn stands_in_closed_zone(&self, job: &Job) -> bool {
-        let closed = |place: &Place| !self.pool.worker(place.worker).open;
+        let closed = |place: &Place| self.pool.worker(place.worker).is_closed();
         job.gang
             .as_ref()
             .is_some_and(|gang| gang.places.iter().any(closed))
@@ -305,20 +317,20 @@
         let Some(gang) = job.gang.as_mut() else {
             return;
         };
-        let runs = |p: &Place| matches!(p.seen, Seen::Running | Seen::Succeeded);
         match gang.stage {
             Stage::Placing | Stage::Starting => gang.abort = Some(Then::Requeue(cause)),
             Stage::Preparing => self.stop(ordinal, Then::Requeue(cause), now),
-            Stage::Running if !idempotent && gang.places.iter().all(runs) => {
+            Stage::Running if !idempotent => {
                 let sentence = "It may not run again, so it finishes where it runs.";
                 self.explain_job(ordinal, "finishes_in_place", sentence);
+                self.evaluate(ordinal, now);
             }
-            Stage::Running if !idempotent => self.stop(ordinal, Then::Requeue(cause), now),
             Stage::Running => {
                 gang.stage = Stage::Checkpointing { cause, until_ms };
                 self.changed_members(ordinal);
                 let sentence = "It writes a checkpoint and then leaves its places.";
                 self.explain_job(ordinal, "checkpointing", sentence);
+                self.evaluate(ordinal, now);
             }
             _ => {}
         }
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -29,10 +29,14 @@
             .filter_map(|domain| self.openings(domain, ordinal, load, tasks, now))
             .min_by_key(|openings| openings.last().copied());
         let Some(openings) = best else {
+            if !self.jobs[&ordinal].record.spec.idempotent {
+                self.vacate(ordinal, now);
+            }
             return;
         };
         let until_ms = openings.last().map_or(now, |(at, _ix)| *at);
         let claim = Claim {
+            team: self.jobs[&ordinal].record.spec.key.team.clone(),
             places: openings.into_iter().map(|(_at, ix)| ix).collect(),
             load,
             kind: ClaimKind::Reserve { until_ms },
@@ -44,7 +48,7 @@
         self.explain_job(ordinal, "reserved", sentence);
     }
 
-    fn reserve_domains(&self, adjacency: Adjacency) -> Vec<Vec<u32>> {
+    pub(super) fn reserve_domains(&self, adjacency: Adjacency) -> Vec<Vec<u32>> {
         let racks = || self.pool.open_zones().flat_map(|zone| &zone.racks);
         let workers = |rack: &u32| self.pool.racks[*rack as usize].workers.clone();
         match adjacency {
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// Which claims of others keep a job off places.
+#[derive(Clone, Copy, Debug)]
+enum ClaimsCounted {
+    /// Those of guarantees only: reserved cells are no obstacle for guaranteed work.
+    Reclaims,
+    /// All.
+    All,
+}
+
 impl Scheduler {
     pub(super) fn ask(&self, ordinal: u64) -> Ask {
         let job = &self.jobs[&ordinal];
@@ -78,14 +87,16 @@
     fn search(
         &mut self,
         ordinal: u64,
-        team: Option<TeamId>,
+        memo: Option<TeamId>,
         now: Millis,
         searches: &mut u32,
-        room: impl Fn(&Self, u32, &Worker) -> Load,
+        claims: ClaimsCounted,
+        room: impl Fn(&Worker) -> (Load, Load),
     ) -> Option<Vec<u32>> {
         let ask = self.ask(ordinal);
+        let team = self.jobs[&ordinal].record.spec.key.team.clone();
         let shape = Shape {
-            team,
+            team: memo,
             tasks: ask.tasks,
             load: ask.load,
             adjacency: ask.adjacency,
@@ -99,7 +110,14 @@
         let end_ms = shape.end_ms;
         let room = |ix: u32, worker: &Worker| {
             let accepted = self.accepts(ix, worker, ordinal, now);
-            accepted.then(|| room(self, ix, worker).minus(self.claims.on(ix, ordinal, end_ms)))
+            accepted.then(|| {
+                let (free, limit) = room(worker);
+                match claims {
+                    ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms)),
+                    ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
+                }
+                .min(limit.minus(self.claims.of_team_on(ix, ordinal, &team)))
+            })
         };
         let sure = |ix: u32, worker: &Worker| {
             let trusted = !worker.health.is_doubtful() && worker.health.is_up();
@@ -120,18 +138,14 @@
         let team = self.jobs[&ordinal].record.spec.key.team.clone();
         let load = self.jobs[&ordinal].task_load();
         let racks = self.bindings.racks_of(&team, &self.pool);
-        let found = self.search(
-            ordinal,
-            Some(team.clone()),
-            now,
-            searches,
-            |_s, _ix, worker| {
-                if !racks.contains(&worker.rack) {
-                    return Load::ZERO;
-                }
-                worker.free().min(worker.bound_room(&team, load))
-            },
-        );
+        let memo = Some(team.clone());
+        let claims = ClaimsCounted::Reclaims;
+        let found = self.search(ordinal, memo, now, searches, claims, |worker| {
+            if !racks.contains(&worker.rack) {
+                return (Load::ZERO, Load::ZERO);
+            }
+            (worker.free(), worker.bound_room(&team, load))
+        });
         let Some(places) = found else {
             return false;
         };
@@ -146,13 +160,17 @@
         let firm = !spec.idempotent;
         let team = spec.key.team.clone();
         let memo = firm.then(|| team.clone());
-        let found = self.search(ordinal, memo, now, searches, |_s, _ix, worker| {
+        let claims = ClaimsCounted::All;
+        let found = self.search(ordinal, memo, now, searches, claims, |worker| {
             let free = worker.free();
-            if firm {
-                free.min(worker.firm_room(&team))
-            } else {
-                free
-            }
+            (
+                free,
+                if firm {
+                    worker.firm_room(&team)
+                } else {
+                    Load::MAX
+                },
+            )
         });
         let Some(places) = found else {
             return false;
@@ -176,8 +194,11 @@
             if !racks.contains(&worker.rack) || !self.accepts(ix, worker, ordinal, now) {
                 return None;
             }
-            let room = worker.reclaimable().min(worker.bound_room(&team, ask.load));
-            Some(room.minus(self.claims.on(ix, ordinal, Millis::MAX)))
+            let room = worker
+                .reclaimable()
+                .minus(self.claims.reclaims_on(ix, ordinal));
+            let limit = worker.bound_room(&team, ask.load);
+            Some(room.min(limit.minus(self.claims.of_team_on(ix, ordinal, &team))))
         });
         let Some(places) = places else {
             return false;
@@ -186,6 +207,7 @@
             return false;
         }
         let claim = Claim {
+            team,
             places,
             load: ask.load,
             kind: ClaimKind::Reclaim,
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -3,6 +3,7 @@
 use super::gang::Stage;
 use super::{Scheduler, TeamStatus, WorkerStatus};
 use crate::fleet::HealthState;
+use crate::release_note::{ZoneSpec, ZoneState};
 use crate::units::{Accelerators, TeamId};
 
 impl Scheduler {
@@ -71,12 +72,8 @@
     /// The stable code and sentence for a job without a place.
     pub(super) fn why_blocked(&self, ordinal: u64) -> (&'static str, &'static str) {
         let spec = &self.jobs[&ordinal].record.spec;
-        if self
-            .pool
-            .zones
-            .iter()
-            .any(|zone| !zone.open && !zone.racks.is_empty())
-        {
+        let out = |zone: &ZoneSpec| zone.state == ZoneState::Out;
+        if self.in_force.zones.values().any(out) {
             return (
                 "waits_for_zone",
                 "No open zone has room; a zone is taken out.",
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -46,6 +46,8 @@
     pub(super) strays: Vec<TaskKey>,
     pub(super) version: OrdersVersion,
     pub(super) health: Health,
+    /// Whether no guarantee may be bound to it just now.
+    pub(super) vacating: bool,
 }
 
 impl Worker {
@@ -68,6 +70,7 @@
             strays: Vec::new(),
             version: OrdersVersion::ZERO,
             health: Health::new(),
+            vacating: false,
         }
     }
 
@@ -81,6 +84,11 @@
         now.since(self.heard_ms) > LEASE_MS.with_clock_margin()
     }
 
+    /// Whether it is known to stand where no work may start.
+    pub(super) const fn is_closed(&self) -> bool {
+        self.heard && !self.open
+    }
+
     /// Whether work of any kind may start on it.
     pub(super) fn usable(&self, now: Millis) -> bool {
         self.open && self.alive(now) && self.health.is_up()
@@ -143,13 +151,15 @@
         (1..=most).take_while(fits).last().unwrap_or(0)
     }
 
+    /// Accelerators bound to guarantees.
+    pub(super) fn bound(&self) -> u32 {
+        let bound = self.holdings.values().map(|holding| holding.bound);
+        bound.fold(0, u32::saturating_add)
+    }
+
     /// Whether all that is bound and held for good still fits.
     pub(super) fn covers_bound(&self) -> bool {
-        let bound: u32 = self
-            .holdings
-            .values()
-            .map(|h| h.bound)
-            .fold(0, u32::saturating_add);
+        let bound = self.bound();
         let holdings = self.holdings.values();
         let taken = holdings.fold(Load::ZERO, |sum, h| sum.plus(self.taken_by(h)));
         bound <= self.capacity.accelerators && taken.fits_in(self.capacity)
