--- a/src/fleet/health.rs
+++ b/src/fleet/health.rs
@@ -40,6 +40,9 @@
     pub state: HealthState,
     failures: Vec<(u64, Millis)>,
     rounds: u32,
+    succeeded_ms: Option<Millis>,
+    /// Whether more than unproved evidence took it out.
+    confirmed: bool,
 }
 
 impl Default for Health {
@@ -56,6 +59,8 @@
             state: HealthState::Up,
             failures: Vec::new(),
             rounds: 0,
+            succeeded_ms: None,
+            confirmed: false,
         }
     }
 
@@ -94,6 +99,7 @@
         let probe_failed = matches!(self.state, HealthState::Probing { .. });
         let worn_out = self.is_up() && self.failures.len() >= FAILURES_MAX;
         if probe_failed || worn_out {
+            self.confirmed = probe_failed;
             self.quarantine(now);
         }
     }
@@ -110,8 +116,9 @@
     }
 
     /// A task succeeded: earlier failures were the jobs' own.
-    pub fn succeed(&mut self, job: u64) {
+    pub fn succeed(&mut self, job: u64, now: Millis) {
         self.failures.clear();
+        self.succeeded_ms = Some(now);
         let probe =
             matches!(self.state, HealthState::Probing { job: Some(probe), .. } if probe == job);
         if probe {
@@ -120,12 +127,22 @@
         }
     }
 
+    /// A job that failed here at a time has succeeded elsewhere, so the worker was the cause.
+    pub fn confirm(&mut self, failed_ms: Millis, now: Millis) {
+        let succeeded_since = self.succeeded_ms.is_some_and(|at| at >= failed_ms);
+        if self.is_up() && !succeeded_since {
+            self.confirmed = true;
+            self.quarantine(now);
+        }
+    }
+
     /// The job fails on other workers too, so its failure here is no evidence.
     pub fn withdraw(&mut self, job: u64, now: Millis) {
         let before = self.failures.len();
         self.failures.retain(|(failed, _when)| *failed != job);
         let cleared = self.failures.len() < before && self.failures.len() < FAILURES_MAX;
-        if cleared && matches!(self.state, HealthState::Quarantined { .. }) {
+        let out = matches!(self.state, HealthState::Quarantined { .. });
+        if cleared && out && !self.confirmed {
             self.rounds = self.rounds.saturating_sub(1);
             self.state = match self.rounds {
                 0 => HealthState::Up,
--- a/src/scheduler/core.rs
+++ b/src/scheduler/core.rs
@@ -46,6 +46,8 @@
     /// Whether anything changed that may let a job start.
     pub(super) dirty: bool,
     pub(super) housekeeping_ms: Millis,
+    /// Whether some worker waits for a probe.
+    pub(super) probe_wanted: bool,
     /// When guarantees were last bound elsewhere to make room.
     pub(super) vacated_ms: Millis,
 }
@@ -73,6 +75,7 @@
             retry: Vec::new(),
             dirty: false,
             housekeeping_ms: Millis::ZERO,
+            probe_wanted: false,
             vacated_ms: Millis::ZERO,
         }
     }
--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -166,7 +166,15 @@
                 .learn(team, &spec.class, spec.declared_run_ms, ran);
         }
         for place in &gang.places {
-            self.pool.worker_mut(place.worker).health.succeed(ordinal);
+            let health = &mut self.pool.worker_mut(place.worker).health;
+            self.bindings.dirty |= !health.is_up();
+            health.succeed(ordinal, now);
+        }
+        if self.options.quarantine {
+            for (ix, failed_ms) in &job.failed_on {
+                self.pool.worker_mut(*ix).health.confirm(*failed_ms, now);
+                self.bindings.dirty = true;
+            }
         }
         self.out.push(Action::Commit(JobTransition::Ended {
             job: spec.key.clone(),
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -18,8 +18,8 @@
     pub(super) queued: Option<super::queue::QueueKey>,
     /// Since when no cell could hold it.
     pub(super) blocked_ms: Option<Millis>,
-    /// Workers on which it failed.
-    pub(super) failed_on: Vec<u32>,
+    /// Workers on which it failed, and when.
+    pub(super) failed_on: Vec<(u32, Millis)>,
     /// Attempts under this leader that count against the team's limit.
     pub(super) failed_attempts: u32,
 }
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether it failed on a worker.
+    pub(super) fn failed_before_on(&self, ix: u32) -> bool {
+        self.failed_on.iter().any(|(failed, _when)| *failed == ix)
+    }
+
     /// Accelerators of the whole gang.
     pub(super) const fn accelerators(&self) -> u64 {
         self.record.spec.accelerators.0 as u64 * self.record.spec.tasks as u64
--- a/src/scheduler/report.rs
+++ b/src/scheduler/report.rs
@@ -176,14 +176,13 @@
         let Some(job) = self.jobs.get_mut(&ordinal) else {
             return;
         };
-        if !job.failed_on.contains(&worker) {
-            job.failed_on.push(worker);
-        }
+        job.failed_on.retain(|(failed, _when)| *failed != worker);
+        job.failed_on.push((worker, now));
         if !self.options.quarantine {
             return;
         }
         if job.failed_on.len() > 1 {
-            for ix in &job.failed_on {
+            for (ix, _when) in &job.failed_on {
                 self.pool.worker_mut(*ix).health.withdraw(ordinal, now);
             }
             let probe = &mut self.pool.worker_mut(worker).health;
@@ -226,11 +225,13 @@
     pub(super) fn watch_workers(&mut self, now: Millis) {
         let mut lost = BTreeSet::new();
         let mut gone = BTreeSet::new();
+        let mut probe_wanted = false;
         let settled = self.settled(now);
         let known: Vec<u32> = self.pool.known().collect();
         for ix in known {
             let worker = self.pool.worker_mut(ix);
             worker.health.tick(now);
+            probe_wanted |= worker.health.takes_probe(true, now);
             if worker.alive(now) {
                 continue;
             }
@@ -244,6 +245,10 @@
                 lost.extend(members.map(|(ordinal, _index)| ordinal));
             }
         }
+        if probe_wanted && !self.probe_wanted {
+            self.freed();
+        }
+        self.probe_wanted = probe_wanted;
         for member in &gone {
             if let Some((gang, at)) = self.place_mut(*member) {
                 gang.places[at].seen = Seen::Gone;
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -75,7 +75,7 @@
     /// Whether a job may start on a worker at all.
     pub(super) fn accepts(&self, ix: u32, worker: &Worker, ordinal: u64, now: Millis) -> bool {
         let job = &self.jobs[&ordinal];
-        if job.failed_on.contains(&ix) || !worker.open || !worker.alive(now) {
+        if job.failed_before_on(ix) || !worker.open || !worker.alive(now) {
             return false;
         }
         let spec = &job.record.spec;
@@ -83,6 +83,13 @@
         worker.health.is_up() || (spec.idempotent && worker.health.takes_probe(single, now))
     }
 
+    /// Whether a job is fit to probe a doubtful worker: small, not urgent, and it may run again.
+    fn may_probe(&self, ordinal: u64) -> bool {
+        let job = &self.jobs[&ordinal];
+        let spec = &job.record.spec;
+        spec.tasks == 1 && spec.idempotent && !spec.urgent && job.failed_on.is_empty()
+    }
+
     /// Searches unless a shape no harder has just failed.
     fn search(
         &mut self,
@@ -123,7 +130,17 @@
             let trusted = !worker.health.is_doubtful() && worker.health.is_up();
             if trusted { room(ix, worker) } else { None }
         };
-        let found = find(&self.pool, &ask, sure).or_else(|| find(&self.pool, &ask, room));
+        let probe = |ix: u32, worker: &Worker| {
+            if worker.health.takes_probe(true, now) {
+                room(ix, worker)
+            } else {
+                None
+            }
+        };
+        let probes = self.probe_wanted && self.may_probe(ordinal);
+        let found = probes.then(|| find(&self.pool, &ask, probe)).flatten();
+        let found = found.or_else(|| find(&self.pool, &ask, sure));
+        let found = found.or_else(|| find(&self.pool, &ask, room));
         if let Some(places) = found {
             return Some(places);
         }
--- /dev/null
+++ b/tests/fleet_health.rs
@@ -0,0 +1,197 @@
+//! Broken workers leave, broken jobs end, and neither harms the rest.
+
+#[path = "support/gang_driver.rs"]
+mod gang_driver;
+
+use assert_matches::assert_matches;
+use gang_driver::{Driver, ONE_LEASE_MS, add_team, in_force, job};
+use marjoramknot::fleet::{Health, HealthState};
+use marjoramknot::release_note::{Adjacency, InForce};
+use marjoramknot::scheduler::{JobKey, JobOutcome, NotRunReason};
+use marjoramknot::units::{MemoryMb, Millis};
+use rstest::rstest;
+
+fn fleet() -> InForce {
+    let mut state = in_force(&[("Nitra", 2)], 5);
+    add_team(&mut state, "ponds", &[(1, 8, Adjacency::Rack)]);
+    add_team(&mut state, "guests", &[]);
+    state
+}
+
+fn states(driver: &Driver, state: &str) -> usize {
+    let workers = driver.scheduler.workers();
+    workers
+        .iter()
+        .filter(|worker| worker.state == state)
+        .count()
+}
+
+fn fail_all(driver: &mut Driver, count: usize) {
+    for slot in driver.slots.iter_mut().take(count) {
+        slot.worker.spec.faults.fails_all = true;
+    }
+}
+
+/// Starts of tasks on the first workers.
+fn starts_on(driver: &Driver, count: usize) -> usize {
+    let first = driver.slots.iter().take(count);
+    first.map(|slot| slot.worker.history.len()).sum()
+}
+
+#[rstest]
+#[case::one(1, 0)]
+#[case::three(3, 0)]
+#[case::with_broken_jobs(3, 12)]
+fn black_hole(#[case] broken: usize, #[case] broken_jobs: u32) {
+    for seed in 0..5 {
+        let mut driver = Driver::ready(fleet(), seed);
+        fail_all(&mut driver, broken);
+        let mut good = Vec::new();
+        let mut bad = Vec::new();
+        for at in 0..120_u32 {
+            let tasks = 1 + at % 3;
+            good.push(driver.submit(job("guests", &format!("g{at}"), tasks, 2, 3_000)));
+            if at < broken_jobs {
+                let mut spec = job("guests", &format!("b{at}"), 1, 2, 3_000);
+                spec.payload = "fail".into();
+                bad.push(driver.submit(spec));
+            }
+            driver.run_for(500);
+        }
+        let ended = driver.run_until(240_000, |d| good.iter().all(|key| d.succeeded(key)));
+        let stuck = good.iter().find(|key| !driver.succeeded(key));
+        assert!(
+            ended,
+            "seed {seed}: {}",
+            driver.log_of(stuck.expect("one is left"))
+        );
+        let failed = |key: &&JobKey| matches!(driver.outcome(key), Some(JobOutcome::Failed { .. }));
+        assert_eq!(bad.iter().filter(failed).count(), bad.len());
+        // Each broken worker may fail eight concurrent starts and one probe a round.
+        let drawn = starts_on(&driver, broken);
+        assert!(
+            drawn <= broken * 16,
+            "seed {seed}: {drawn} starts on broken workers"
+        );
+        assert_eq!(
+            states(&driver, "up"),
+            driver.slots.len() - broken,
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn broken_jobs_only() {
+    let mut driver = Driver::ready(fleet(), 1);
+    let bad: Vec<JobKey> = (0..20)
+        .map(|at| {
+            let mut spec = job("guests", &format!("b{at}"), 1, 4, 3_000);
+            spec.payload = "fail".into();
+            driver.submit(spec)
+        })
+        .collect();
+    let all_up = |d: &Driver| states(d, "up") + states(d, "probing") >= 8;
+    assert!(driver.run_until(60_000, |d| bad.iter().all(|key| d.outcome(key).is_some())));
+    assert!(all_up(&driver));
+    for key in &bad {
+        assert_matches!(driver.outcome(key), Some(JobOutcome::Failed { cause }) if cause == "broken");
+    }
+    let good = driver.submit(job("guests", "good", 10, 8, 1_000));
+    assert!(
+        driver.run_until(90_000, |d| d.succeeded(&good)),
+        "{}",
+        driver.log_of(&good)
+    );
+}
+
+#[test]
+fn mended_worker_returns() {
+    let mut driver = Driver::ready(fleet(), 2);
+    fail_all(&mut driver, 1);
+    for at in 0..40 {
+        driver.submit(job("guests", &format!("j{at}"), 1, 4, 2_000));
+        driver.run_for(300);
+    }
+    assert_eq!(states(&driver, "quarantined"), 1);
+    driver.slots[0].worker.spec.faults.fails_all = false;
+    for at in 0..200 {
+        driver.submit(job("guests", &format!("k{at}"), 1, 4, 2_000));
+        driver.run_for(500);
+    }
+    assert_eq!(states(&driver, "up"), driver.slots.len());
+    driver.check_history(ONE_LEASE_MS);
+}
+
+#[test]
+fn refusals_end_truly() {
+    let mut driver = Driver::ready(fleet(), 3);
+    for slot in &mut driver.slots {
+        slot.worker.spec.faults.refuses = true;
+    }
+    let key = driver.submit(job("guests", "refused", 2, 8, 1_000));
+    assert!(driver.run_until(60_000, |d| d.outcome(&key).is_some()));
+    assert_matches!(
+        driver.outcome(&key),
+        Some(JobOutcome::NotRun {
+            reason: NotRunReason::AttemptsExhausted { .. }
+        })
+    );
+    driver.check_history(ONE_LEASE_MS);
+}
+
+#[rstest]
+#[case::grows(3_000, true)]
+#[case::beyond_the_limit(40_000, false)]
+fn over_memory(#[case] needs_memory_mb: u64, #[case] ends_well: bool) {
+    let mut driver = Driver::ready(fleet(), 4);
+    for slot in &mut driver.slots {
+        slot.worker.spec.faults.needs_memory_mb = needs_memory_mb;
+    }
+    let key = driver.submit(job("guests", "hungry", 2, 2, 1_000));
+    assert!(driver.run_until(60_000, |d| d.outcome(&key).is_some()));
+    assert_eq!(driver.succeeded(&key), ends_well, "{}", driver.log_of(&key));
+    let asked = driver.records[&key].memory_mb;
+    assert!(asked <= MemoryMb(32_768));
+    assert_eq!(
+        states(&driver, "up"),
+        driver.slots.len(),
+        "memory is the job's fault"
+    );
+}
+
+#[test]
+fn backoff_doubles() {
+    let mut health = Health::new();
+    let mut now = Millis(0);
+    let mut spans = Vec::new();
+    for job in 0..3 {
+        health.fail(job, now);
+    }
+    for probe in 10..14 {
+        let remaining = health.remaining(now).expect("it is out");
+        spans.push(remaining.0);
+        now = now.saturating_add(remaining);
+        health.tick(now);
+        assert!(health.takes_probe(true, now));
+        assert!(!health.takes_probe(false, now));
+        health.begin_probe(probe);
+        assert!(!health.takes_probe(true, now));
+        health.fail(probe, now);
+    }
+    assert_eq!(spans, [30_000, 60_000, 120_000, 240_000]);
+}
+
+#[rstest]
+#[case::same_job(&[1, 1, 1, 1], true)]
+#[case::two_jobs(&[1, 2, 1, 2], true)]
+#[case::three_jobs(&[1, 2, 3], false)]
+fn evidence(#[case] jobs: &[u64], #[case] up: bool) {
+    let mut health = Health::new();
+    for job in jobs {
+        health.fail(*job, Millis(5));
+    }
+    assert_eq!(health.is_up(), up);
+    health.withdraw(jobs[0], Millis(6));
+    assert_eq!(health.state, HealthState::Up);
+}
