--- a/src/scheduler/finish.rs
+++ b/src/scheduler/finish.rs
@@ -73,6 +73,10 @@
                 Seen::Refused | Seen::Stopped | Seen::Gone | Seen::Failed | Seen::OverMemory
             )
         });
+        let barred = gang
+            .places
+            .iter()
+            .any(|p| p.seen == Seen::Prepared && self.pool.worker(p.worker).is_closed());
         match &gang.stage {
             Stage::Preparing if broken => {
                 self.stop(ordinal, Then::Requeue(EndCause::PrepareFailed), now);
@@ -95,6 +99,17 @@
                 };
                 self.stop(ordinal, Then::Requeue(cause), now);
             }
+            Stage::Running if gang.any(Seen::Checkpointed) => {
+                // An earlier leader had begun to move it; a paused member does not go on by itself.
+                self.evict(ordinal, EndCause::Moved, now);
+            }
+            Stage::Running if barred => {
+                self.stop(ordinal, Then::Requeue(EndCause::ZoneOut), now);
+            }
+            Stage::Checkpointing { cause, .. } if gang.any(Seen::Prepared) => {
+                let then = Then::Requeue(cause.clone());
+                self.stop(ordinal, then, now);
+            }
             Stage::Checkpointing { cause, .. } => {
                 let done = |p: &Place| matches!(p.seen, Seen::Checkpointed | Seen::Succeeded);
                 if gang.places.iter().all(done) {
@@ -151,7 +166,15 @@
                 .learn(team, &spec.class, spec.declared_run_ms, ran);
         }
         for place in &gang.places {
-            self.pool.worker_mut(place.worker).health.succeed(ordinal);
+            let health = &mut self.pool.worker_mut(place.worker).health;
+            self.bindings.dirty |= !health.is_up();
+            health.succeed(ordinal, now);
+        }
+        if self.options.quarantine {
+            for (ix, failed_ms) in &job.failed_on {
+                self.pool.worker_mut(*ix).health.confirm(*failed_ms, now);
+                self.bindings.dirty = true;
+            }
         }
         self.out.push(Action::Commit(JobTransition::Ended {
             job: spec.key.clone(),
