Control client: its calls can be awaited in tasks that move between threads

Cause: handlers of gotham must be Send, and futures over AsyncFn closures are not provably so ('implementation of Send is not general enough', seen when the operators' routes first called it). Ruled out: boxing each call. The closures now give plain futures; what they send is unchanged.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -68,8 +68,9 @@
     /// [`ControlError::NotLeader`] and [`ControlError::Unreachable`] where another should be asked.
     pub async fn exchange(&self, request: &ExchangeRequest) -> Result<ExchangeAnswer> {
         let limit = EXCHANGE_HOLD_MS.saturating_add(HOLD_SLACK_MS);
-        let call = async |client: ControlApiClient, context| {
-            client.exchange(context, request.clone()).await
+        let call = |client: ControlApiClient, context| {
+            let request = request.clone();
+            async move { client.exchange(context, request).await }
         };
         let mut unsure = false;
         match self.attempt(limit.duration(), &mut unsure, &call).await {
@@ -83,11 +84,10 @@
     /// # Errors
     /// The group gave no answer within `deadline_ms`.
     pub async fn report(&self, batch: &ReportBatch, deadline_ms: Millis) -> Result<ReportAnswer> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| client.report(context, batch.clone()).await,
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let batch = batch.clone();
+            async move { client.report(context, batch).await }
+        })
         .await
     }
 
@@ -96,13 +96,10 @@
     /// # Errors
     /// [`ControlError::Uncertain`] where the note may have been applied.
     pub async fn apply_note(&self, note: &ReleaseNote, deadline_ms: Millis) -> Result<NoteAnswer> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.apply_note(context, note.clone()).await
-            },
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let note = note.clone();
+            async move { client.apply_note(context, note).await }
+        })
         .await
     }
 
@@ -115,13 +112,10 @@
         request: &BeginRequest,
         deadline_ms: Millis,
     ) -> Result<BeginAnswer> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.begin_request(context, request.clone()).await
-            },
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let request = request.clone();
+            async move { client.begin_request(context, request).await }
+        })
         .await
     }
 
@@ -134,13 +128,10 @@
         request: &FinishRequest,
         deadline_ms: Millis,
     ) -> Result<FinishAnswer> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.finish_request(context, request.clone()).await
-            },
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let request = request.clone();
+            async move { client.finish_request(context, request).await }
+        })
         .await
     }
 
@@ -149,13 +140,10 @@
     /// # Errors
     /// [`ControlError::Uncertain`] where the job may have been accepted.
     pub async fn submit_job(&self, spec: &JobSpec, deadline_ms: Millis) -> Result<SubmitAnswer> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.submit_job(context, spec.clone()).await
-            },
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let spec = spec.clone();
+            async move { client.submit_job(context, spec).await }
+        })
         .await
     }
 
@@ -180,11 +168,10 @@
     async fn job_step(&self, key: &JobKey, step: Millis) -> Result<Option<JobView>> {
         let limit = step.saturating_add(HOLD_SLACK_MS);
         let deadline = limit.saturating_add(Millis(5_000));
-        self.call(
-            deadline,
-            limit,
-            async |client: ControlApiClient, context| client.job(context, key.clone(), step).await,
-        )
+        self.call(deadline, limit, |client: ControlApiClient, context| {
+            let key = key.clone();
+            async move { client.job(context, key, step).await }
+        })
         .await
     }
 
@@ -193,11 +180,10 @@
     /// # Errors
     /// The group gave no answer within `deadline_ms`.
     pub async fn jobs(&self, filter: &JobFilter, deadline_ms: Millis) -> Result<Vec<JobView>> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| client.jobs(context, filter.clone()).await,
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let filter = filter.clone();
+            async move { client.jobs(context, filter).await }
+        })
         .await
     }
 
@@ -206,13 +192,10 @@
     /// # Errors
     /// [`ControlError::Uncertain`] where some may have been cancelled.
     pub async fn cancel_jobs(&self, keys: &[JobKey], deadline_ms: Millis) -> Result<Vec<JobView>> {
-        self.call(
-            deadline_ms,
-            TRY_MS,
-            async |client: ControlApiClient, context| {
-                client.cancel_jobs(context, keys.to_vec()).await
-            },
-        )
+        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
+            let keys = keys.to_vec();
+            async move { client.cancel_jobs(context, keys).await }
+        })
         .await
     }
 
@@ -224,18 +207,21 @@
         self.call(
             deadline_ms,
             TRY_MS,
-            async |client: ControlApiClient, context| client.status(context).await,
+            |client: ControlApiClient, context| async move { client.status(context).await },
         )
         .await
     }
 
     /// Tries until there is an answer or the deadline.
-    async fn call<T>(
+    async fn call<T, F>(
         &self,
         deadline_ms: Millis,
         try_ms: Millis,
-        call: impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
-    ) -> Result<T> {
+        call: impl Fn(ControlApiClient, Context) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = Tried<T>> + Send,
+    {
         let deadline = Instant::now() + deadline_ms.duration();
         let mut unsure = false;
         loop {
@@ -256,12 +242,15 @@
     }
 
     /// Tries once; sets `unsure` where the call went out and its answer is not known.
-    async fn attempt<T>(
+    async fn attempt<T, F>(
         &self,
         limit: Duration,
         unsure: &mut bool,
-        call: &impl AsyncFn(ControlApiClient, Context) -> Tried<T>,
-    ) -> std::result::Result<Result<T>, Again> {
+        call: &impl Fn(ControlApiClient, Context) -> F,
+    ) -> std::result::Result<Result<T>, Again>
+    where
+        F: Future<Output = Tried<T>> + Send,
+    {
         let Some(address) = self.connections.target() else {
             return Err(Again::Later);
         };
