--- a/src/cli/job_commands.rs
+++ b/src/cli/job_commands.rs
@@ -10,8 +10,8 @@
 use crate::entry::CancelJobs;
 use crate::scheduler::{JobKey, JobOutcome, NotRunReason};
 
-/// Most jobs that one cancel of a whole team takes.
-const CANCEL_MAX: u32 = 10_000;
+/// Most jobs of a team that one cancel takes; the oldest go first.
+const CANCEL_MAX: u32 = 1_000;
 
 pub(super) async fn jobs(
     client: &OperatorClient,
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -3,8 +3,10 @@
 
 use tokio_util::sync::CancellationToken;
 
-use super::{Client, Exchange};
+use super::Exchange;
+use crate::control::Client;
 use crate::telemetry::Metrics;
+use crate::units::Millis;
 
 /// What the routes of an entry work on.
 #[derive(Clone)]
@@ -19,6 +21,11 @@
     pub leaving: CancellationToken,
 }
 
+impl EntryContext {
+    /// How long a call to the leader may take before its client is told to come again.
+    pub const CALL_MS: Millis = Millis(5_000);
+}
+
 impl fmt::Debug for EntryContext {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("EntryContext").finish_non_exhaustive()
--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -102,7 +102,10 @@
 fn cancel<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
     async {
         let key = JobPath::take_from(state).into_key();
-        let views = context.client.cancel_jobs(vec![key.clone()]).await?;
+        let views = context
+            .client
+            .cancel_jobs(std::slice::from_ref(&key), EntryContext::CALL_MS)
+            .await?;
         view_answer(views.into_iter().next(), &key)
     }
     .boxed()
@@ -116,7 +119,10 @@
         return Err(refusal.with_outcome(Outcome::NotRun));
     }
     let job = spec.key.clone();
-    let submitted = context.client.submit_job(spec).await;
+    let submitted = context
+        .client
+        .submit_job(&spec, EntryContext::CALL_MS)
+        .await;
     match submitted.map_err(not_submitted)? {
         SubmitAnswer::Accepted => {
             let answer = SmolStr::new_static("accepted");
@@ -137,10 +143,10 @@
     key: &JobKey,
     wait_ms: Millis,
 ) -> Result<Option<JobView>, ControlError> {
-    let held = context.client.job(key.clone(), wait_ms);
+    let held = context.client.job(key, wait_ms);
     tokio::select! {
         view = held => view,
-        () = context.leaving.cancelled() => context.client.job(key.clone(), Millis::ZERO).await,
+        () = context.leaving.cancelled() => context.client.job(key, Millis::ZERO).await,
     }
 }
 
@@ -160,8 +166,10 @@
 /// A submission that may still be committed must not be called "not run".
 fn not_submitted(error: ControlError) -> Refusal {
     let outcome = match error {
-        ControlError::NotLeader { .. } | ControlError::Refused { .. } => Outcome::NotRun,
-        ControlError::Uncertain | ControlError::Unreachable => Outcome::Unknown,
+        ControlError::Uncertain => Outcome::Unknown,
+        ControlError::NotLeader { .. }
+        | ControlError::Refused { .. }
+        | ControlError::Unreachable => Outcome::NotRun,
     };
     Refusal::from(error).with_outcome(outcome)
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,5 +23,5 @@
 pub use listener::{Listener, ListenerHandle};
 pub use operators::{CancelJobs, operators_router};
 pub use route::{Answer, Answering, Refusal, RouteFn, route};
-pub use stub::{Client, Exchange};
+pub use stub::Exchange;
 pub use workers::{check_poll, draw_workers};
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -16,14 +16,11 @@
 use super::health::{draw_health, draw_metrics};
 use super::jobs::{JobPath, view_answer};
 use super::route::{Answer, Answering, Refusal, route};
-use crate::control::JobFilter;
+use crate::control::{JOBS_IN_CALL, JobFilter};
 use crate::release_note::{NoteAnswer, ReleaseNote};
 use crate::scheduler::JobKey;
 use crate::units::{Millis, TeamId};
 
-/// Most jobs that one call lists or cancels.
-const JOBS_MAX: u32 = 10_000;
-
 /// Asks to cancel jobs.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -92,7 +89,12 @@
         cause: format_smolstr!("not text: {cause}"),
     })?;
     let answer = match ReleaseNote::parse(text) {
-        Ok(note) => context.client.apply_note(note).await?,
+        Ok(note) => {
+            context
+                .client
+                .apply_note(&note, EntryContext::CALL_MS)
+                .await?
+        }
         Err(faults) => NoteAnswer::Invalid { faults },
     };
     let status = match &answer {
@@ -104,7 +106,11 @@
 }
 
 fn status<'a>(context: &'a EntryContext, _state: &'a mut State) -> Answering<'a> {
-    async { Ok(json_answer(StatusCode::OK, &context.client.status().await?)) }.boxed()
+    async {
+        let status = context.client.status(EntryContext::CALL_MS).await?;
+        Ok(json_answer(StatusCode::OK, &status))
+    }
+    .boxed()
 }
 
 fn list<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
@@ -113,9 +119,9 @@
         let filter = JobFilter {
             team: query.team,
             unended_only: query.unended_only,
-            limit: query.limit.min(JOBS_MAX),
+            limit: query.limit,
         };
-        let views = context.client.jobs(filter).await?;
+        let views = context.client.jobs(&filter, EntryContext::CALL_MS).await?;
         Ok(json_answer(StatusCode::OK, &views))
     }
     .boxed()
@@ -124,7 +130,7 @@
 fn explain<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
     async {
         let key = JobPath::take_from(state).into_key();
-        let view = context.client.job(key.clone(), Millis::ZERO).await?;
+        let view = context.client.job(&key, Millis::ZERO).await?;
         view_answer(view, &key)
     }
     .boxed()
@@ -133,13 +139,17 @@
 fn cancel<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
     async {
         let CancelJobs { jobs } = read_json(state).await?;
-        let asked = u32::try_from(jobs.len()).unwrap_or(u32::MAX);
-        if asked == 0 || asked > JOBS_MAX {
-            let message = format_smolstr!("jobs has {asked} items; 1 to {JOBS_MAX} are allowed");
+        let asked = jobs.len();
+        if asked == 0 || asked > JOBS_IN_CALL {
+            let message =
+                format_smolstr!("jobs has {asked} items; 1 to {JOBS_IN_CALL} are allowed");
             let status = StatusCode::UNPROCESSABLE_ENTITY;
             return Err(Refusal::new(status, "invalid", message));
         }
-        let views = context.client.cancel_jobs(jobs).await?;
+        let views = context
+            .client
+            .cancel_jobs(&jobs, EntryContext::CALL_MS)
+            .await?;
         Ok(json_answer(StatusCode::OK, &views))
     }
     .boxed()
--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -6,11 +6,12 @@
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
 use gotham::state::State;
 use http::StatusCode;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::Result;
 use super::listening::{find, listen};
-use crate::control::SharedMachine;
+use crate::control::{ControlOptions, ControlService, SharedMachine};
 use crate::entry::{Answering, json_answer, route, text_answer};
 use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
 use crate::replica::{self, Handle, Peer, ReplicaOptions};
@@ -89,8 +90,16 @@
 
 fn control_service(settings: Arc<ControlSettings>) -> Service {
     Service::new("control", &["replica"], move |registry| async move {
-        drop((settings, registry));
-        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        let replica = find::<Handle>(&registry, "replica")?;
+        let machine = find::<SharedMachine>(&registry, "machine")?;
+        let address = settings.own().entries;
+        let bound = TcpListener::bind(address).await;
+        let listener = bound.map_err(|cause| format!("cannot listen on {address}: {cause}"))?;
+        let options = ControlOptions::default();
+        let (replica, machine) = (Handle::clone(&replica), SharedMachine::clone(&machine));
+        let service = ControlService::start(options, replica, machine, listener)
+            .map_err(|cause| cause.to_string())?;
+        let stop: Stopper = Box::new(move || Box::pin(service.stop()));
         Ok(stop)
     })
 }
--- a/src/programs/entry.rs
+++ b/src/programs/entry.rs
@@ -10,8 +10,9 @@
 
 use super::Result;
 use super::listening::{find, listen};
+use crate::control::Client;
 use crate::entry::{
-    Client, EntryContext, Exchange, draw_health, draw_jobs, draw_workers, operators_router,
+    EntryContext, Exchange, draw_health, draw_jobs, draw_workers, operators_router,
 };
 use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
 use crate::settings::{EntrySettings, ListenerSettings};
@@ -64,8 +65,8 @@
 
 fn exchange_service(settings: Arc<EntrySettings>) -> Service {
     Service::new("exchange", &[], move |registry| async move {
-        drop(settings);
         registry.publish("exchange", Exchange);
+        registry.publish("client", Client::new(settings.control.clone()));
         let stop: Stopper = Box::new(|| Box::pin(async {}));
         Ok(stop)
     })
@@ -74,9 +75,10 @@
 fn context_service(metrics: Metrics, leaving: CancellationToken) -> Service {
     Service::new("context", &["exchange"], move |registry| async move {
         let exchange = find::<Exchange>(&registry, "exchange")?;
+        let client = find::<Client>(&registry, "client")?;
         let context = EntryContext {
             exchange,
-            client: Client,
+            client: Client::clone(&client),
             metrics,
             leaving,
         };
