--- /dev/null
+++ b/tests/support/http_worker.rs
@@ -0,0 +1,48 @@
+//! A worker in memory that polls entries over HTTP, in real time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use marjoramknot::fleet::WorkerOrders;
+use marjoramknot::kernel::Clock;
+use tokio::time::sleep;
+
+use super::fake_worker::FakeWorker;
+use super::http::Http;
+
+/// Pause after a poll that got no orders.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest time that a poll is left open while a task runs, so that its end is reported soon.
+const BUSY_POLL: Duration = Duration::from_millis(200);
+
+/// Polls the entries in turn until the task is dropped.
+pub async fn run_worker(mut worker: FakeWorker, entries: Vec<SocketAddr>) {
+    let http = Http::default();
+    let clock = Clock::start();
+    for entry in entries.iter().cycle() {
+        let sent_ms = clock.now();
+        let poll = worker.poll(sent_ms);
+        let body = serde_json::to_vec(&poll).expect("a poll is JSON");
+        let answer = http.send(Method::POST, *entry, "/v1/workers/poll", &[], body);
+        let busy = worker.running().next().is_some();
+        let held = async {
+            if busy {
+                sleep(BUSY_POLL).await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+        };
+        let answer = tokio::select! {
+            answer = answer => answer,
+            () = held => continue,
+        };
+        match answer {
+            Ok((StatusCode::OK, orders)) => {
+                let orders: WorkerOrders = serde_json::from_str(&orders).expect("orders are JSON");
+                worker.receive(&orders, sent_ms, clock.now());
+            }
+            Ok(_) | Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
