--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -18,6 +18,8 @@
 
 /// How long one try of a call may take before its connection counts as silent.
 const TRY_MS: Millis = Millis(1_000);
+/// How long a call is tried where its caller sets no deadline.
+const CALL_MS: Millis = Millis(5_000);
 /// How much longer than its hold an exchange or a held look-up may take.
 const HOLD_SLACK_MS: Millis = Millis(400);
 /// The pause before another try where no replica is known to lead.
@@ -35,6 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     connections: Arc<Connections>,
+    deadline_ms: Millis,
 }
 
 /// How a try ended that gave no final answer.
@@ -57,6 +60,16 @@
     pub fn with_dial(addresses: Vec<SocketAddr>, dial: Dial) -> Self {
         Self {
             connections: Arc::new(Connections::new(addresses, dial)),
+            deadline_ms: CALL_MS,
+        }
+    }
+
+    /// The same client with another deadline for each call; it shares the connections.
+    #[must_use]
+    pub fn with_deadline(&self, deadline_ms: Millis) -> Self {
+        Self {
+            connections: Arc::clone(&self.connections),
+            deadline_ms,
         }
     }
 
@@ -68,7 +81,7 @@
     /// [`ControlError::NotLeader`] and [`ControlError::Unreachable`] where another should be asked.
     pub async fn exchange(&self, request: &ExchangeRequest) -> Result<ExchangeAnswer> {
         let limit = EXCHANGE_HOLD_MS.saturating_add(HOLD_SLACK_MS);
-        let call = |client: ControlApiClient, context| {
+        let call = move |client: ControlApiClient, context| {
             let request = request.clone();
             async move { client.exchange(context, request).await }
         };
@@ -82,12 +95,13 @@
     /// Passes reports on.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn report(&self, batch: &ReportBatch, deadline_ms: Millis) -> Result<ReportAnswer> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let batch = batch.clone();
-            async move { client.report(context, batch).await }
-        })
+    /// The group gave no answer within the deadline.
+    pub async fn report(&self, batch: ReportBatch) -> Result<ReportAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.report(context, batch.clone()).await,
+        )
         .await
     }
 
@@ -95,11 +109,15 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the note may have been applied.
-    pub async fn apply_note(&self, note: &ReleaseNote, deadline_ms: Millis) -> Result<NoteAnswer> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let note = note.clone();
-            async move { client.apply_note(context, note).await }
-        })
+    pub async fn apply_note(&self, note: ReleaseNote) -> Result<NoteAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            move |client: ControlApiClient, context| {
+                let note = note.clone();
+                async move { client.apply_note(context, note).await }
+            },
+        )
         .await
     }
 
@@ -107,15 +125,15 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the begin may have been recorded.
-    pub async fn begin_request(
-        &self,
-        request: &BeginRequest,
-        deadline_ms: Millis,
-    ) -> Result<BeginAnswer> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let request = request.clone();
-            async move { client.begin_request(context, request).await }
-        })
+    pub async fn begin_request(&self, request: BeginRequest) -> Result<BeginAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            move |client: ControlApiClient, context| {
+                let request = request.clone();
+                async move { client.begin_request(context, request).await }
+            },
+        )
         .await
     }
 
@@ -123,15 +141,15 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the end may have been recorded.
-    pub async fn finish_request(
-        &self,
-        request: &FinishRequest,
-        deadline_ms: Millis,
-    ) -> Result<FinishAnswer> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let request = request.clone();
-            async move { client.finish_request(context, request).await }
-        })
+    pub async fn finish_request(&self, request: FinishRequest) -> Result<FinishAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            move |client: ControlApiClient, context| {
+                let request = request.clone();
+                async move { client.finish_request(context, request).await }
+            },
+        )
         .await
     }
 
@@ -139,11 +157,15 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where the job may have been accepted.
-    pub async fn submit_job(&self, spec: &JobSpec, deadline_ms: Millis) -> Result<SubmitAnswer> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let spec = spec.clone();
-            async move { client.submit_job(context, spec).await }
-        })
+    pub async fn submit_job(&self, spec: JobSpec) -> Result<SubmitAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            move |client: ControlApiClient, context| {
+                let spec = spec.clone();
+                async move { client.submit_job(context, spec).await }
+            },
+        )
         .await
     }
 
@@ -152,12 +174,12 @@
     ///
     /// # Errors
     /// The group gave no answer in time.
-    pub async fn job(&self, key: &JobKey, wait_ms: Millis) -> Result<Option<JobView>> {
+    pub async fn job(&self, key: JobKey, wait_ms: Millis) -> Result<Option<JobView>> {
         let deadline = Instant::now() + wait_ms.duration();
         loop {
             let left: Millis = deadline.saturating_duration_since(Instant::now()).into();
             let step = left.min(TRY_MS);
-            let view = self.job_step(key, step).await?;
+            let view = self.job_step(&key, step).await?;
             let is_open = view.as_ref().is_some_and(|view| view.outcome.is_none());
             if !is_open || left <= step {
                 return Ok(view);
@@ -168,22 +190,24 @@
     async fn job_step(&self, key: &JobKey, step: Millis) -> Result<Option<JobView>> {
         let limit = step.saturating_add(HOLD_SLACK_MS);
         let deadline = limit.saturating_add(Millis(5_000));
-        self.call(deadline, limit, |client: ControlApiClient, context| {
-            let key = key.clone();
-            async move { client.job(context, key, step).await }
-        })
+        self.call(
+            deadline,
+            limit,
+            async |client: ControlApiClient, context| client.job(context, key.clone(), step).await,
+        )
         .await
     }
 
     /// Lists jobs.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn jobs(&self, filter: &JobFilter, deadline_ms: Millis) -> Result<Vec<JobView>> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let filter = filter.clone();
-            async move { client.jobs(context, filter).await }
-        })
+    /// The group gave no answer within the deadline.
+    pub async fn jobs(&self, filter: JobFilter) -> Result<Vec<JobView>> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.jobs(context, filter.clone()).await,
+        )
         .await
     }
 
@@ -191,36 +215,36 @@
     ///
     /// # Errors
     /// [`ControlError::Uncertain`] where some may have been cancelled.
-    pub async fn cancel_jobs(&self, keys: &[JobKey], deadline_ms: Millis) -> Result<Vec<JobView>> {
-        self.call(deadline_ms, TRY_MS, |client: ControlApiClient, context| {
-            let keys = keys.to_vec();
-            async move { client.cancel_jobs(context, keys).await }
-        })
+    pub async fn cancel_jobs(&self, keys: Vec<JobKey>) -> Result<Vec<JobView>> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            move |client: ControlApiClient, context| {
+                let keys = keys.clone();
+                async move { client.cancel_jobs(context, keys).await }
+            },
+        )
         .await
     }
 
     /// The whole status.
     ///
     /// # Errors
-    /// The group gave no answer within `deadline_ms`.
-    pub async fn status(&self, deadline_ms: Millis) -> Result<Status> {
+    /// The group gave no answer within the deadline.
+    pub async fn status(&self) -> Result<Status> {
         self.call(
-            deadline_ms,
+            self.deadline_ms,
             TRY_MS,
-            |client: ControlApiClient, context| async move { client.status(context).await },
+            async |client: ControlApiClient, context| client.status(context).await,
         )
         .await
     }
 
     /// Tries until there is an answer or the deadline.
-    async fn call<T, F>(
-        &self,
-        deadline_ms: Millis,
-        try_ms: Millis,
-        call: impl Fn(ControlApiClient, Context) -> F,
-    ) -> Result<T>
+    async fn call<T, C, F>(&self, deadline_ms: Millis, try_ms: Millis, call: C) -> Result<T>
     where
-        F: Future<Output = Tried<T>> + Send,
+        C: Fn(ControlApiClient, Context) -> F,
+        F: Future<Output = Tried<T>>,
     {
         let deadline = Instant::now() + deadline_ms.duration();
         let mut unsure = false;
@@ -242,14 +266,15 @@
     }
 
     /// Tries once; sets `unsure` where the call went out and its answer is not known.
-    async fn attempt<T, F>(
+    async fn attempt<T, C, F>(
         &self,
         limit: Duration,
         unsure: &mut bool,
-        call: &impl Fn(ControlApiClient, Context) -> F,
+        call: &C,
     ) -> std::result::Result<Result<T>, Again>
     where
-        F: Future<Output = Tried<T>> + Send,
+        C: Fn(ControlApiClient, Context) -> F,
+        F: Future<Output = Tried<T>>,
     {
         let Some(address) = self.connections.target() else {
             return Err(Again::Later);
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -6,15 +6,12 @@
 use super::Exchange;
 use crate::control::Client;
 use crate::telemetry::Metrics;
-use crate::units::Millis;
 
 /// What the routes of an entry work on.
 #[derive(Clone)]
 pub struct EntryContext {
     /// The exchange with the leader, which holds the grant and the state in force.
     pub exchange: Arc<Exchange>,
-    /// Calls to the leader.
-    pub client: Client,
     /// This process's metrics.
     pub metrics: Metrics,
     /// Cancelled once a planned stop has begun.
@@ -22,8 +19,11 @@
 }
 
 impl EntryContext {
-    /// How long a call to the leader may take before its client is told to come again.
-    pub const CALL_MS: Millis = Millis(5_000);
+    /// Calls to the leader.
+    #[must_use]
+    pub fn client(&self) -> &Client {
+        self.exchange.client()
+    }
 }
 
 impl fmt::Debug for EntryContext {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -89,12 +89,7 @@
         cause: format_smolstr!("not text: {cause}"),
     })?;
     let answer = match ReleaseNote::parse(text) {
-        Ok(note) => {
-            context
-                .client
-                .apply_note(&note, EntryContext::CALL_MS)
-                .await?
-        }
+        Ok(note) => context.client().apply_note(note).await?,
         Err(faults) => NoteAnswer::Invalid { faults },
     };
     let status = match &answer {
@@ -107,7 +102,7 @@
 
 fn status<'a>(context: &'a EntryContext, _state: &'a mut State) -> Answering<'a> {
     async {
-        let status = context.client.status(EntryContext::CALL_MS).await?;
+        let status = context.client().status().await?;
         Ok(json_answer(StatusCode::OK, &status))
     }
     .boxed()
@@ -121,7 +116,7 @@
             unended_only: query.unended_only,
             limit: query.limit,
         };
-        let views = context.client.jobs(&filter, EntryContext::CALL_MS).await?;
+        let views = context.client().jobs(filter).await?;
         Ok(json_answer(StatusCode::OK, &views))
     }
     .boxed()
@@ -130,7 +125,7 @@
 fn explain<'a>(context: &'a EntryContext, state: &'a mut State) -> Answering<'a> {
     async {
         let key = JobPath::take_from(state).into_key();
-        let view = context.client.job(&key, Millis::ZERO).await?;
+        let view = context.client().job(key.clone(), Millis::ZERO).await?;
         view_answer(view, &key)
     }
     .boxed()
@@ -146,10 +141,7 @@
             let status = StatusCode::UNPROCESSABLE_ENTITY;
             return Err(Refusal::new(status, "invalid", message));
         }
-        let views = context
-            .client
-            .cancel_jobs(&jobs, EntryContext::CALL_MS)
-            .await?;
+        let views = context.client().cancel_jobs(jobs).await?;
         Ok(json_answer(StatusCode::OK, &views))
     }
     .boxed()
