--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -52,7 +52,10 @@
             .map_err(|_late| "no answer in time".to_owned())?
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, String), String> {
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, String), String> {
         let answer = self.client.request(request).await;
         let answer = answer.map_err(|cause| cause.to_string())?;
         let status = answer.status();
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -45,7 +45,10 @@
         let lines = Arc::clone(&log);
         thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                lines.lock().expect("no thread panics with the log").push(line);
+                lines
+                    .lock()
+                    .expect("no thread panics with the log")
+                    .push(line);
             }
         });
         Self {
@@ -74,7 +77,12 @@
                 return address.parse().expect("the log gives an address");
             }
             let ended = self.child.try_wait().expect("a child can be looked at");
-            assert!(ended.is_none(), "{} ended: {}", self.name, self.log().join("\n"));
+            assert!(
+                ended.is_none(),
+                "{} ended: {}",
+                self.name,
+                self.log().join("\n")
+            );
             assert!(since.elapsed() < BOUND, "{} does not listen", self.name);
             thread::sleep(PAUSE);
         }
@@ -82,13 +90,9 @@
 
     /// Asks it to stop, as the platform does.
     pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Takes its life, as a failing VM does.
-    pub fn kill(&mut self) {
-        self.signal(Signal::KILL);
-        let _code = self.wait();
+        let pid = i32::try_from(self.child.id()).expect("a process id is small");
+        let pid = Pid::from_raw(pid).expect("a process id is above zero");
+        kill_process(pid, Signal::TERM).expect("our own child can be signalled");
     }
 
     /// Waits for its end and gives the exit code.
@@ -103,12 +107,6 @@
             thread::sleep(PAUSE);
         }
     }
-
-    fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("a process id is small");
-        let pid = Pid::from_raw(pid).expect("a process id is above zero");
-        kill_process(pid, signal).expect("our own child can be signalled");
-    }
 }
 
 impl Drop for Process {
@@ -152,12 +150,12 @@
         folder.join(format!("control-{index}")).display()
     );
     for (number, ports) in ports.iter().enumerate() {
-        text.push_str(&format!(
+        text += &format!(
             "[[replicas]]\nname = \"control-{}\"\npeers = \"{}\"\nentries = \"{}\"\n",
             number + 1,
             ports.peers,
             ports.entries
-        ));
+        );
     }
     write(folder, &format!("control-{index}.toml"), &text)
 }
