--- /dev/null
+++ b/src/router/admission.rs
@@ -0,0 +1,62 @@
+use super::core::Router;
+use super::service_state::ServiceState;
+use super::{QueuedRequest, RefusalKind};
+use crate::units::{Millis, Revision};
+
+/// The shortest time after which it is worth coming again.
+pub(super) const RETRY_AFTER_MIN_MS: Millis = Millis(1_000);
+
+impl Router {
+    /// What is refused is refused at once, while nothing of it has run.
+    pub(super) fn reason_to_refuse(
+        &self,
+        request: &QueuedRequest,
+        now: Millis,
+    ) -> Option<RefusalKind> {
+        let in_force = &self.view.in_force;
+        let has_state = in_force.revision > Revision::ZERO;
+        if has_state && !in_force.services.contains_key(&request.service) {
+            return Some(RefusalKind::NoSuchService(request.service.clone()));
+        }
+        if has_state && !in_force.teams.contains_key(&request.team) {
+            return Some(RefusalKind::NoSuchTeam(request.team.clone()));
+        }
+        if request.deadline_ms <= now {
+            return Some(RefusalKind::DeadlinePassed("".into()));
+        }
+        let service = self.services.get(&request.service)?;
+        let waiting = service.queue.team_len(&request.team);
+        if waiting >= ServiceState::team_max(&request.team, in_force) as usize {
+            return Some(RefusalKind::QueueFull);
+        }
+        let wait_ms = self.expected_wait(service, request);
+        (now.saturating_add(wait_ms) >= request.deadline_ms).then_some(RefusalKind::WouldBeLate)
+    }
+
+    pub(super) fn expected_wait(&self, service: &ServiceState, request: &QueuedRequest) -> Millis {
+        let slots = self
+            .endpoints
+            .values()
+            .filter(|state| state.listed && state.share.service == request.service)
+            .map(|state| state.share.slots.get())
+            .sum();
+        service.expected_wait(&request.team, slots, &self.view.in_force)
+    }
+
+    /// When the queue before the caller will have passed.
+    pub(super) fn retry_after(&self, request: &QueuedRequest) -> Millis {
+        let service = self.services.get(&request.service);
+        let wait_ms = service.map_or(Millis::ZERO, |service| self.expected_wait(service, request));
+        wait_ms.max(RETRY_AFTER_MIN_MS)
+    }
+
+    pub(super) fn why_waiting(&self, now: Millis) -> &'static str {
+        if now >= self.view.granted_until_ms {
+            ", while this entry had no leave of the control group to start work"
+        } else if self.view.shares.is_empty() {
+            ", while no endpoint took new work"
+        } else {
+            ""
+        }
+    }
+}
--- /dev/null
+++ b/src/router/core.rs
@@ -0,0 +1,357 @@
+use std::collections::BTreeMap;
+
+use super::admission::RETRY_AFTER_MIN_MS;
+use super::endpoint_state::EndpointState;
+use super::fair_queue::Waiter;
+use super::limits::{ATTEMPTS_MAX, IDLE_MAX_MS};
+use super::service_state::ServiceState;
+use super::{
+    AttemptEnd, ConnectionId, EndpointRun, QueuedRequest, RefusalKind, RouterAction, RouterEvent,
+    RouterRefusal, RouterView, Ticket, may_start_work,
+};
+use crate::control::EndpointUse;
+use crate::units::{Millis, ServiceName};
+
+/// A request that waits or has an attempt in progress.
+#[derive(Clone, Debug)]
+pub(super) struct RequestState {
+    pub(super) request: QueuedRequest,
+    /// Endpoints that failed it; others are preferred.
+    pub(super) tried: Vec<EndpointRun>,
+    /// Attempts that may have run.
+    attempts: u32,
+    /// The attempt in progress.
+    pub(super) sent_ms: Option<Millis>,
+    /// Whether its caller was told.
+    gone: bool,
+}
+
+/// Sends requests to endpoints within the entry's shares: a pure core.
+///
+/// It knows nothing of HTTP and of records: its shell makes the attempts, commits what must be
+/// committed before the first byte, and tells how each ended. Slots are counted here and nowhere
+/// else, so a slot is free again only by [`RouterEvent::Ended`].
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    pub(super) view: RouterView,
+    pub(super) endpoints: BTreeMap<EndpointRun, EndpointState>,
+    pub(super) services: BTreeMap<ServiceName, ServiceState>,
+    pub(super) requests: BTreeMap<Ticket, RequestState>,
+    pub(super) last_connection: u64,
+    /// Idle connections that answered before this are doubtful.
+    trust_since_ms: Millis,
+    /// The endpoint run and time of the last silence on a connection that had answered before.
+    last_silence: Option<(EndpointRun, Millis)>,
+    /// Where the choice among equal endpoints starts.
+    pub(super) rotation: usize,
+}
+
+impl Router {
+    /// A router without any view: requests wait until it has one.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an event and gives what is to be done.
+    pub fn handle(&mut self, event: RouterEvent, now: Millis) -> Vec<RouterAction> {
+        let mut actions = Vec::new();
+        match event {
+            RouterEvent::View(view) => self.take_view(view, now, &mut actions),
+            RouterEvent::Arrived { ticket, request } => {
+                self.arrive(ticket, request, now, &mut actions);
+            }
+            RouterEvent::Again {
+                ticket,
+                not_before_ms,
+            } => self.requeue(ticket, not_before_ms),
+            RouterEvent::Gone { ticket } => self.forget(ticket),
+            RouterEvent::Ended {
+                ticket,
+                run,
+                connection,
+                end,
+            } => {
+                self.end_attempt(run.clone(), connection, end, now, &mut actions);
+                self.go_on(ticket, run, end, now, &mut actions);
+            }
+            RouterEvent::ConnectionClosed { run, connection } => {
+                if let Some(state) = self.endpoints.get_mut(&run) {
+                    state.close(connection, now);
+                }
+            }
+            RouterEvent::Tick => self.tick(now, &mut actions),
+        }
+        self.send_waiting(now, &mut actions);
+        actions
+    }
+
+    /// What this entry uses of each endpoint, for its exchange with the leader.
+    #[must_use]
+    pub fn uses(&self) -> Vec<EndpointUse> {
+        self.endpoints
+            .iter()
+            .map(|(run, state)| {
+                let service = self.services.get(&state.share.service);
+                let waiting = service.map_or(0, |service| service.queue.len());
+                state.report(run, u32::try_from(waiting).unwrap_or(u32::MAX))
+            })
+            .collect()
+    }
+
+    /// Whether an attempt that was ordered may still be sent now.
+    #[must_use]
+    pub fn may_send(&self, run: &EndpointRun, now: Millis) -> bool {
+        let listed = self.endpoints.get(run).is_some_and(|state| state.listed);
+        listed && now < self.view.granted_until_ms
+    }
+
+    /// The longest deadline of a service; none while it is not known.
+    #[must_use]
+    pub fn deadline_max(&self, service: &ServiceName) -> Option<Millis> {
+        let spec = self.view.in_force.services.get(service)?;
+        Some(spec.deadline_max_ms)
+    }
+
+    /// Requests that wait, over all services.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.services
+            .values()
+            .map(|service| service.queue.len())
+            .sum()
+    }
+
+    /// Requests that are known: waiting or in progress.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn take_view(&mut self, view: RouterView, now: Millis, actions: &mut Vec<RouterAction>) {
+        for state in self.endpoints.values_mut() {
+            state.unlist(now);
+        }
+        for share in view.shares.iter() {
+            let run = EndpointRun {
+                endpoint: share.endpoint.clone(),
+                incarnation: share.incarnation,
+            };
+            let state = self
+                .endpoints
+                .entry(run)
+                .or_insert_with(|| EndpointState::new(share.clone()));
+            state.share = share.clone();
+            if may_start_work(&share.endpoint, &share.zone, &view.in_force) {
+                state.list();
+            }
+        }
+        self.view = view;
+        self.close_stale(now, actions);
+    }
+
+    fn arrive(
+        &mut self,
+        ticket: Ticket,
+        request: QueuedRequest,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        if let Some(kind) = self.reason_to_refuse(&request, now) {
+            let retry_after_ms = self.retry_after(&request);
+            actions.push(refuse(ticket, kind, false, retry_after_ms));
+            return;
+        }
+        let service = self.services.entry(request.service.clone()).or_default();
+        service.budget.earn();
+        service.queue.push(&request.team, waiter(ticket, &request));
+        let state = RequestState {
+            request,
+            tried: Vec::new(),
+            attempts: 0,
+            sent_ms: None,
+            gone: false,
+        };
+        self.requests.insert(ticket, state);
+    }
+
+    /// Puts a request that has waited its turn back at the head of its team's queue.
+    fn requeue(&mut self, ticket: Ticket, not_before_ms: Millis) {
+        let Some(state) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        if state.gone || state.sent_ms.is_some() {
+            return;
+        }
+        let waiter = Waiter {
+            not_before_ms,
+            ..waiter(ticket, &state.request)
+        };
+        let service = self
+            .services
+            .entry(state.request.service.clone())
+            .or_default();
+        service.queue.remove(&state.request.team, ticket);
+        service.queue.push_front(&state.request.team, waiter);
+    }
+
+    fn forget(&mut self, ticket: Ticket) {
+        let Some(state) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        state.gone = true;
+        if state.sent_ms.is_none() {
+            self.drop_request(ticket);
+        }
+    }
+
+    fn drop_request(&mut self, ticket: Ticket) {
+        if let Some(state) = self.requests.remove(&ticket)
+            && let Some(service) = self.services.get_mut(&state.request.service)
+        {
+            service.queue.remove(&state.request.team, ticket);
+        }
+    }
+
+    /// Frees what an attempt held of its endpoint.
+    fn end_attempt(
+        &mut self,
+        run: EndpointRun,
+        connection: ConnectionId,
+        end: AttemptEnd,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let Some(state) = self.endpoints.get_mut(&run) else {
+            return;
+        };
+        if state.end(connection, end, now) {
+            self.doubt_connections(run, now);
+            self.close_stale(now, actions);
+        }
+    }
+
+    /// Decides what becomes of a request whose attempt has ended.
+    fn go_on(
+        &mut self,
+        ticket: Ticket,
+        run: EndpointRun,
+        end: AttemptEnd,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let sent_ms = state.sent_ms.take().unwrap_or(now);
+        if state.gone {
+            self.drop_request(ticket);
+            return;
+        }
+        state.tried.push(run);
+        match end {
+            AttemptEnd::Answered { .. } => {
+                let service = self.services.entry(state.request.service.clone());
+                service.or_default().observe_answer(now.since(sent_ms));
+                self.drop_request(ticket);
+            }
+            AttemptEnd::Unused => {}
+            AttemptEnd::GivenUp => self.drop_request(ticket),
+            AttemptEnd::NotConnected | AttemptEnd::NotSent | AttemptEnd::Busy { .. } => {
+                self.requeue(ticket, now);
+            }
+            AttemptEnd::Broken | AttemptEnd::Silent => self.retry_or_refuse(ticket, now, actions),
+        }
+    }
+
+    /// An attempt that may have run is followed by another only within the retry budget.
+    fn retry_or_refuse(&mut self, ticket: Ticket, now: Millis, actions: &mut Vec<RouterAction>) {
+        let Some(state) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        state.attempts += 1;
+        let service = self
+            .services
+            .entry(state.request.service.clone())
+            .or_default();
+        let may_retry = state.request.idempotent
+            && state.attempts < ATTEMPTS_MAX
+            && state.request.deadline_ms > now
+            && service.budget.spend();
+        if may_retry {
+            self.requeue(ticket, now);
+            return;
+        }
+        self.drop_request(ticket);
+        let kind = RefusalKind::AttemptFailed;
+        actions.push(refuse(ticket, kind, true, RETRY_AFTER_MIN_MS));
+    }
+
+    /// After a silence, connections that have not answered since are not trusted.
+    ///
+    /// One silent connection casts doubt on its endpoint; a second endpoint within the life of an
+    /// idle connection casts doubt on all, because something between has lost track of them.
+    fn doubt_connections(&mut self, run: EndpointRun, now: Millis) {
+        let other = self.last_silence.as_ref().is_some_and(|(last, at_ms)| {
+            *last != run && now.since(*at_ms) <= IDLE_MAX_MS.saturating_add(IDLE_MAX_MS)
+        });
+        if other {
+            self.trust_since_ms = now;
+        }
+        self.last_silence = Some((run, now));
+    }
+
+    fn close_stale(&mut self, now: Millis, actions: &mut Vec<RouterAction>) {
+        for (run, state) in &mut self.endpoints {
+            let silent = self
+                .last_silence
+                .as_ref()
+                .filter(|(last, _)| last == run)
+                .map_or(Millis::ZERO, |(_, at_ms)| *at_ms);
+            let trust_since_ms = silent.max(self.trust_since_ms);
+            let stale = state.take_stale(trust_since_ms, now);
+            let close = |connection| RouterAction::Close {
+                run: run.clone(),
+                connection,
+            };
+            actions.extend(stale.into_iter().map(close));
+        }
+        self.endpoints.retain(|_, state| !state.is_over(now));
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<RouterAction>) {
+        let mut late = Vec::new();
+        for service in self.services.values_mut() {
+            late.append(&mut service.queue.take_late(now));
+        }
+        for ticket in late {
+            let state = self.requests.remove(&ticket);
+            let may_have_run = state.as_ref().is_some_and(|state| state.attempts > 0);
+            let kind = RefusalKind::DeadlinePassed(self.why_waiting(now).into());
+            actions.push(refuse(ticket, kind, may_have_run, RETRY_AFTER_MIN_MS));
+        }
+        self.close_stale(now, actions);
+    }
+}
+
+fn waiter(ticket: Ticket, request: &QueuedRequest) -> Waiter {
+    Waiter {
+        ticket,
+        deadline_ms: request.deadline_ms,
+        not_before_ms: Millis::ZERO,
+    }
+}
+
+const fn refuse(
+    ticket: Ticket,
+    kind: RefusalKind,
+    may_have_run: bool,
+    retry_after_ms: Millis,
+) -> RouterAction {
+    let refusal = RouterRefusal {
+        kind,
+        may_have_run,
+        retry_after_ms,
+    };
+    RouterAction::Refuse { ticket, refusal }
+}
--- /dev/null
+++ b/src/router/endpoint_state.rs
@@ -0,0 +1,274 @@
+use std::collections::BTreeMap;
+
+use super::limits::{
+    BACKOFF_MAX_MS, BACKOFF_MIN_MS, BUSY_MIN_MS, CLOSE_SETTLE_MS, FAILURES_MAX, IDLE_MAX_MS,
+    JUST_ANSWERED_MS, UNLISTED_KEPT_MS,
+};
+use super::{AttemptEnd, ConnectionId, EndpointRun};
+use crate::control::{EndpointCapacity, EndpointShare, EndpointUse};
+use crate::units::{Millis, Slots};
+
+/// A connection that waits for its next request.
+#[derive(Clone, Copy, Debug)]
+struct Idle {
+    answered_ms: Millis,
+}
+
+/// A connection with a request.
+#[derive(Clone, Copy, Debug)]
+struct InUse {
+    fresh: bool,
+}
+
+/// One run of an endpoint's process, as one entry uses it.
+#[derive(Clone, Debug)]
+pub(super) struct EndpointState {
+    pub(super) share: EndpointShare,
+    /// Whether new work may go there.
+    pub(super) listed: bool,
+    unlisted_since_ms: Option<Millis>,
+    in_use: BTreeMap<ConnectionId, InUse>,
+    idle: BTreeMap<ConnectionId, Idle>,
+    /// Closed connections that the endpoint may not have noticed yet, by when they stop counting.
+    settling: Vec<Millis>,
+    abandoned: EndpointCapacity,
+    failures: u32,
+    backoff_ms: Millis,
+    /// Until when it gets no work.
+    rests_until_ms: Millis,
+    /// Whether one attempt must succeed before others follow.
+    on_trial: bool,
+}
+
+/// The connection for an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Pick {
+    /// An open one.
+    Idle(ConnectionId),
+    /// A new one.
+    Fresh,
+}
+
+impl EndpointState {
+    pub(super) const fn new(share: EndpointShare) -> Self {
+        Self {
+            abandoned: share.abandoned_seen,
+            share,
+            listed: true,
+            unlisted_since_ms: None,
+            in_use: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            settling: Vec::new(),
+            failures: 0,
+            backoff_ms: Millis::ZERO,
+            rests_until_ms: Millis::ZERO,
+            on_trial: false,
+        }
+    }
+
+    /// Slots that count as used: in progress, and given up but not taken over by the leader.
+    pub(super) fn slots_used(&self) -> u32 {
+        let seen = self.share.abandoned_seen.slots;
+        let abandoned = self.abandoned.slots.saturating_sub(seen);
+        count(self.in_use.len()).saturating_add(abandoned.get())
+    }
+
+    fn connections_used(&self) -> u32 {
+        let seen = self.share.abandoned_seen.connections;
+        let abandoned = self.abandoned.connections.saturating_sub(seen);
+        let open = self.in_use.len() + self.idle.len() + self.settling.len();
+        count(open).saturating_add(abandoned.get())
+    }
+
+    /// Takes new work again.
+    pub(super) const fn list(&mut self) {
+        self.listed = true;
+        self.unlisted_since_ms = None;
+    }
+
+    /// Takes no new work until it is listed again.
+    pub(super) fn unlist(&mut self, now: Millis) {
+        self.listed = false;
+        self.unlisted_since_ms.get_or_insert(now);
+    }
+
+    /// Whether nothing of this run needs to be remembered.
+    pub(super) fn is_over(&self, now: Millis) -> bool {
+        let since_ms = self.unlisted_since_ms;
+        let long_ago = since_ms.is_some_and(|since_ms| now.since(since_ms) > UNLISTED_KEPT_MS);
+        let open = !self.in_use.is_empty() || !self.idle.is_empty();
+        let taken_over = self.abandoned == self.share.abandoned_seen;
+        !self.listed && !open && (taken_over || long_ago)
+    }
+
+    /// How it could take one more request now.
+    pub(super) fn pick(&self, idempotent: bool, now: Millis) -> Option<Pick> {
+        let free_slot = self.slots_used() < self.share.slots.get();
+        let tried = self.on_trial && !self.in_use.is_empty();
+        if !self.listed || self.share.leaving || !free_slot || tried || now < self.rests_until_ms {
+            return None;
+        }
+        if let Some(connection) = self.best_idle(idempotent, now) {
+            return Some(Pick::Idle(connection));
+        }
+        let room = self.connections_used() < self.share.connections.get();
+        room.then_some(Pick::Fresh)
+    }
+
+    /// The idle connection that answered last, which is the least likely to have gone silent.
+    fn best_idle(&self, idempotent: bool, now: Millis) -> Option<ConnectionId> {
+        if self.on_trial {
+            return None;
+        }
+        let (connection, idle) = self.idle.iter().max_by_key(|(_, idle)| idle.answered_ms)?;
+        let age_ms = now.since(idle.answered_ms);
+        let young = if idempotent {
+            age_ms < IDLE_MAX_MS
+        } else {
+            age_ms < JUST_ANSWERED_MS
+        };
+        young.then_some(*connection)
+    }
+
+    /// An idle connection that must make room for a fresh one.
+    pub(super) fn idle_in_the_way(&self) -> Option<ConnectionId> {
+        let full = self.connections_used() >= self.share.connections.get();
+        let oldest = self.idle.iter().min_by_key(|(_, idle)| idle.answered_ms);
+        oldest.filter(|_| full).map(|(connection, _)| *connection)
+    }
+
+    pub(super) fn begin(&mut self, connection: ConnectionId, fresh: bool) {
+        self.idle.remove(&connection);
+        self.in_use.insert(connection, InUse { fresh });
+    }
+
+    /// Takes an attempt's end; true where idle connections became doubtful.
+    pub(super) fn end(&mut self, connection: ConnectionId, end: AttemptEnd, now: Millis) -> bool {
+        let Some(InUse { fresh }) = self.in_use.remove(&connection) else {
+            return false;
+        };
+        match end {
+            AttemptEnd::Answered { reusable } => {
+                self.recover();
+                self.keep_or_close(connection, reusable, now);
+            }
+            AttemptEnd::Busy { reusable } => {
+                self.on_trial = false;
+                self.rest(BUSY_MIN_MS, now);
+                self.keep_or_close(connection, reusable, now);
+            }
+            AttemptEnd::Unused if fresh => {}
+            AttemptEnd::Unused => self.keep_or_close(connection, true, now),
+            AttemptEnd::GivenUp => {
+                self.abandoned.slots = self.abandoned.slots.next();
+                self.settle(now);
+            }
+            AttemptEnd::NotConnected => self.fail(FAILURES_MAX, now),
+            AttemptEnd::NotSent => self.settle(now),
+            AttemptEnd::Broken => {
+                self.abandoned.slots = self.abandoned.slots.next();
+                self.settle(now);
+                self.fail(1, now);
+            }
+            AttemptEnd::Silent => {
+                self.abandoned.slots = self.abandoned.slots.next();
+                self.abandoned.connections = self.abandoned.connections.next();
+                if fresh {
+                    self.fail(1, now);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    /// A connection that was closed while idle.
+    pub(super) fn close(&mut self, connection: ConnectionId, now: Millis) {
+        if self.idle.remove(&connection).is_some() {
+            self.settle(now);
+        }
+    }
+
+    /// Takes out the idle connections that are too old, doubtful or more than the share allows.
+    pub(super) fn take_stale(&mut self, answered_before: Millis, now: Millis) -> Vec<ConnectionId> {
+        self.settling.retain(|until_ms| *until_ms > now);
+        let unlisted = !self.listed || self.share.leaving;
+        let mut stale: Vec<ConnectionId> = self
+            .idle
+            .iter()
+            .filter(|(_, idle)| {
+                unlisted
+                    || now.since(idle.answered_ms) >= IDLE_MAX_MS
+                    || idle.answered_ms < answered_before
+            })
+            .map(|(connection, _)| *connection)
+            .collect();
+        let open = count(self.in_use.len() + self.idle.len() - stale.len());
+        let surplus = open.saturating_sub(self.share.connections.get());
+        let kept = self.idle.keys().filter(|id| !stale.contains(id));
+        let more: Vec<ConnectionId> = kept.take(surplus as usize).copied().collect();
+        stale.extend(more);
+        for connection in &stale {
+            self.close(*connection, now);
+        }
+        stale
+    }
+
+    pub(super) fn report(&self, run: &EndpointRun, waiting: u32) -> EndpointUse {
+        let held = if self.listed {
+            EndpointCapacity {
+                slots: self.share.slots,
+                connections: self.share.connections,
+            }
+        } else {
+            EndpointCapacity::default()
+        };
+        EndpointUse {
+            endpoint: run.endpoint.clone(),
+            incarnation: run.incarnation,
+            slots: Slots(self.slots_used()),
+            connections: Slots(self.connections_used()),
+            waiting,
+            held,
+            abandoned: self.abandoned,
+            abandoned_seen: self.share.abandoned_seen,
+        }
+    }
+
+    fn keep_or_close(&mut self, connection: ConnectionId, reusable: bool, now: Millis) {
+        if reusable {
+            self.idle.insert(connection, Idle { answered_ms: now });
+        } else {
+            self.settle(now);
+        }
+    }
+
+    fn settle(&mut self, now: Millis) {
+        self.settling.push(now.saturating_add(CLOSE_SETTLE_MS));
+    }
+
+    const fn recover(&mut self) {
+        self.failures = 0;
+        self.backoff_ms = Millis::ZERO;
+        self.on_trial = false;
+    }
+
+    /// Counts failures; a failing endpoint rests, longer each time, and is then tried by one request.
+    fn fail(&mut self, failures: u32, now: Millis) {
+        self.failures = self.failures.saturating_add(failures);
+        if self.failures >= FAILURES_MAX {
+            self.on_trial = true;
+            self.rest(BACKOFF_MIN_MS, now);
+        }
+    }
+
+    fn rest(&mut self, first_ms: Millis, now: Millis) {
+        let doubled = Millis(self.backoff_ms.get().saturating_mul(2));
+        self.backoff_ms = doubled.clamp(first_ms, BACKOFF_MAX_MS);
+        self.rests_until_ms = now.saturating_add(self.backoff_ms);
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/router/fair_queue.rs
@@ -0,0 +1,141 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use super::Ticket;
+use crate::units::{Millis, TeamId};
+
+/// Virtual time that one request of a team of weight 1 takes.
+const VIRTUAL_REQUEST: u64 = 1 << 20;
+
+/// One request in the queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Waiter {
+    pub(super) ticket: Ticket,
+    pub(super) deadline_ms: Millis,
+    pub(super) not_before_ms: Millis,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TeamQueue {
+    waiters: VecDeque<Waiter>,
+    /// The virtual time at which the team's next request is due.
+    next: u64,
+}
+
+/// Requests that wait for a service, served by team in proportion to weights.
+///
+/// Each team has a virtual clock that runs slower the larger its weight; the team whose clock is
+/// furthest behind is served. A team that comes back from idling starts at the present time, so it
+/// can neither save up service nor be made to wait for what others took.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairQueue {
+    teams: BTreeMap<TeamId, TeamQueue>,
+    now: u64,
+    len: usize,
+}
+
+impl FairQueue {
+    pub(super) const fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn team_len(&self, team: &TeamId) -> usize {
+        self.teams.get(team).map_or(0, |queue| queue.waiters.len())
+    }
+
+    /// The teams with requests that wait.
+    pub(super) fn teams(&self) -> impl Iterator<Item = &TeamId> {
+        let waiting = |(_, queue): &(&TeamId, &TeamQueue)| !queue.waiters.is_empty();
+        self.teams.iter().filter(waiting).map(|(team, _)| team)
+    }
+
+    pub(super) fn push(&mut self, team: &TeamId, waiter: Waiter) {
+        self.queue_of(team).waiters.push_back(waiter);
+        self.len += 1;
+    }
+
+    /// Puts back a request that has waited its turn already.
+    pub(super) fn push_front(&mut self, team: &TeamId, waiter: Waiter) {
+        self.queue_of(team).waiters.push_front(waiter);
+        self.len += 1;
+    }
+
+    fn queue_of(&mut self, team: &TeamId) -> &mut TeamQueue {
+        let queue = self.teams.entry(team.clone()).or_default();
+        if queue.waiters.is_empty() {
+            queue.next = queue.next.max(self.now);
+        }
+        queue
+    }
+
+    /// Takes the next request that may be tried and that `fits`.
+    pub(super) fn pop(
+        &mut self,
+        now_ms: Millis,
+        weight: impl Fn(&TeamId) -> u64,
+        mut fits: impl FnMut(Ticket) -> bool,
+    ) -> Option<Ticket> {
+        let mut order: Vec<(u64, TeamId)> = self
+            .teams
+            .iter()
+            .map(|(team, queue)| (queue.next, team.clone()))
+            .collect();
+        order.sort();
+        for (next, team) in order {
+            let queue = self.teams.get_mut(&team)?;
+            let found = queue
+                .waiters
+                .iter()
+                .position(|waiter| waiter.not_before_ms <= now_ms && fits(waiter.ticket));
+            let Some(position) = found else {
+                continue;
+            };
+            let waiter = queue.waiters.remove(position)?;
+            queue.next += VIRTUAL_REQUEST / weight(&team).max(1);
+            self.now = self.now.max(next);
+            self.len -= 1;
+            self.drop_if_empty(&team);
+            return Some(waiter.ticket);
+        }
+        None
+    }
+
+    /// Removes a request.
+    pub(super) fn remove(&mut self, team: &TeamId, ticket: Ticket) {
+        if let Some(queue) = self.teams.get_mut(team) {
+            let before = queue.waiters.len();
+            queue.waiters.retain(|waiter| waiter.ticket != ticket);
+            self.len -= before - queue.waiters.len();
+        }
+        self.drop_if_empty(team);
+    }
+
+    /// Removes and gives the requests whose deadline has passed.
+    pub(super) fn take_late(&mut self, now_ms: Millis) -> Vec<Ticket> {
+        let mut late = Vec::new();
+        for queue in self.teams.values_mut() {
+            queue.waiters.retain(|waiter| {
+                let is_late = waiter.deadline_ms <= now_ms;
+                if is_late {
+                    late.push(waiter.ticket);
+                }
+                !is_late
+            });
+        }
+        self.len -= late.len();
+        let now = self.now;
+        self.teams
+            .retain(|_, queue| !queue.waiters.is_empty() || queue.next > now);
+        late
+    }
+
+    /// Forgets an idle team once its clock is not ahead of the others'.
+    fn drop_if_empty(&mut self, team: &TeamId) {
+        let idle = self
+            .teams
+            .get(team)
+            .is_some_and(|queue| queue.waiters.is_empty() && queue.next <= self.now);
+        if idle {
+            self.teams.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/src/router/service_state.rs
@@ -0,0 +1,66 @@
+use super::fair_queue::FairQueue;
+use super::limits::{
+    ANSWER_FACTOR, ANSWER_FIRST_MS, ANSWER_MAX_MS, ANSWER_MIN_MS, QUEUE_MAX, TEAM_QUEUE_MIN,
+};
+use super::retry_budget::RetryBudget;
+use crate::release_note::InForce;
+use crate::units::{Millis, TeamId};
+
+/// Weight of one new answer time in the running mean: an eighth.
+const MEAN_SHIFT: u32 = 3;
+
+/// What a router knows of one service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceState {
+    pub(super) queue: FairQueue,
+    pub(super) budget: RetryBudget,
+    /// The running mean of the time that an attempt holds its slot, in microseconds.
+    mean_us: Option<u64>,
+}
+
+impl ServiceState {
+    pub(super) fn observe_answer(&mut self, took: Millis) {
+        let took_us = took.get().saturating_mul(1_000);
+        let mean_us = self.mean_us.unwrap_or(took_us);
+        self.mean_us = Some(mean_us - (mean_us >> MEAN_SHIFT) + (took_us >> MEAN_SHIFT));
+    }
+
+    /// How long an answer may take to begin before its connection counts as silent.
+    pub(super) fn answer_within(&self) -> Millis {
+        self.mean_us.map_or(ANSWER_FIRST_MS, |mean_us| {
+            let wait_ms = mean_us.saturating_mul(ANSWER_FACTOR) / 1_000;
+            Millis(wait_ms).clamp(ANSWER_MIN_MS, ANSWER_MAX_MS)
+        })
+    }
+
+    /// How long a further request of `team` would wait for one of `slots`.
+    pub(super) fn expected_wait(&self, team: &TeamId, slots: u32, in_force: &InForce) -> Millis {
+        let Some(mean_us) = self.mean_us else {
+            return Millis::ZERO;
+        };
+        let own = weight(in_force, team);
+        let others = self.queue.teams().filter(|other| *other != team);
+        let all: u64 = others.map(|other| weight(in_force, other)).sum::<u64>() + own;
+        let ahead = self.queue.team_len(team) as u64;
+        let by_share = ahead.saturating_mul(all) / own.max(1);
+        let turns = by_share.min(self.queue.len() as u64);
+        let wait_us = turns.saturating_mul(mean_us) / u64::from(slots.max(1));
+        Millis(wait_us / 1_000)
+    }
+
+    /// How many requests of a team may wait: its weight's part of the whole queue.
+    pub(super) fn team_max(team: &TeamId, in_force: &InForce) -> u32 {
+        let all: u64 = in_force
+            .teams
+            .keys()
+            .map(|other| weight(in_force, other))
+            .sum();
+        let part = u64::from(QUEUE_MAX).saturating_mul(weight(in_force, team)) / all.max(1);
+        u32::try_from(part).unwrap_or(QUEUE_MAX).max(TEAM_QUEUE_MIN)
+    }
+}
+
+pub(super) fn weight(in_force: &InForce, team: &TeamId) -> u64 {
+    let spec = in_force.teams.get(team);
+    u64::from(spec.map_or(1, |spec| spec.request_weight.max(1)))
+}
