--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,7 +5,7 @@
 mod client_io;
 mod connections;
 mod context;
-mod exchange;
+pub mod exchange;
 mod grant;
 mod health;
 mod held_polls;
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -2,13 +2,14 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::ports::ReplicaPorts;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Bound on every wait for a process.
@@ -16,13 +17,6 @@
 /// Pause between two looks at a condition.
 pub const PAUSE: Duration = Duration::from_millis(20);
 
-/// Where one control replica listens.
-#[derive(Clone, Copy, Debug)]
-pub struct ReplicaPorts {
-    pub peers: SocketAddr,
-    pub entries: SocketAddr,
-}
-
 /// A process of ours, killed when it is dropped.
 pub struct Process {
     pub name: String,
@@ -119,24 +113,6 @@
     }
 }
 
-/// A loopback address that no other process of this machine uses: it is made of our process id.
-fn own_ip() -> IpAddr {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, 64 | (high & 63), middle, low.max(1)))
-}
-
-/// Finds free ports for control replicas, which must know each other's before they start.
-pub fn replica_ports(count: usize) -> Vec<ReplicaPorts> {
-    let bind = || TcpListener::bind((own_ip(), 0)).expect("a free port is bound");
-    let held: Vec<_> = (0..count).map(|_replica| (bind(), bind())).collect();
-    let address = |socket: &TcpListener| socket.local_addr().expect("a socket has an address");
-    let ports = held.iter().map(|(peers, entries)| ReplicaPorts {
-        peers: address(peers),
-        entries: address(entries),
-    });
-    ports.collect()
-}
-
 /// Writes a control replica's settings and gives the file.
 pub fn control_settings(
     folder: &Path,
@@ -149,14 +125,13 @@
          operators.listen = \"127.0.0.1:0\"\n",
         folder.join(format!("control-{index}")).display()
     );
-    for (number, ports) in ports.iter().enumerate() {
-        text += &format!(
-            "[[replicas]]\nname = \"control-{}\"\npeers = \"{}\"\nentries = \"{}\"\n",
-            number + 1,
-            ports.peers,
-            ports.entries
-        );
-    }
+    let replicas = ports.iter().enumerate().map(|(number, ports)| {
+        let (number, peers, entries) = (number + 1, ports.peers, ports.entries);
+        format!(
+            "[[replicas]]\nname = \"control-{number}\"\npeers = \"{peers}\"\nentries = \"{entries}\"\n"
+        )
+    });
+    text.extend(replicas);
     write(folder, &format!("control-{index}.toml"), &text)
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -15,9 +15,8 @@
 use support::fake_worker::{FakeWorker, Faults, Spec};
 use support::http::Http;
 use support::http_worker::run_worker;
-use support::processes::{
-    BOUND, PAUSE, Process, ReplicaPorts, control_settings, entry_settings, replica_ports, write,
-};
+use support::ports::{ReplicaPorts, replica_ports};
+use support::processes::{BOUND, PAUSE, Process, control_settings, entry_settings, write};
 
 mod support {
     #[expect(dead_code, reason = "other tests use the rest")]
@@ -27,6 +26,8 @@
     pub mod http;
     #[path = "../support/http_worker.rs"]
     pub mod http_worker;
+    #[path = "../support/ports.rs"]
+    pub mod ports;
     #[path = "../support/processes.rs"]
     pub mod processes;
 }
@@ -92,7 +93,7 @@
     entries: Vec<Entry>,
     http: Http,
     /// What everybody said and heard.
-    session: String,
+    session: Vec<String>,
 }
 
 impl Deployment {
@@ -111,7 +112,7 @@
             entries: entries.collect(),
             folder,
             http: Http::default(),
-            session: String::new(),
+            session: Vec::new(),
         }
     }
 
@@ -137,7 +138,9 @@
         let (code, text) = self.ctl(line);
         let shown = masked_text(&text);
         let code = code.map_or_else(|| "killed".to_owned(), |code| code.to_string());
-        self.session += &format!("operator$ marjoramctl {line}\n{shown}exit {code}\n\n");
+        self.session.push(format!(
+            "operator$ marjoramctl {line}\n{shown}exit {code}\n"
+        ));
         text
     }
 
@@ -163,7 +166,9 @@
         let answer = serde_json::from_str(&text).unwrap_or(Value::String(text));
         let shown = masked(&answer);
         let name = &self.entries[entry].process.name;
-        self.session += &format!("caller to {name}: {method} {path} {sent}\n{status} {shown}\n\n");
+        self.session.push(format!(
+            "caller to {name}: {method} {path} {sent}\n{status} {shown}\n"
+        ));
         (status, answer)
     }
 
@@ -348,5 +353,5 @@
     for control in &mut deployment.control {
         assert_eq!(control.wait(), Some(0), "{}", control.name);
     }
-    insta::assert_snapshot!(deployment.session);
+    insta::assert_snapshot!(deployment.session.join("\n"));
 }
