--- a/src/programs/entry.rs
+++ b/src/programs/entry.rs
@@ -10,12 +10,14 @@
 
 use super::Result;
 use super::listening::{find, listen};
+use crate::control::Client;
 use crate::entry::{
-    Client, EntryContext, Exchange, draw_health, draw_jobs, draw_workers, operators_router,
+    EntryContext, Exchange, ExchangeOptions, draw_health, draw_jobs, draw_workers, operators_router,
 };
-use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
+use crate::kernel::{Clock, Kernel, KernelBuilder, Service, Stopper};
 use crate::settings::{EntrySettings, ListenerSettings};
 use crate::telemetry::Metrics;
+use crate::units::Incarnation;
 
 /// Starts the services of an entry.
 ///
@@ -64,19 +66,26 @@
 
 fn exchange_service(settings: Arc<EntrySettings>) -> Service {
     Service::new("exchange", &[], move |registry| async move {
-        drop(settings);
-        registry.publish("exchange", Exchange);
-        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        let clock = Clock::start();
+        let options = ExchangeOptions::builder()
+            .entry(settings.name.clone())
+            .incarnation(Incarnation(clock.wall().0))
+            .zone(settings.zone.clone())
+            .client(Client::new(settings.control.clone()))
+            .clock(clock)
+            .build();
+        let exchange = Arc::new(Exchange::start(options));
+        registry.publish("exchange", Arc::clone(&exchange));
+        let stop: Stopper = Box::new(move || Box::pin(async move { exchange.leave().await }));
         Ok(stop)
     })
 }
 
 fn context_service(metrics: Metrics, leaving: CancellationToken) -> Service {
     Service::new("context", &["exchange"], move |registry| async move {
-        let exchange = find::<Exchange>(&registry, "exchange")?;
+        let exchange = find::<Arc<Exchange>>(&registry, "exchange")?;
         let context = EntryContext {
-            exchange,
-            client: Client,
+            exchange: Arc::clone(&exchange),
             metrics,
             leaving,
         };
