Forwarder: callers' requests to endpoints, records before bytes, answers before relay

The shell round the router. A refusal of a non-idempotent request is checked against the ledger first: this entry sent nothing, but an earlier send of the same id may have run, so "not run" would be untrue. The check begins an attempt and ends it unsent, two commits; a read-only look was weighed, but it would need a read at the leader that no delayed begin can overtake. Where the ledger cannot be asked the outcome is unknown.

Mount with entry::draw_requests and entry::draw_endpoints.

--- /dev/null
+++ b/src/entry/callers.rs
@@ -0,0 +1,190 @@
+use std::str::FromStr;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use gotham::helpers::http::Body;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, RouterBuilder};
+use gotham::state::{FromState, State};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::answer::error_answer;
+use super::body::read_body;
+use super::endpoint_link::{DEADLINE_MS, IDEMPOTENT, OUTCOME, REQUEST_ID, TEAM};
+use super::forward::Forwarder;
+use super::forward_idempotent::into_response;
+use super::forward_request::{CallerRequest, ForwardAnswer, ForwardRefusal};
+use super::route::{Answering, Refusal, route};
+use crate::request_ledger::Outcome;
+use crate::telemetry::record_request;
+use crate::units::{Millis, RequestId, ServiceName, TeamId, WallMs};
+
+/// When the caller made the id, in milliseconds since the Unix epoch.
+const MADE_MS: &str = "marjoramknot-made-ms";
+/// Where requests to services begin.
+const PREFIX: &str = "/v1/services/";
+/// The deadline of a request whose service is not known here yet.
+const DEADLINE_DEFAULT_MS: Millis = Millis(60_000);
+/// Longest accepted path and query in bytes.
+const PATH_BYTES_MAX: usize = 4_096;
+
+/// What the callers' routes work on.
+#[derive(Debug)]
+struct Calling {
+    forwarder: Arc<Forwarder>,
+}
+
+/// Draws the callers' routes for requests to services; see docs/INTERFACES.md.
+pub fn draw_requests(builder: &mut RouterBuilder<'_, (), ()>, forwarder: &Arc<Forwarder>) {
+    let calling = Arc::new(Calling {
+        forwarder: Arc::clone(forwarder),
+    });
+    let methods = || vec![Method::GET, Method::POST, Method::PUT, Method::DELETE];
+    for path in ["/v1/services/:service", "/v1/services/:service/*"] {
+        builder
+            .request(methods(), path)
+            .to_new_handler(route(&calling, call_service));
+    }
+}
+
+fn call_service<'a>(calling: &'a Calling, state: &'a mut State) -> Answering<'a> {
+    let forwarder = &calling.forwarder;
+    async move {
+        let arrived_ms = forwarder.now();
+        let request = read_request(forwarder, state).await;
+        let request = request.map_err(|refusal| refusal.with_outcome(Outcome::NotRun))?;
+        let (team, service, id) = (
+            request.team.clone(),
+            request.service.clone(),
+            request.id.clone(),
+        );
+        let answer = forwarder.forward(request).await;
+        if forwarder.has_team(&team) && forwarder.deadline_max(&service).is_some() {
+            record_request(&team, &service, forwarder.now().since(arrived_ms));
+        }
+        Ok(to_http(answer, &id))
+    }
+    .boxed()
+}
+
+/// Reads a caller's request whole and checks it.
+///
+/// # Errors
+/// What is missing, malformed, too large or too slow; nothing of it has run.
+pub async fn read_request(
+    forwarder: &Forwarder,
+    state: &mut State,
+) -> Result<CallerRequest, Refusal> {
+    let now = forwarder.now();
+    let headers = HeaderMap::borrow_from(state).clone();
+    let (service, path) = split_path(Uri::borrow_from(state))?;
+    let idempotent = optional(&headers, IDEMPOTENT)?.unwrap_or(false);
+    let made_ms = optional::<u64>(&headers, MADE_MS)?.map(WallMs);
+    if !idempotent && made_ms.is_none() {
+        let message = format_smolstr!("{MADE_MS} is needed where {IDEMPOTENT} is not true");
+        return Err(malformed(message));
+    }
+    let longest_ms = forwarder
+        .deadline_max(&service)
+        .unwrap_or(DEADLINE_DEFAULT_MS);
+    let asked_ms = optional::<u64>(&headers, DEADLINE_MS)?.map(Millis);
+    let deadline_ms = now.saturating_add(asked_ms.unwrap_or(longest_ms).min(longest_ms));
+    let team: TeamId = required(&headers, TEAM)?;
+    let id: RequestId = required(&headers, REQUEST_ID)?;
+    let method = Method::borrow_from(state).clone();
+    let body = read_body(state).await?;
+    Ok(CallerRequest {
+        team,
+        service,
+        id,
+        idempotent,
+        made_ms,
+        deadline_ms,
+        method,
+        path,
+        content_type: headers.get(CONTENT_TYPE).cloned(),
+        body,
+    })
+}
+
+/// The service that a path names, and the path and query for its endpoint.
+fn split_path(uri: &Uri) -> Result<(ServiceName, SmolStr), Refusal> {
+    let whole = uri.path_and_query().map_or("", |path| path.as_str());
+    if whole.len() > PATH_BYTES_MAX {
+        let message = format_smolstr!("the path has more than {PATH_BYTES_MAX} bytes");
+        return Err(malformed(message));
+    }
+    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    let service = name.parse();
+    let service = service.map_err(|fault| malformed(format_smolstr!("the service {fault}")))?;
+    let path = if path.starts_with('/') {
+        SmolStr::new(path)
+    } else {
+        format_smolstr!("/{path}")
+    };
+    Ok((service, path))
+}
+
+fn required<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<T, Refusal> {
+    optional(headers, name)?.ok_or_else(|| malformed(format_smolstr!("{name} is missing")))
+}
+
+fn optional<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed(format_smolstr!("{name} is given twice")));
+    }
+    let text = std::str::from_utf8(value.as_bytes()).ok();
+    let parsed = text.and_then(|text| text.parse().ok());
+    match parsed {
+        Some(parsed) => Ok(Some(parsed)),
+        None => Err(malformed(format_smolstr!("{name} cannot be read"))),
+    }
+}
+
+fn malformed(message: SmolStr) -> Refusal {
+    Refusal::new(StatusCode::BAD_REQUEST, "malformed", message)
+}
+
+/// The HTTP answer; whatever is not a whole answer names its outcome.
+fn to_http(answer: ForwardAnswer, id: &RequestId) -> Response<Body> {
+    let mut response = match answer {
+        ForwardAnswer::Answered {
+            status,
+            headers,
+            body,
+        } => into_response(status, headers, body),
+        ForwardAnswer::Refused(refusal) => refusal_to_http(refusal),
+    };
+    set_header(&mut response, REQUEST_ID, id.as_str());
+    response
+}
+
+fn refusal_to_http(refusal: ForwardRefusal) -> Response<Body> {
+    let ForwardRefusal {
+        status,
+        code,
+        message,
+        outcome,
+        retry_after_ms,
+    } = refusal;
+    let mut response = error_answer(status, code, message, Some(outcome));
+    set_header(&mut response, OUTCOME, &outcome.to_string());
+    response.headers_mut().remove(RETRY_AFTER);
+    if let Some(retry_after_ms) = retry_after_ms {
+        let seconds = retry_after_ms.get().div_ceil(1_000).max(1);
+        set_header(&mut response, RETRY_AFTER.as_str(), &seconds.to_string());
+    }
+    response
+}
+
+fn set_header(response: &mut Response<Body>, name: &'static str, value: &str) {
+    let value = HeaderValue::try_from(value).expect("ids and numbers are header text");
+    response.headers_mut().insert(name, value);
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,304 @@
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::endpoint_link::{Connector, Sender, connector};
+use super::forward_request::{CallerRequest, ForwardAnswer};
+use crate::control::{self, EndpointUse};
+use crate::kernel::Clock;
+use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
+use crate::router::{
+    AttemptEnd, ConnectionId, EndpointRun, Router, RouterAction, RouterEvent, RouterRefusal,
+    RouterView, SendOrder, Ticket,
+};
+use crate::units::{EntryId, Incarnation, Millis, Sequence, ServiceName, TeamId};
+
+/// Time between two looks at queues and connections while requests wait.
+const BUSY_TICK: Duration = Duration::from_millis(20);
+/// The same while none waits.
+const IDLE_TICK: Duration = Duration::from_millis(200);
+/// Most refusals that are checked against the ledger at once.
+const CHECKS_MAX: usize = 64;
+
+/// Commits that an attempt begins.
+pub type BeginFn =
+    Arc<dyn Fn(BeginRequest) -> BoxFuture<'static, control::Result<BeginAnswer>> + Send + Sync>;
+/// Commits how an attempt ended.
+pub type FinishFn =
+    Arc<dyn Fn(FinishRequest) -> BoxFuture<'static, control::Result<FinishAnswer>> + Send + Sync>;
+/// Takes what the entry uses of its shares.
+pub type UsesFn = Arc<dyn Fn(Vec<EndpointUse>) + Send + Sync>;
+
+/// What a forwarder needs of the rest of its entry.
+#[derive(bon::Builder, Clone)]
+pub struct ForwardOptions {
+    /// The entry's name.
+    pub entry: EntryId,
+    /// The run of the entry's process.
+    pub incarnation: Incarnation,
+    /// The entry's clock, which grants are counted on.
+    pub clock: Clock,
+    /// Commits that an attempt begins.
+    pub begin: BeginFn,
+    /// Commits how an attempt ended.
+    pub finish: FinishFn,
+    /// Takes what the entry uses of its shares.
+    pub uses: UsesFn,
+}
+
+impl fmt::Debug for ForwardOptions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ForwardOptions")
+            .field("entry", &self.entry)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What the router decided about one request.
+#[derive(Debug)]
+pub(super) enum Directive {
+    Send(SendOrder),
+    Refuse(RouterRefusal),
+}
+
+/// Forwards callers' requests to endpoints: the shell round [`Router`].
+pub struct Forwarder {
+    pub(super) options: ForwardOptions,
+    pub(super) connector: Connector,
+    pub(super) checks: Semaphore,
+    router: Mutex<Router>,
+    waiters: Mutex<HashMap<Ticket, mpsc::UnboundedSender<Directive>>>,
+    pool: Mutex<HashMap<ConnectionId, Sender>>,
+    last_ticket: AtomicU64,
+    last_sequence: AtomicU64,
+    tasks: TaskTracker,
+    stopped: CancellationToken,
+}
+
+impl fmt::Debug for Forwarder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Forwarder")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Forwarder {
+    /// Starts a forwarder; requests wait until [`Forwarder::observe`] gives it a view.
+    #[must_use]
+    pub fn start(options: ForwardOptions) -> Arc<Self> {
+        let forwarder = Arc::new(Self {
+            options,
+            connector: connector(),
+            checks: Semaphore::new(CHECKS_MAX),
+            router: Mutex::default(),
+            waiters: Mutex::default(),
+            pool: Mutex::default(),
+            last_ticket: AtomicU64::new(0),
+            last_sequence: AtomicU64::new(0),
+            tasks: TaskTracker::new(),
+            stopped: CancellationToken::new(),
+        });
+        tokio::spawn(Arc::clone(&forwarder).tick());
+        forwarder
+    }
+
+    /// Takes what the entry knows from the leader.
+    pub fn observe(self: &Arc<Self>, view: RouterView) {
+        self.handle(RouterEvent::View(view));
+    }
+
+    /// Forwards one request and waits for its answer.
+    ///
+    /// The work goes on when the caller goes away, where it must not be lost: a non-idempotent
+    /// request is ended and recorded whatever becomes of the connection that it came on.
+    pub async fn forward(self: &Arc<Self>, request: CallerRequest) -> ForwardAnswer {
+        let (answer, answered) = oneshot::channel();
+        let forwarder = Arc::clone(self);
+        if request.idempotent {
+            self.tasks
+                .spawn(async move { forwarder.run_idempotent(request, answer).await });
+        } else {
+            self.tasks
+                .spawn(async move { forwarder.run_recorded(request, answer).await });
+        }
+        answered
+            .await
+            .unwrap_or_else(|_closed| ForwardAnswer::lost())
+    }
+
+    /// Waits until every request that was taken has ended, its record included.
+    pub async fn drain(&self) {
+        self.tasks.close();
+        self.tasks.wait().await;
+        self.stopped.cancel();
+        lock(&self.pool).clear();
+    }
+
+    /// The longest deadline of a service; none while it is not known.
+    #[must_use]
+    pub fn deadline_max(&self, service: &ServiceName) -> Option<Millis> {
+        lock(&self.router).deadline_max(service)
+    }
+
+    /// Whether a team is declared.
+    #[must_use]
+    pub fn has_team(&self, team: &TeamId) -> bool {
+        lock(&self.router).has_team(team)
+    }
+
+    /// Requests that are known: waiting or in progress.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        lock(&self.router).requests()
+    }
+
+    /// What the entry uses of each endpoint now.
+    #[must_use]
+    pub fn uses(&self) -> Vec<EndpointUse> {
+        lock(&self.router).uses()
+    }
+
+    pub(super) fn now(&self) -> Millis {
+        self.options.clock.now()
+    }
+
+    pub(super) fn next_sequence(&self) -> Sequence {
+        Sequence(self.last_sequence.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
+    /// Puts a request into the router; its directives come through the receiver.
+    pub(super) fn enqueue(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+    ) -> (Ticket, mpsc::UnboundedReceiver<Directive>) {
+        let ticket = Ticket(self.last_ticket.fetch_add(1, Ordering::Relaxed) + 1);
+        let (directives, receiver) = mpsc::unbounded_channel();
+        lock(&self.waiters).insert(ticket, directives);
+        self.handle(RouterEvent::Arrived {
+            ticket,
+            request: request.queued(),
+        });
+        (ticket, receiver)
+    }
+
+    /// Tells the router that nobody waits for the request any more, and gives back what it had been
+    /// ordered meanwhile.
+    pub(super) fn leave(
+        self: &Arc<Self>,
+        ticket: Ticket,
+        mut directives: mpsc::UnboundedReceiver<Directive>,
+    ) {
+        directives.close();
+        lock(&self.waiters).remove(&ticket);
+        self.handle(RouterEvent::Gone { ticket });
+        while let Ok(directive) = directives.try_recv() {
+            if let Directive::Send(order) = directive {
+                self.handle(unused(order));
+            }
+        }
+    }
+
+    pub(super) fn end_attempt(self: &Arc<Self>, order: &SendOrder, end: AttemptEnd) {
+        self.handle(RouterEvent::Ended {
+            ticket: order.ticket,
+            run: order.run.clone(),
+            connection: order.connection,
+            end,
+        });
+    }
+
+    pub(super) fn may_send(&self, run: &EndpointRun) -> bool {
+        let now = self.now();
+        lock(&self.router).may_send(run, now)
+    }
+
+    pub(super) fn take_connection(&self, connection: ConnectionId) -> Option<Sender> {
+        lock(&self.pool).remove(&connection)
+    }
+
+    /// Keeps a connection for its next request; false where it has closed.
+    pub(super) fn keep_connection(&self, connection: ConnectionId, sender: Sender) -> bool {
+        if sender.is_closed() || self.stopped.is_cancelled() {
+            return false;
+        }
+        lock(&self.pool).insert(connection, sender);
+        true
+    }
+
+    pub(super) fn connection_closed(self: &Arc<Self>, run: EndpointRun, connection: ConnectionId) {
+        lock(&self.pool).remove(&connection);
+        self.handle(RouterEvent::ConnectionClosed { run, connection });
+    }
+
+    /// Runs work that outlives its request until the forwarder is drained.
+    pub(super) fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(work);
+    }
+
+    pub(super) fn handle(self: &Arc<Self>, event: RouterEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let now = self.now();
+            let actions = lock(&self.router).handle(event, now);
+            for action in actions {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    /// Passes an action on; gives the event that follows where nobody takes it.
+    fn perform(&self, action: RouterAction) -> Option<RouterEvent> {
+        match action {
+            RouterAction::Send(order) => {
+                let waiter = lock(&self.waiters).get(&order.ticket).cloned();
+                let sent = waiter.map(|waiter| waiter.send(Directive::Send(order.clone())));
+                let taken = matches!(sent, Some(Ok(())));
+                (!taken).then(|| unused(order))
+            }
+            RouterAction::Refuse { ticket, refusal } => {
+                let waiter = lock(&self.waiters).remove(&ticket)?;
+                // Where the receiver is gone, its request has been told already.
+                let _told = waiter.send(Directive::Refuse(refusal));
+                None
+            }
+            RouterAction::Close { connection, .. } => {
+                lock(&self.pool).remove(&connection);
+                None
+            }
+        }
+    }
+
+    async fn tick(self: Arc<Self>) {
+        while !self.stopped.is_cancelled() {
+            let waiting = lock(&self.router).waiting() > 0;
+            sleep(if waiting { BUSY_TICK } else { IDLE_TICK }).await;
+            self.handle(RouterEvent::Tick);
+            (self.options.uses)(self.uses());
+        }
+    }
+}
+
+/// The end of an attempt that nobody made.
+fn unused(order: SendOrder) -> RouterEvent {
+    let reusable = !order.fresh;
+    RouterEvent::Ended {
+        ticket: order.ticket,
+        run: order.run,
+        connection: order.connection,
+        end: AttemptEnd::Unused { reusable },
+    }
+}
+
+/// Locks what is only held for moments in which nothing can fail.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/entry/forward_recorded.rs
@@ -0,0 +1,239 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::time::{sleep, timeout};
+
+use super::endpoint_link::{Answered, Sender, says_not_run};
+use super::forward::{Directive, Forwarder};
+use super::forward_idempotent::{AnswerSender, OpenAttempt, read_whole};
+use super::forward_request::{CallerRequest, ForwardAnswer};
+use super::record_keeper::{Begin, Recorded};
+use crate::request_ledger::{ANSWER_BYTES_MAX, RecordState, StoredAnswer};
+use crate::router::{AttemptEnd, RouterEvent, SendOrder, Ticket};
+use crate::units::{Millis, Sequence};
+
+/// How long after its caller was told an attempt is still waited for, so that its answer is kept.
+const LATE_ANSWER_MS: Millis = Millis(30_000);
+/// First pause before a request in progress elsewhere is asked for again.
+const ASK_AGAIN_MIN_MS: Millis = Millis(50);
+/// Longest such pause.
+const ASK_AGAIN_MAX_MS: Millis = Millis(500);
+
+/// Where a recorded request stands after one directive.
+enum Step {
+    /// The caller can be told.
+    Told(ForwardAnswer),
+    /// Another attempt may follow.
+    GoOn,
+}
+
+impl Forwarder {
+    /// Runs a request that must run at most once.
+    ///
+    /// The caller is told at its deadline at the latest; the work on the record goes on behind it,
+    /// so that a late answer is kept for a resend.
+    pub(super) async fn run_recorded(
+        self: Arc<Self>,
+        request: CallerRequest,
+        caller: AnswerSender,
+    ) {
+        let mut caller = Some(caller);
+        let (ticket, mut directives) = self.enqueue(&request);
+        let mut pause_ms = ASK_AGAIN_MIN_MS;
+        let answer = loop {
+            let step = match directives.recv().await {
+                None => Step::Told(ForwardAnswer::lost()),
+                Some(Directive::Refuse(refusal)) => {
+                    let answer = ForwardAnswer::refused(&refusal);
+                    Step::Told(self.check_refusal(&request, answer).await)
+                }
+                Some(Directive::Send(order)) => {
+                    self.try_once(&request, ticket, order, &mut caller, &mut pause_ms)
+                        .await
+                }
+            };
+            if let Step::Told(answer) = step {
+                break answer;
+            }
+        };
+        self.leave(ticket, directives);
+        tell(&mut caller, answer);
+    }
+
+    /// Follows one order: commits the begin, sends, and commits how it ended.
+    async fn try_once(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        ticket: Ticket,
+        order: SendOrder,
+        caller: &mut Option<AnswerSender>,
+        pause_ms: &mut Millis,
+    ) -> Step {
+        let mut attempt = OpenAttempt::new(self, order);
+        let sender = match self.connect(&attempt.order).await {
+            Ok(sender) => sender,
+            Err(end) => {
+                attempt.end(end);
+                return Step::GoOn;
+            }
+        };
+        let sequence = self.next_sequence();
+        match self.begin(request, &attempt.order.run, sequence).await {
+            Begin::Begun => {}
+            Begin::InProgress => {
+                self.give_back(&mut attempt, sender);
+                self.ask_again(ticket, pause_ms);
+                return Step::GoOn;
+            }
+            Begin::Settled(answer) => {
+                self.give_back(&mut attempt, sender);
+                return Step::Told(answer);
+            }
+        }
+        let in_time = self.now() < request.deadline_ms;
+        if !in_time || !self.may_send(&attempt.order.run) {
+            self.finish(request, sequence, RecordState::NotSent).await;
+            self.give_back(&mut attempt, sender);
+            self.handle(RouterEvent::Again {
+                ticket,
+                not_before_ms: self.now(),
+            });
+            return Step::GoOn;
+        }
+        self.send_begun(request, &mut attempt, sequence, sender, caller)
+            .await
+    }
+
+    /// Sends what the ledger knows as begun: from here on it may have run.
+    async fn send_begun(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempt: &mut OpenAttempt,
+        sequence: Sequence,
+        sender: Sender,
+        caller: &mut Option<AnswerSender>,
+    ) -> Step {
+        attempt.sent = true;
+        let order = attempt.order.clone();
+        let work = self.whole_answer(request, &order, sequence, sender);
+        tokio::pin!(work);
+        let left_ms = request.deadline_ms.since(self.now());
+        let ended = match timeout(left_ms.duration(), &mut work).await {
+            Ok(ended) => ended,
+            Err(_elapsed) => {
+                tell(caller, ForwardAnswer::late());
+                self.finish(request, sequence, RecordState::Unknown).await;
+                let late = timeout(LATE_ANSWER_MS.duration(), work).await;
+                late.unwrap_or(Err(AttemptEnd::Silent))
+            }
+        };
+        match ended {
+            Ok((answer, sender)) => {
+                attempt.end_answered(sender);
+                let state = RecordState::Answered(answer);
+                self.settle(request, sequence, state, caller).await
+            }
+            Err(end @ (AttemptEnd::NotSent | AttemptEnd::Busy { .. })) => {
+                self.finish(request, sequence, RecordState::NotSent).await;
+                attempt.end(end);
+                Step::GoOn
+            }
+            Err(end) => {
+                attempt.end(end);
+                self.settle(request, sequence, RecordState::Unknown, caller)
+                    .await
+            }
+        }
+    }
+
+    /// Commits how an attempt ended before its caller is told.
+    async fn settle(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        sequence: Sequence,
+        state: RecordState,
+        caller: &mut Option<AnswerSender>,
+    ) -> Step {
+        let work = self.finish(request, sequence, state);
+        tokio::pin!(work);
+        let left_ms = request.deadline_ms.since(self.now()).max(ASK_AGAIN_MAX_MS);
+        let recorded = match timeout(left_ms.duration(), &mut work).await {
+            Ok(recorded) => recorded,
+            Err(_elapsed) => {
+                tell(caller, ForwardAnswer::late());
+                work.await
+            }
+        };
+        Step::Told(match recorded {
+            Recorded::Answered(answer) => ForwardAnswer::stored(answer),
+            Recorded::Other => ForwardAnswer::unknown(
+                StatusCode::BAD_GATEWAY,
+                "attempt_failed",
+                "the endpoint gave no whole answer that can be kept; the work may have run",
+            ),
+        })
+    }
+
+    /// Sends the request and reads its whole answer.
+    async fn whole_answer(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        order: &SendOrder,
+        sequence: Sequence,
+        sender: Sender,
+    ) -> Result<(StoredAnswer, Sender), AttemptEnd> {
+        let within = request.deadline_ms.since(self.now());
+        let within = within.saturating_add(LATE_ANSWER_MS);
+        let answered = self
+            .exchange_head(order, request, sequence, sender, within)
+            .await?;
+        if says_not_run(&answered.response) {
+            return Err(self.end_of_refusal(order, answered).await);
+        }
+        let Answered { response, sender } = answered;
+        let (head, body) = response.into_parts();
+        let max_bytes = usize::try_from(ANSWER_BYTES_MAX).unwrap_or(usize::MAX);
+        let whole = read_whole(body, max_bytes).await;
+        let body = whole.map_err(|_part| AttemptEnd::Broken)?;
+        let content_type = head.headers.get(http::header::CONTENT_TYPE);
+        let answer = StoredAnswer {
+            status: head.status.as_u16(),
+            content_type: content_type
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .into(),
+            body: body.into(),
+        };
+        Ok((answer, sender))
+    }
+
+    /// Gives an attempt's slot back with nothing sent; its connection stays of use.
+    fn give_back(&self, attempt: &mut OpenAttempt, sender: Sender) {
+        let reusable = self.keep_connection(attempt.order.connection, sender);
+        attempt.end(AttemptEnd::Unused { reusable });
+    }
+
+    /// Puts a request back that another attempt has in progress, to ask the ledger again.
+    fn ask_again(self: &Arc<Self>, ticket: Ticket, pause_ms: &mut Millis) {
+        let not_before_ms = self.now().saturating_add(*pause_ms);
+        *pause_ms = Millis(pause_ms.get().saturating_mul(2)).min(ASK_AGAIN_MAX_MS);
+        self.handle(RouterEvent::Again {
+            ticket,
+            not_before_ms,
+        });
+    }
+}
+
+fn tell(caller: &mut Option<AnswerSender>, answer: ForwardAnswer) {
+    if let Some(caller) = caller.take() {
+        // A caller that has gone away asks again with the same id.
+        let _told = caller.send(answer);
+    }
+}
+
+/// Waits a little longer each time, up to `max`.
+pub(super) async fn back_off(pause: &mut Duration, max: Duration) {
+    sleep(*pause).await;
+    *pause = pause.saturating_mul(2).min(max);
+}
--- /dev/null
+++ b/src/entry/forward_request.rs
@@ -0,0 +1,166 @@
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use smol_str::SmolStr;
+
+use super::forward_idempotent::whole_body;
+use crate::request_ledger::{Outcome, RequestKey, StoredAnswer};
+use crate::router::{QueuedRequest, RefusalKind, RouterRefusal};
+use crate::units::{Millis, RequestId, ServiceName, TeamId, WallMs};
+
+/// A caller's request, read whole and checked.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// The caller's team.
+    pub team: TeamId,
+    /// The service asked.
+    pub service: ServiceName,
+    /// The caller's id.
+    pub id: RequestId,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When the caller made the id; present on every request that is not idempotent.
+    pub made_ms: Option<WallMs>,
+    /// When the caller wants to be told, on the entry's clock.
+    pub deadline_ms: Millis,
+    /// The HTTP method.
+    pub method: Method,
+    /// The path and query for the endpoint.
+    pub path: SmolStr,
+    /// The body's type.
+    pub content_type: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum ForwardAnswer {
+    /// The endpoint's answer: whole, or streamed so that an early end shows.
+    Answered {
+        /// The status.
+        status: StatusCode,
+        /// The headers to relay.
+        headers: HeaderMap,
+        /// The body.
+        body: Body,
+    },
+    /// There is no whole answer.
+    Refused(ForwardRefusal),
+}
+
+/// Why there is no whole answer, and what became of the work.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ForwardRefusal {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// A stable code.
+    pub code: &'static str,
+    /// A sentence for people.
+    pub message: SmolStr,
+    /// What became of the work.
+    pub outcome: Outcome,
+    /// When it is worth coming again.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl CallerRequest {
+    pub(super) fn key(&self) -> RequestKey {
+        RequestKey {
+            team: self.team.clone(),
+            service: self.service.clone(),
+            id: self.id.clone(),
+        }
+    }
+
+    pub(super) fn queued(&self) -> QueuedRequest {
+        QueuedRequest {
+            team: self.team.clone(),
+            service: self.service.clone(),
+            idempotent: self.idempotent,
+            deadline_ms: self.deadline_ms,
+        }
+    }
+}
+
+impl ForwardAnswer {
+    pub(super) fn stored(answer: StoredAnswer) -> Self {
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut headers = HeaderMap::new();
+        if let Ok(content_type) = HeaderValue::from_str(&answer.content_type)
+            && !content_type.is_empty()
+        {
+            headers.insert(http::header::CONTENT_TYPE, content_type);
+        }
+        Self::Answered {
+            status,
+            headers,
+            body: whole_body(answer.body.into()),
+        }
+    }
+
+    /// The answer where the work on a request ended without one.
+    pub(super) fn lost() -> Self {
+        Self::unknown(
+            StatusCode::BAD_GATEWAY,
+            "lost",
+            "the entry lost track of the request, which may have run",
+        )
+    }
+
+    pub(super) fn unknown(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<SmolStr>,
+    ) -> Self {
+        Self::Refused(ForwardRefusal {
+            status,
+            code,
+            message: message.into(),
+            outcome: Outcome::Unknown,
+            retry_after_ms: None,
+        })
+    }
+
+    pub(super) fn not_run(
+        status: StatusCode,
+        code: &'static str,
+        message: impl Into<SmolStr>,
+        retry_after_ms: Option<Millis>,
+    ) -> Self {
+        Self::Refused(ForwardRefusal {
+            status,
+            code,
+            message: message.into(),
+            outcome: Outcome::NotRun,
+            retry_after_ms,
+        })
+    }
+
+    /// The answer to a request that the router refused.
+    pub(super) fn refused(refusal: &RouterRefusal) -> Self {
+        let (status, code) = match refusal.kind {
+            RefusalKind::NoSuchService(_) => (StatusCode::NOT_FOUND, "no_such_service"),
+            RefusalKind::NoSuchTeam(_) => (StatusCode::FORBIDDEN, "no_such_team"),
+            RefusalKind::QueueFull => (StatusCode::TOO_MANY_REQUESTS, "queue_full"),
+            RefusalKind::WouldBeLate => (StatusCode::SERVICE_UNAVAILABLE, "would_be_late"),
+            RefusalKind::DeadlinePassed(_) => (StatusCode::SERVICE_UNAVAILABLE, "deadline_passed"),
+            RefusalKind::AttemptFailed => (StatusCode::BAD_GATEWAY, "attempt_failed"),
+        };
+        if refusal.may_have_run {
+            let message = format!("{}; the work may have run", refusal.kind);
+            return Self::unknown(status, code, message);
+        }
+        let message = format!("{}; the work did not run", refusal.kind);
+        Self::not_run(status, code, message, Some(refusal.retry_after_ms))
+    }
+
+    /// The answer where the deadline passed while an endpoint had the request.
+    pub(super) fn late() -> Self {
+        Self::unknown(
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline_passed",
+            "the deadline passed while an endpoint had the request; the work may have run",
+        )
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,21 +2,34 @@
 
 mod answer;
 mod body;
+mod callers;
 mod client_io;
 mod connections;
 mod context;
+mod endpoint_link;
+mod endpoints;
+mod forward;
+mod forward_idempotent;
+mod forward_recorded;
+mod forward_request;
 mod health;
 mod job_check;
 mod jobs;
 mod listener;
 mod operators;
+mod record_keeper;
+mod relay_body;
 mod route;
 mod stub;
 mod workers;
 
 pub use answer::{ErrorAnswer, error_answer, json_answer, text_answer};
 pub use body::{BodyFault, read_body, read_json};
+pub use callers::{draw_requests, read_request};
 pub use context::EntryContext;
+pub use endpoints::{AnnounceFn, Announcing, draw_endpoints};
+pub use forward::{BeginFn, FinishFn, ForwardOptions, Forwarder, UsesFn};
+pub use forward_request::{CallerRequest, ForwardAnswer, ForwardRefusal};
 pub use health::{Health, draw_health, draw_metrics};
 pub use job_check::check_job;
 pub use jobs::{JobAccepted, WAIT_MAX_MS, draw_jobs};
--- /dev/null
+++ b/src/entry/record_keeper.rs
@@ -0,0 +1,252 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use sha2::{Digest, Sha256};
+use tokio::time::timeout;
+
+use super::forward::Forwarder;
+use super::forward_recorded::back_off;
+use super::forward_request::{CallerRequest, ForwardAnswer};
+use crate::request_ledger::{
+    BeginAnswer, BeginRequest, ContentDigest, FinishAnswer, FinishRequest, RecordState,
+    StoredAnswer, WINDOW_MS,
+};
+use crate::router::EndpointRun;
+use crate::units::{Incarnation, Millis, Sequence};
+
+/// First pause before a commit is asked for again.
+const PAUSE_MIN: Duration = Duration::from_millis(20);
+/// Longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// How long a refusal may be checked against the ledger.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the end of an attempt is offered to the ledger; its record expires by itself after.
+const FINISH_TIMEOUT: Duration = Duration::from_mins(1);
+/// The endpoint of a check, which sends nothing.
+const NO_ENDPOINT: &str = "none";
+
+/// What the ledger says of an attempt that wants to begin.
+#[derive(Debug)]
+pub(super) enum Begin {
+    /// It may be sent.
+    Begun,
+    /// Another attempt is in progress.
+    InProgress,
+    /// The caller can be told without an attempt.
+    Settled(ForwardAnswer),
+}
+
+/// What the ledger holds after an attempt's end.
+#[derive(Debug)]
+pub(super) enum Recorded {
+    /// This answer, for the caller and for every resend.
+    Answered(StoredAnswer),
+    /// No answer.
+    Other,
+}
+
+impl Forwarder {
+    /// Commits that an attempt begins; asks again until the deadline, always for the same attempt.
+    pub(super) async fn begin(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        run: &EndpointRun,
+        sequence: Sequence,
+    ) -> Begin {
+        let left_ms = request.deadline_ms.since(self.now());
+        let wanted = self.begin_request(request, run, sequence, left_ms);
+        let asked = timeout(left_ms.duration(), self.ask_begin(wanted)).await;
+        match asked {
+            Ok(BeginAnswer::Begun) => Begin::Begun,
+            Ok(BeginAnswer::InProgress) => Begin::InProgress,
+            Ok(answer) => Begin::Settled(settled(answer)),
+            Err(_elapsed) => {
+                self.finish_behind(request, sequence);
+                Begin::Settled(unchecked())
+            }
+        }
+    }
+
+    /// Asks the ledger whether a refused request really never ran.
+    ///
+    /// This entry sent nothing, but an earlier send of the same id may have run elsewhere: "not run"
+    /// must be true of the id. A check begins an attempt that is never sent, and ends it at once.
+    pub(super) async fn check_refusal(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        refusal: ForwardAnswer,
+    ) -> ForwardAnswer {
+        let Ok(_permit) = self.checks.try_acquire() else {
+            return unchecked();
+        };
+        let run = EndpointRun {
+            endpoint: NO_ENDPOINT.parse().expect("the name is an id"),
+            incarnation: Incarnation::ZERO,
+        };
+        let sequence = self.next_sequence();
+        let patience = Millis::from(CHECK_TIMEOUT);
+        let wanted = self.begin_request(request, &run, sequence, patience);
+        let asked = timeout(CHECK_TIMEOUT, self.ask_begin(wanted)).await;
+        match asked {
+            Ok(BeginAnswer::Begun) => {
+                self.finish_behind(request, sequence);
+                refusal
+            }
+            Ok(BeginAnswer::InProgress) => ForwardAnswer::unknown(
+                StatusCode::CONFLICT,
+                "in_progress",
+                "an earlier send of this id is in progress; send it again for its answer",
+            ),
+            Ok(answer) => settled(answer),
+            Err(_elapsed) => {
+                self.finish_behind(request, sequence);
+                unchecked()
+            }
+        }
+    }
+
+    /// Commits how an attempt ended; asks again until the ledger has taken it or its record is gone.
+    pub(super) async fn finish(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        sequence: Sequence,
+        state: RecordState,
+    ) -> Recorded {
+        let offered = match &state {
+            RecordState::Answered(answer) => Some(answer.clone()),
+            _ => None,
+        };
+        let finish = FinishRequest {
+            key: request.key(),
+            entry: self.options.entry.clone(),
+            entry_incarnation: self.options.incarnation,
+            sequence,
+            state,
+        };
+        let answer = timeout(FINISH_TIMEOUT, self.ask_finish(finish)).await;
+        match (answer, offered) {
+            (Ok(FinishAnswer::Recorded), Some(answer)) => Recorded::Answered(answer),
+            (Ok(FinishAnswer::Stands(RecordState::Answered(answer))), _) => {
+                Recorded::Answered(answer)
+            }
+            _ => Recorded::Other,
+        }
+    }
+
+    /// Commits behind the request that nothing was sent.
+    fn finish_behind(self: &Arc<Self>, request: &CallerRequest, sequence: Sequence) {
+        let forwarder = Arc::clone(self);
+        let request = request.clone();
+        self.spawn(async move {
+            forwarder
+                .finish(&request, sequence, RecordState::NotSent)
+                .await;
+        });
+    }
+
+    /// Asks until there is an answer; a repeated begin of one attempt is one begin.
+    async fn ask_begin(&self, wanted: BeginRequest) -> BeginAnswer {
+        let mut pause = PAUSE_MIN;
+        loop {
+            if let Ok(answer) = (self.options.begin)(wanted.clone()).await {
+                return answer;
+            }
+            back_off(&mut pause, PAUSE_MAX).await;
+        }
+    }
+
+    async fn ask_finish(&self, finish: FinishRequest) -> FinishAnswer {
+        let mut pause = PAUSE_MIN;
+        loop {
+            if let Ok(answer) = (self.options.finish)(finish.clone()).await {
+                return answer;
+            }
+            back_off(&mut pause, PAUSE_MAX).await;
+        }
+    }
+
+    fn begin_request(
+        &self,
+        request: &CallerRequest,
+        run: &EndpointRun,
+        sequence: Sequence,
+        deadline_ms: Millis,
+    ) -> BeginRequest {
+        BeginRequest {
+            key: request.key(),
+            content: content_of(request),
+            made_ms: request.made_ms,
+            entry: self.options.entry.clone(),
+            entry_incarnation: self.options.incarnation,
+            sequence,
+            endpoint: run.endpoint.clone(),
+            endpoint_incarnation: run.incarnation,
+            deadline_ms,
+        }
+    }
+}
+
+/// The digest that a resend must have; lengths keep the parts apart.
+fn content_of(request: &CallerRequest) -> ContentDigest {
+    let mut digest = Sha256::new();
+    for part in [
+        request.method.as_str().as_bytes(),
+        request.path.as_bytes(),
+        &request.body,
+    ] {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
+    ContentDigest(digest.finalize().into())
+}
+
+/// What a caller is told where the ledger has settled its request.
+fn settled(answer: BeginAnswer) -> ForwardAnswer {
+    match answer {
+        BeginAnswer::Answered(answer) => ForwardAnswer::stored(answer),
+        BeginAnswer::ContentMismatch => ForwardAnswer::not_run(
+            StatusCode::CONFLICT,
+            "content_mismatch",
+            "the id was used with other content; this content did not run",
+            None,
+        ),
+        BeginAnswer::TooOld => ForwardAnswer::unknown(
+            StatusCode::GONE,
+            "too_old",
+            format!(
+                "the id was made more than {} s ago; it is not run now, and it is not known any \
+                 more whether it ran before",
+                WINDOW_MS.get() / 1_000
+            ),
+        ),
+        BeginAnswer::MadeAhead => ForwardAnswer::not_run(
+            StatusCode::BAD_REQUEST,
+            "made_ahead",
+            "marjoramknot-made-ms lies in the future; the work did not run",
+            None,
+        ),
+        BeginAnswer::Full => ForwardAnswer::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "ledger_full",
+            "as many requests are kept as may be; the work did not run",
+            Some(Millis(5_000)),
+        ),
+        BeginAnswer::Unknown | BeginAnswer::Begun | BeginAnswer::InProgress => {
+            ForwardAnswer::unknown(
+                StatusCode::BAD_GATEWAY,
+                "outcome_unknown",
+                "an earlier attempt has no known answer; the work may have run",
+            )
+        }
+    }
+}
+
+/// The answer where this entry sent nothing and the ledger cannot be asked about earlier sends.
+fn unchecked() -> ForwardAnswer {
+    ForwardAnswer::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_checked",
+        "this entry sent nothing, but whether an earlier send of this id ran cannot be checked now",
+    )
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,3 +21,5 @@
 pub const POLL_HOLD_MS: Millis = Millis(2_000);
 /// How long an endpoint's announcement counts.
 pub const ANNOUNCEMENT_MS: Millis = Millis(6_000);
+/// How long an entry waits for the leader's answer to an announcement.
+pub const ANNOUNCEMENT_RELAY_MS: Millis = Millis(400);
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -10,7 +10,7 @@
     RouterRefusal, RouterView, Ticket, may_start_work,
 };
 use crate::control::EndpointUse;
-use crate::units::{Millis, ServiceName};
+use crate::units::{Millis, ServiceName, TeamId};
 
 /// A request that waits or has an attempt in progress.
 #[derive(Clone, Debug)]
@@ -106,6 +106,12 @@
         listed && now < self.view.granted_until_ms
     }
 
+    /// Whether a team is declared.
+    #[must_use]
+    pub fn has_team(&self, team: &TeamId) -> bool {
+        self.view.in_force.teams.contains_key(team)
+    }
+
     /// The longest deadline of a service; none while it is not known.
     #[must_use]
     pub fn deadline_max(&self, service: &ServiceName) -> Option<Millis> {
@@ -255,7 +261,7 @@
                 service.or_default().observe_answer(now.since(sent_ms));
                 self.drop_request(ticket);
             }
-            AttemptEnd::Unused => {}
+            AttemptEnd::Unused { .. } => {}
             AttemptEnd::GivenUp => self.drop_request(ticket),
             AttemptEnd::NotConnected | AttemptEnd::NotSent | AttemptEnd::Busy { .. } => {
                 self.requeue(ticket, now);
--- a/src/router/endpoint_state.rs
+++ b/src/router/endpoint_state.rs
@@ -157,8 +157,7 @@
                 self.rest(BUSY_MIN_MS, now);
                 self.keep_or_close(connection, reusable, now);
             }
-            AttemptEnd::Unused if fresh => {}
-            AttemptEnd::Unused => self.keep_or_close(connection, true, now),
+            AttemptEnd::Unused { reusable } => self.keep_or_close(connection, reusable, now),
             AttemptEnd::GivenUp => {
                 self.abandoned.slots = self.abandoned.slots.next();
                 self.settle(now);
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -112,8 +112,11 @@
         /// Whether the connection can take another request.
         reusable: bool,
     },
-    /// The slot was not needed: nothing was sent and the request is settled.
-    Unused,
+    /// Nothing was sent, and the request is settled or asks again later.
+    Unused {
+        /// Whether the connection can take another request.
+        reusable: bool,
+    },
     /// This entry gave it up: its caller went away or its deadline passed. The work may run still.
     GivenUp,
     /// The connection failed or gave an answer that cannot be delivered; the work may have run.
