--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -72,7 +72,7 @@
         let region = Region::new(ALLOCATOR);
         fleet.drop_scheduler();
         let freed = region.change();
-        let state_mb = (freed.bytes_deallocated - freed.bytes_allocated) as f64 / 1e6;
+        let state_mb = megabytes(freed.bytes_deallocated - freed.bytes_allocated);
         println!(
             "| {} | {tasks} | {state_mb:.1} | {:.1} | {:.1} | {:.0} | {:.0} |",
             size.workers, polls.0, polls.1, ticks.0, ticks.1
@@ -80,6 +80,10 @@
     }
 }
 
+fn megabytes(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).expect("under 4 GB")) / 1e6
+}
+
 fn percentile(values: &mut [f64], percent: usize) -> f64 {
     values.sort_by(f64::total_cmp);
     values[(values.len() - 1) * percent / 100]
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,10 +2,17 @@
 
 mod answer;
 mod body;
+mod callers;
 mod client_io;
 mod connections;
 mod context;
+mod endpoint_link;
+mod endpoints;
 pub mod exchange;
+mod forward;
+mod forward_idempotent;
+mod forward_recorded;
+mod forward_request;
 mod grant;
 mod health;
 mod held_polls;
@@ -13,14 +20,20 @@
 mod jobs;
 mod listener;
 mod operators;
+mod record_keeper;
+mod relay_body;
 mod reports;
 mod route;
 mod workers;
 
 pub use answer::{ErrorAnswer, error_answer, json_answer, text_answer};
 pub use body::{BodyFault, read_body, read_json};
+pub use callers::{draw_requests, read_request};
 pub use context::EntryContext;
+pub use endpoints::{AnnounceFn, Announcing, draw_endpoints};
 pub use exchange::{Exchange, ExchangeOptions};
+pub use forward::{BeginFn, FinishFn, ForwardOptions, Forwarder, UsesFn};
+pub use forward_request::{CallerRequest, ForwardAnswer, ForwardRefusal};
 pub use grant::{EntryState, GrantHolder, Sent, Taken};
 pub use health::{Health, draw_health, draw_metrics};
 pub use job_check::check_job;
