Bench: idle cost of a group; changes in order, and checked to be applied

The earlier figures of memory and restart were wrong: notes were proposed at once and mostly refused as stale, and no job fitted as no zone was declared.

--- a/benches/control_group.rs
+++ b/benches/control_group.rs
@@ -8,6 +8,8 @@
 mod failover;
 #[path = "control_group/group.rs"]
 mod group;
+#[path = "control_group/idle.rs"]
+mod idle;
 #[path = "control_group/memory.rs"]
 mod memory;
 #[path = "control_group/restart.rs"]
@@ -40,11 +42,12 @@
 /// A part with its name. Memory comes first, before other parts leave pages behind.
 type Part = (&'static str, fn() -> Vec<Figure>);
 
-const PARTS: [Part; 4] = [
+const PARTS: [Part; 5] = [
     ("memory", memory::measure),
     ("commits", commits::measure),
     ("restart", restart::measure),
     ("failover", failover::measure),
+    ("idle", idle::measure),
 ];
 
 fn main() {
--- a/benches/control_group/group.rs
+++ b/benches/control_group/group.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use marjoramknot::control::{Command, CommandBody, SharedMachine};
-use marjoramknot::release_note::{NoteItems, ReleaseNote, TeamSpec};
+use marjoramknot::control::{Command, CommandBody, Reply, SharedMachine};
+use marjoramknot::release_note::{
+    NoteAnswer, NoteItems, RackSpec, ReleaseNote, TeamSpec, WithdrawnNames, ZoneSpec, ZoneState,
+};
 use marjoramknot::replica::{Handle, Peer, ReplicaOptions, bind, start};
-use marjoramknot::units::{MemoryMb, NoteVersion, WallMs};
+use marjoramknot::scheduler::SubmitAnswer;
+use marjoramknot::units::{Accelerators, Cores, MemoryMb, NoteVersion, WallMs};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -44,6 +47,14 @@
 
 impl Group {
     pub async fn start(settings: Settings) -> Self {
+        Self::start_through(settings, async |address| address).await
+    }
+
+    /// Starts a group of which each replica is reached at the address that `through` gives.
+    pub async fn start_through(
+        settings: Settings,
+        through: impl AsyncFn(SocketAddr) -> SocketAddr,
+    ) -> Self {
         let mut peers = Vec::new();
         let mut listeners = Vec::new();
         for position in 0..settings.voters {
@@ -55,7 +66,7 @@
             let name = format!("replica-{position}");
             peers.push(Peer {
                 name: name.parse().expect("the name is an id"),
-                peer_address: address,
+                peer_address: through(address).await,
                 control_address: address,
             });
             listeners.push(listener);
@@ -142,22 +153,30 @@
         }
     }
 
-    /// Proposes commands, up to a thousand at once.
-    pub async fn propose_all(&self, commands: Vec<Command>) {
+    /// Proposes commands one after the other, as notes build on each other.
+    pub async fn propose_in_order(&self, commands: impl Iterator<Item = Command>) {
         let leader = self.leader().await;
         let handle = &self.replica_at(leader).handle;
-        for chunk in commands.chunks(1_000) {
-            let encoded = chunk
-                .iter()
-                .map(|c| postcard::to_stdvec(c).expect("a command encodes"));
-            let proposals = encoded.map(|bytes| handle.propose(bytes));
-            for result in futures::future::join_all(proposals).await {
-                result.expect("a leader without faults commits");
-            }
+        for command in commands {
+            let bytes = postcard::to_stdvec(&command).expect("a command encodes");
+            let proposed = handle.propose(bytes).await;
+            let applied = proposed.expect("a leader without faults commits");
+            let reply = postcard::from_bytes(&applied.reply).expect("a reply decodes");
+            assert!(is_accepted(&reply), "the state machine refused: {reply:?}");
         }
     }
 }
 
+/// Whether a measured change did what it was meant to.
+fn is_accepted(reply: &Reply) -> bool {
+    match reply {
+        Reply::Note(answer) => matches!(answer, NoteAnswer::Accepted { .. }),
+        Reply::Submit(answer) => matches!(answer, SubmitAnswer::Accepted),
+        Reply::Job { applied } => *applied,
+        Reply::Begin(_) | Reply::Finish(_) | Reply::Done => true,
+    }
+}
+
 pub async fn pause() {
     tokio::time::sleep(Duration::from_millis(1)).await;
 }
@@ -188,15 +207,45 @@
     } else {
         (NoteItems::default(), items)
     };
-    let note = ReleaseNote {
-        version: NoteVersion(number + 1),
+    apply(ReleaseNote {
+        version: NoteVersion(number + 2),
         added,
         changed,
-        withdrawn: marjoramknot::release_note::WithdrawnNames::default(),
+        withdrawn: WithdrawnNames::default(),
+    })
+}
+
+/// The first note: 24 availability zones of 24 racks, 4,608 workers in all.
+pub fn zones_note() -> Command {
+    let racks = (0..24).map(|rack| RackSpec {
+        name: format!("rack-{rack}").parse().expect("an id"),
+        workers: 8,
+        accelerators: Accelerators(8),
+        cores: Cores(64),
+        memory_mb: MemoryMb(256 * 1024),
+    });
+    let racks: Vec<_> = racks.collect();
+    let zones = (0..24).map(|zone| ZoneSpec {
+        name: format!("zone-{zone}").parse().expect("an id"),
+        state: ZoneState::In,
+        racks: racks.clone(),
+    });
+    let added = NoteItems {
+        zones: zones.collect(),
+        ..NoteItems::default()
     };
+    apply(ReleaseNote {
+        version: NoteVersion(1),
+        added,
+        changed: NoteItems::default(),
+        withdrawn: WithdrawnNames::default(),
+    })
+}
+
+fn apply(note: ReleaseNote) -> Command {
     let digest = note.digest();
     Command {
-        wall_ms: WallMs(number),
+        wall_ms: WallMs(note.version.get()),
         body: CommandBody::ApplyNote {
             note: Box::new(note),
             digest,
--- /dev/null
+++ b/benches/control_group/idle.rs
@@ -0,0 +1,112 @@
+//! What a group without changes costs: processor time and bytes of heartbeats and answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::Figure;
+use crate::group::{Group, Settings, runtime};
+
+const SPAN: Duration = Duration::from_secs(10);
+/// How often the kernel counts processor time, as `/proc/self/stat` gives it.
+const TICKS_PER_S: f64 = 100.0;
+
+pub fn measure() -> Vec<Figure> {
+    let mut figures = Vec::new();
+    for voters in [3_u32, 5] {
+        let settings = Settings {
+            voters: voters as usize,
+            ..Settings::DEFAULT
+        };
+        let cores = runtime().block_on(processor_share(settings)) / f64::from(voters);
+        let bytes = runtime().block_on(bytes_per_second(settings));
+        figures.push(Figure::new(
+            format!("idle_core_percent_{voters}_voters"),
+            cores * 100.0,
+        ));
+        // All that travels goes to the leader or comes from it.
+        figures.push(Figure::new(
+            format!("idle_leader_bytes_s_{voters}_voters"),
+            bytes,
+        ));
+    }
+    figures
+}
+
+async fn processor_share(settings: Settings) -> f64 {
+    let group = Group::start(settings).await;
+    group.leader().await;
+    let before = processor_s();
+    tokio::time::sleep(SPAN).await;
+    (processor_s() - before) / SPAN.as_secs_f64()
+}
+
+async fn bytes_per_second(settings: Settings) -> f64 {
+    let bytes = Arc::new(AtomicU64::new(0));
+    let counted = Arc::clone(&bytes);
+    let group = Group::start_through(settings, async move |address| {
+        relay(address, Arc::clone(&counted)).await
+    });
+    let group = group.await;
+    group.leader().await;
+    let before = bytes.load(Ordering::Relaxed);
+    tokio::time::sleep(SPAN).await;
+    let counted = u32::try_from(bytes.load(Ordering::Relaxed) - before).unwrap_or(u32::MAX);
+    f64::from(counted) / SPAN.as_secs_f64()
+}
+
+/// User and system time of this process.
+fn processor_s() -> f64 {
+    /// Places of the two times after the command's name.
+    const TIMES: std::ops::Range<usize> = 11..13;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace();
+    let times = fields.skip(TIMES.start).take(TIMES.len());
+    times
+        .filter_map(|ticks| ticks.parse::<f64>().ok())
+        .sum::<f64>()
+        / TICKS_PER_S
+}
+
+/// Listens, passes connections on to `target` and counts their bytes, both ways.
+async fn relay(target: SocketAddr, bytes: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+    let listener = listener.expect("loopback has free ports");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Ok(far) = TcpStream::connect(target).await else {
+                continue;
+            };
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::spawn(pump(near_read, far_write, Arc::clone(&bytes)));
+            tokio::spawn(pump(far_read, near_write, Arc::clone(&bytes)));
+        }
+    });
+    address
+}
+
+async fn pump(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    bytes: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(read) = from.read(&mut buffer).await {
+        if read == 0 || to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+        bytes.fetch_add(read as u64, Ordering::Relaxed);
+    }
+}
--- a/benches/control_group/memory.rs
+++ b/benches/control_group/memory.rs
@@ -2,13 +2,13 @@
 
 use marjoramknot::control::{Command, CommandBody};
 use marjoramknot::release_note::Adjacency;
-use marjoramknot::scheduler::{JobKey, JobSpec, JobTransition, Member};
+use marjoramknot::scheduler::{JobKey, JobPhase, JobRecord, JobSpec, JobTransition, Member};
 use marjoramknot::units::{
     Accelerators, Attempt, Cores, Incarnation, MemoryMb, Millis, TaskIndex, WallMs,
 };
 
 use crate::Figure;
-use crate::group::{Group, Settings, note, runtime};
+use crate::group::{Group, Settings, note, runtime, zones_note};
 
 const JOBS: u32 = 7_000;
 const RUNNING_TASKS: u32 = 38_000;
@@ -32,14 +32,21 @@
         ..Settings::DEFAULT
     };
     let group = Group::start(settings).await;
-    group.propose_all((0..NOTES).map(note).collect()).await;
-    group.propose_all((0..JOBS).map(submit).collect()).await;
-    group.propose_all((0..JOBS).map(place).collect()).await;
+    group.propose(&zones_note()).await;
+    group.propose_in_order((0..NOTES).map(note)).await;
+    group.propose_in_order((0..JOBS).map(submit)).await;
+    group.propose_in_order((0..JOBS).map(place)).await;
     let machine = &group.replica_at(0).machine;
+    let placed = machine.read(|m| m.unended_jobs().into_iter().filter(is_placed).count());
+    assert_eq!(placed, JOBS as usize, "all jobs have their places");
     let encoded = u32::try_from(machine.read(|m| m.snapshot().len())).unwrap_or(u32::MAX);
     (resident_mb(), f64::from(encoded) / 1e6)
 }
 
+fn is_placed(job: &JobRecord) -> bool {
+    matches!(job.phase, JobPhase::Placed { .. })
+}
+
 fn key(job: u32) -> JobKey {
     JobKey {
         team: format!("team-{}", job % TEAMS).parse().expect("an id"),
--- a/benches/control_group/restart.rs
+++ b/benches/control_group/restart.rs
@@ -24,7 +24,7 @@
 /// From the start of a killed follower until it has applied all that is committed.
 async fn run(settings: Settings) -> f64 {
     let mut group = Group::start(settings).await;
-    group.propose_all((0..CHANGES).map(note).collect()).await;
+    group.propose_in_order((0..CHANGES).map(note)).await;
     let leader = group.leader().await;
     let follower = (leader + 1) % settings.voters;
     let changes = group
