Replica: tests of promises, one-way cuts, damage before a group, and strangers at the peer port

Connections to the peer port that stay silent are closed after 3 s instead of 10, and 256 instead of 64 may be open: strangers had held up a first start for up to 10 s (strangers_fill_places).

--- a/src/replica/peer/server.rs
+++ b/src/replica/peer/server.rs
@@ -14,10 +14,10 @@
 use crate::codec;
 use crate::replica::Message;
 
-/// A connection that is silent for this long is closed.
-const IDLE_CLOSE: Duration = Duration::from_secs(10);
+/// A connection that is silent for this long is closed; peers ping far more often.
+const IDLE_CLOSE: Duration = Duration::from_secs(3);
 /// Most connections at once; further ones wait to be accepted.
-const MAX_CONNECTIONS: usize = 64;
+const MAX_CONNECTIONS: usize = 256;
 /// How long to wait after an accept that failed, for example for lack of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -85,6 +85,7 @@
     LeaderDeaf,
     FollowerMute,
     FollowerDeaf,
+    OneWay,
     Halves,
 }
 
@@ -95,6 +96,7 @@
         Cut::LeaderDeaf,
         Cut::FollowerMute,
         Cut::FollowerDeaf,
+        Cut::OneWay,
         Cut::Halves
     )]
     cut: Cut,
@@ -110,6 +112,7 @@
             Cut::LeaderDeaf => vec![(other, leader)],
             Cut::FollowerMute => vec![(follower, other)],
             Cut::FollowerDeaf => vec![(other, follower)],
+            Cut::OneWay => vec![(leader, follower)],
             // The leader and its next neighbours are the smaller half.
             Cut::Halves => {
                 let minority = |p: usize| (p + count - leader) % count < count / 2;
@@ -122,13 +125,16 @@
     world.run(4_000);
     world.run_until(1_000, "a leader beside the cut", |w| w.leader().is_some());
     commit(&mut world);
-    if matches!(cut, Cut::FollowerMute | Cut::FollowerDeaf) {
-        let present = world.leader().expect("the group has a leader");
+    if matches!(cut, Cut::FollowerMute | Cut::FollowerDeaf | Cut::OneWay) {
         assert_eq!(
-            world.core(present).term(),
+            world.core(leader).term(),
             term,
             "a cut follower deposes nobody"
         );
+        world.cuts.clear();
+        world.run(3_000);
+        assert_eq!(world.leader(), Some(leader));
+        assert_eq!(world.core(leader).term(), term, "its return deposes nobody");
     }
     world.check_end();
 }
@@ -188,6 +194,22 @@
     }
 }
 
+/// A replica whose identity was damaged does not know its group, but knows that there was one.
+#[rstest]
+fn damage_forms_nothing(#[values(0, 1, 2)] damaged: usize) {
+    let mut world = World::new(3, 9);
+    world.replicas[damaged].disk.after_damage = true;
+    for position in 0..3 {
+        world.start(position);
+    }
+    world.run(20_000);
+    let formed = (0..3).any(|p| world.core(p).group().is_some());
+    assert!(
+        !formed,
+        "the others may only be blank because they were lost as well"
+    );
+}
+
 /// The replica that formed the group loses its disk before all the others heard of the group.
 #[test]
 fn lost_founder() {
--- a/tests/replica_core/protocol.rs
+++ b/tests/replica_core/protocol.rs
@@ -1,9 +1,11 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use assert_matches::assert_matches;
 use marjoramknot::replica::core::{Action, Core, CoreConfig, Dropped, Event, Recovered, Refusal};
 use marjoramknot::replica::{
-    AppendOutcome, Body, Entry, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
+    AppendOutcome, Body, Entry, LeaseClock, Membership, Message, Node, Payload, Snapshot,
+    SnapshotMeta,
 };
 use marjoramknot::units::{LogIndex, Millis, Term};
 use rstest::rstest;
@@ -188,3 +190,58 @@
     }
     assert_matches!(core.propose(vec![0; 1]), Err(Refusal::TooMuchWaiting));
 }
+
+#[test]
+fn lease_clock() {
+    let lease = LeaseClock::new(Instant::now());
+    assert!(!lease.is_held());
+    lease.set(Millis::MAX);
+    assert!(lease.is_held());
+    // The end of the lease needs nobody who tells of it.
+    lease.set(lease.now());
+    assert!(!lease.is_held());
+}
+
+/// A follower's promise to its leader, which the lease rests on, bounds real votes too: they may be
+/// asked for long after the pre-votes.
+#[rstest]
+#[case::within(5_999, false, false)]
+#[case::after(6_000, false, true)]
+#[case::handed_over(5_500, true, true)]
+fn promise_to_leader(#[case] now: u64, #[case] transfer: bool, #[case] granted: bool) {
+    let mut core = Core::new(config(), recovered(), Millis::ZERO);
+    let body = Body::Append {
+        prev_index: LogIndex(2),
+        prev_term: Term(2),
+        entries: Vec::new(),
+        commit: LogIndex(2),
+        sent_ms: Millis(0),
+    };
+    receive(&mut core, message("b", Term(4), body), 5_000);
+    let body = Body::Vote {
+        last_index: LogIndex(9),
+        last_term: Term(4),
+        transfer,
+    };
+    receive(&mut core, message("c", Term(5), body), now);
+    assert_eq!(core.term(), if granted { Term(5) } else { Term(4) });
+    let actions = core.handle(Event::Persisted { sequence: 2 }, Millis(now));
+    let answers = actions.iter().filter(
+        |action| matches!(action, Action::Send(m) if m.body == Body::VoteAnswer { granted: true }),
+    );
+    assert_eq!(answers.count(), usize::from(granted));
+}
+
+#[rstest]
+#[case(999, false)]
+#[case(1_000, true)]
+fn promise_after_restart(#[case] now: u64, #[case] granted: bool) {
+    let mut core = Core::new(config(), recovered(), Millis::ZERO);
+    let body = Body::Vote {
+        last_index: LogIndex(9),
+        last_term: Term(4),
+        transfer: false,
+    };
+    receive(&mut core, message("c", Term(5), body), now);
+    assert_eq!(core.term() == Term(5), granted);
+}
--- a/tests/replica_shell/running.rs
+++ b/tests/replica_shell/running.rs
@@ -7,6 +7,8 @@
 use marjoramknot::replica::files::Folder;
 use marjoramknot::units::FolderId;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::disk::FakeDisk;
 use crate::group::{Group, eventually};
@@ -240,3 +242,43 @@
     let error = Folder::open(&folder).expect_err("the folder is locked");
     assert_eq!(error.kind(), std::io::ErrorKind::ResourceBusy);
 }
+
+#[rstest]
+#[case::large_length(&[0xff; 64])]
+#[case::no_message(&[0, 0, 0, 4, 9, 9, 9, 9])]
+#[case::half_frame(&[0, 0, 1, 0, 1])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn garbage_bytes(#[case] bytes: &[u8]) {
+    let group = Group::start(3).await;
+    group.propose(b"before").await;
+    let mut strangers = Vec::new();
+    for member in group.members.iter().cycle().take(210) {
+        let stream = TcpStream::connect(member.peer.peer_address).await;
+        let mut stream = stream.expect("the replica accepts");
+        stream
+            .write_all(bytes)
+            .await
+            .expect("the bytes can be sent");
+        strangers.push(stream);
+    }
+    group.propose(b"after").await;
+    let leader = group.leader().await;
+    assert_eq!(
+        group.commands(leader),
+        [b"before".to_vec(), b"after".to_vec()]
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn strangers_fill_places() {
+    let (mut group, listeners) = Group::bind(3).await;
+    let mut strangers = Vec::new();
+    for member in group.members.iter().cycle().take(300) {
+        strangers.push(TcpStream::connect(member.peer.peer_address).await);
+    }
+    for (position, listener) in listeners.into_iter().enumerate() {
+        group.run_on(position, listener).await;
+    }
+    group.propose(b"first").await;
+    assert!(strangers.iter().all(Result::is_ok));
+}
