Order tests: an order that changes something is refused without a grant

The test passed before with both checks of the grant taken out, since it only saw unchanged orders; with the worker's orders lost it fails then (trial: no_order_without_grant FAILED) and passes now.

--- a/tests/exchange_orders.rs
+++ b/tests/exchange_orders.rs
@@ -232,6 +232,8 @@
         sleep(Duration::from_millis(10)).await;
     }
     for _poll in 0..5 {
+        // A worker that has lost its orders is given them anew at once, not only when the hold ends.
+        worker.poll.orders_version = OrdersVersion::ZERO;
         let answer = entry.poll_worker(worker.next_poll()).await;
         assert_eq!(answer, Err(ControlError::Unreachable));
     }
