--- /dev/null
+++ b/benches/distribution/messages.rs
@@ -0,0 +1,66 @@
+use marjoramknot::control::{
+    ControlApiRequest, ControlApiResponse, ExchangeAnswer, ExchangeRequest,
+};
+use marjoramknot::entry::Sent;
+use marjoramknot::units::{EntryId, Incarnation, ZoneId};
+use tarpc::{ClientMessage, Request, Response, context};
+
+/// Encodes an exchange as it goes over the wire.
+pub(super) fn encode_request(entry: usize, number: u64, sent: Sent) -> Vec<u8> {
+    let request = ExchangeRequest {
+        entry: entry_id(entry),
+        incarnation: Incarnation(1),
+        zone: zone_id(),
+        sequence: sent.sequence,
+        revision: sent.revision,
+        uses: Vec::new(),
+        shares_version: 0,
+        leaving: false,
+    };
+    let message = ClientMessage::Request(Request {
+        context: context::current(),
+        id: number,
+        message: ControlApiRequest::Exchange { request },
+    });
+    postcard::to_allocvec(&message).expect("a request encodes")
+}
+
+/// Reads an exchange off the wire.
+pub(super) fn decode_request(bytes: &[u8]) -> ExchangeRequest {
+    let message: ClientMessage<ControlApiRequest> =
+        postcard::from_bytes(bytes).expect("a request decodes");
+    match message {
+        ClientMessage::Request(Request {
+            message: ControlApiRequest::Exchange { request },
+            ..
+        }) => request,
+        other => panic!("only exchanges are sent here, not {other:?}"),
+    }
+}
+
+/// Encodes an answer as it goes over the wire.
+pub(super) fn encode_answer(answer: ExchangeAnswer) -> Vec<u8> {
+    let message = Response {
+        request_id: answer.sequence.get(),
+        message: Ok(ControlApiResponse::Exchange(Ok(answer))),
+    };
+    postcard::to_allocvec(&message).expect("an answer encodes")
+}
+
+/// Reads an answer off the wire.
+pub(super) fn decode_answer(bytes: &[u8]) -> ExchangeAnswer {
+    let message: Response<ControlApiResponse> =
+        postcard::from_bytes(bytes).expect("an answer decodes");
+    match message.message {
+        Ok(ControlApiResponse::Exchange(Ok(answer))) => answer,
+        other => panic!("only exchanges are answered here, not {other:?}"),
+    }
+}
+
+fn entry_id(entry: usize) -> EntryId {
+    format!("entry-{entry}").parse().expect("an id")
+}
+
+fn zone_id() -> ZoneId {
+    "zone-1".parse().expect("an id")
+}
