Control service: a planned stop answers what it took, and leaders change under notes

The loop now refuses them while it drains, and connections stay open until their calls are answered.

--- a/src/control/lead_loop.rs
+++ b/src/control/lead_loop.rs
@@ -94,12 +94,17 @@
             self.propose_wanted();
             self.answer_held();
         }
-        self.drain(applied).await;
+        self.drain(asks, applied).await;
     }
 
-    /// Sends entries away and finishes what was proposed.
-    async fn drain(mut self, applied: watch::Receiver<LogIndex>) {
+    /// Sends entries away and finishes what was proposed; what was only asked is refused, so that
+    /// nobody is left in doubt about a change that was never begun.
+    async fn drain(mut self, mut asks: mpsc::Receiver<Ask>, applied: watch::Receiver<LogIndex>) {
         self.stopping = true;
+        asks.close();
+        while let Some(ask) = asks.recv().await {
+            self.take(ask);
+        }
         self.answer_held();
         let deadline = Instant::now() + DRAIN_MS.duration();
         while !self.changes.is_empty() {
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -9,9 +9,9 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::{ClientMessage, Response, Transport};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinHandle, JoinSet};
-use tokio::time::{Duration, Instant, timeout, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tracing::{debug, info, warn};
 
 use super::ask::Ask;
@@ -43,6 +43,10 @@
 const CONNECTIONS_MAX: usize = 256;
 /// How long a stop waits for the loop to finish changes in progress.
 const STOP_WAIT: Duration = Duration::from_secs(4);
+/// How long a stop waits until the connections' calls are answered.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
+/// How long a closing connection writes its last answers.
+const FLUSH_WAIT: Duration = Duration::from_millis(20);
 
 /// Settings of the control service.
 #[derive(Builder, Clone, Debug, Default)]
@@ -58,6 +62,7 @@
     address: SocketAddr,
     server: ControlServer,
     stop: watch::Sender<bool>,
+    close: watch::Sender<bool>,
     lead_loop: JoinHandle<()>,
     accepts: JoinHandle<()>,
 }
@@ -75,11 +80,13 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let stop = watch::Sender::new(false);
+        let close = watch::Sender::new(false);
         let (asks, taken) = mpsc::channel(ASKS_MAX);
         let server = ControlServer {
             asks,
             machine: machine.clone(),
             handle: handle.clone(),
+            close: close.subscribe(),
         };
         let lead_loop = LeadLoop::new(handle, machine, options.scheduler, Clock::start());
         let lead_loop = tokio::spawn(lead_loop.run(taken, stop.subscribe()));
@@ -89,6 +96,7 @@
             address,
             server,
             stop,
+            close,
             lead_loop,
             accepts,
         })
@@ -111,30 +119,31 @@
         tokio::spawn(serve(transport, self.server.clone())).abort_handle()
     }
 
-    /// Sends entries away, finishes the changes in progress and closes all connections.
+    /// Sends entries away, finishes the changes in progress, answers them and closes all
+    /// connections.
     pub async fn stop(self) {
         self.stop.send_replace(true);
         if timeout(STOP_WAIT, self.lead_loop).await.is_err() {
             warn!(event = "leader_loop_stuck");
         }
-        // The last answers are on their way to the connections' tasks.
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        self.accepts.abort();
+        self.close.send_replace(true);
         drop(self.accepts.await);
     }
 }
 
+/// Accepts connections until it is to close, then lets those that are open finish.
 async fn accept(listener: TcpListener, server: ControlServer) {
     let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     let mut connections = JoinSet::new();
+    let mut close = server.close.clone();
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
-            return;
+        let accepted = tokio::select! {
+            accepted = accept_one(&listener, &places) => accepted,
+            _closed = close.wait_for(|close| *close) => break,
         };
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                debug!(event = "entry_connected", %peer);
+        match accepted {
+            Ok((stream, place)) => {
                 let server = server.clone();
                 connections.spawn(async move {
                     serve_stream(stream, server).await;
@@ -143,10 +152,25 @@
             }
             Err(cause) => {
                 warn!(event = "accept_failed", %cause);
-                tokio::time::sleep(Duration::from_millis(50)).await;
+                sleep(Duration::from_millis(50)).await;
             }
         }
     }
+    let all_closed = async { while connections.join_next().await.is_some() {} };
+    if timeout(CLOSE_WAIT, all_closed).await.is_err() {
+        debug!(event = "connections_cut");
+    }
+}
+
+async fn accept_one(
+    listener: &TcpListener,
+    places: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let place = Arc::clone(places).acquire_owned().await;
+    let place = place.map_err(io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    debug!(event = "entry_connected", %peer);
+    Ok((stream, place))
 }
 
 async fn serve_stream(stream: TcpStream, server: ControlServer) {
@@ -161,10 +185,12 @@
 where
     T: Transport<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>> + 'static,
 {
+    let mut close = server.close.clone();
     let channel = BaseChannel::with_defaults(transport);
     let mut requests = Box::pin(channel.execute(server.serve()));
     let mut handlers = JoinSet::new();
-    loop {
+    let mut closing = false;
+    while !(closing && handlers.is_empty()) {
         tokio::select! {
             request = requests.next() => match request {
                 Some(handler) => {
@@ -173,8 +199,12 @@
                 None => return,
             },
             Some(_ended) = handlers.join_next() => {}
+            _closed = close.wait_for(|close| *close), if !closing => closing = true,
         }
     }
+    // The last answers go out while the requests are polled; a request that comes now is dropped
+    // with its connection, and was not taken.
+    drop(timeout(FLUSH_WAIT, requests.next()).await);
 }
 
 /// The handlers of one connection.
@@ -183,6 +213,8 @@
     asks: mpsc::Sender<Ask>,
     machine: SharedMachine,
     handle: Handle,
+    /// Turns true when connections are to finish their calls and close.
+    close: watch::Receiver<bool>,
 }
 
 impl ControlServer {
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -12,12 +12,14 @@
 use marjoramknot::control::{Client, ControlOptions, ControlService, Machine, SharedMachine};
 use marjoramknot::entry::exchange::{Exchange, ExchangeOptions};
 use marjoramknot::kernel::Clock;
-use marjoramknot::release_note::NoteAnswer;
-use marjoramknot::replica::{self, ReplicaOptions};
-use marjoramknot::units::{Incarnation, Millis, Revision};
+use marjoramknot::release_note::{Adjacency, NoteAnswer};
+use marjoramknot::replica::{self, Leadership, Peer, ReplicaOptions};
+use marjoramknot::scheduler::{JobKey, JobSpec, SubmitAnswer};
+use marjoramknot::units::{Accelerators, Cores, Incarnation, MemoryMb, Millis, Revision};
 use notes::{FIRST, deadline_note, note};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Duration, Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -32,7 +34,11 @@
 
 impl Replica {
     async fn start(folder: &Path) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        Self::start_on(folder, listener.expect("a free port")).await
+    }
+
+    async fn start_on(folder: &Path, listener: TcpListener) -> Self {
         let control_address = listener.local_addr().expect("a bound address");
         let peers = replica::bind("127.0.0.1:0".parse().expect("an address"));
         let options = ReplicaOptions::builder()
@@ -233,3 +239,236 @@
     assert_eq!(status.revision, Revision(1).max(status.revision));
     replica.stop().await;
 }
+
+/// Changes in progress at a planned stop are finished, or made by the next leader: here the same
+/// replica after its restart. None fails and none is made twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_under_load() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let replica = Replica::start(folder.path()).await;
+    let client = replica.client();
+    let first = client.apply_note(note(FIRST)).await;
+    assert_matches!(first, Ok(NoteAnswer::Accepted { .. }));
+    let submits: Vec<_> = (0..400)
+        .map(|index| {
+            let client = client.clone();
+            tokio::spawn(async move { client.submit_job(job(index)).await })
+        })
+        .collect();
+    let machine = replica.machine.clone();
+    until("some changes", || machine.read(Machine::applied).get() > 20).await;
+    let address = replica.service.address();
+    replica.stop().await;
+    let before = machine.read(Machine::unended_jobs).len();
+    assert!(before >= 18, "{before}");
+    let listener = TcpListener::bind(address).await.expect("its port");
+    let replica = Replica::start_on(folder.path(), listener).await;
+    for submit in submits {
+        assert_eq!(
+            submit.await.expect("the task ends"),
+            Ok(SubmitAnswer::Accepted)
+        );
+    }
+    let jobs = replica.machine.read(Machine::unended_jobs);
+    assert_eq!(jobs.len(), 400);
+    println!("before={before}");
+    replica.stop().await;
+}
+
+fn job(index: u32) -> JobSpec {
+    JobSpec {
+        key: JobKey {
+            team: "ponds".parse().expect("an id"),
+            id: format!("job-{index}").parse().expect("an id"),
+        },
+        class: "rescore".parse().expect("an id"),
+        tasks: 1,
+        accelerators: Accelerators(1),
+        cores: Cores(1),
+        memory_mb: MemoryMb(1_024),
+        adjacency: Adjacency::Zone,
+        idempotent: true,
+        urgent: false,
+        declared_run_ms: Millis(1_000),
+        deadline_ms: None,
+        payload: "work".into(),
+    }
+}
+
+/// Three replicas over TCP, as three processes would run them.
+struct Group {
+    folders: Vec<tempfile::TempDir>,
+    peers: Vec<Peer>,
+    running: Vec<Option<Member>>,
+}
+
+struct Member {
+    service: ControlService,
+    task: JoinHandle<()>,
+    shutdown: CancellationToken,
+    leadership: watch::Receiver<Leadership>,
+}
+
+impl Group {
+    async fn start() -> Self {
+        let mut listeners = Vec::new();
+        let mut peers = Vec::new();
+        for name in ["c1", "c2", "c3"] {
+            let peer = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let control = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            peers.push(Peer {
+                name: name.parse().expect("an id"),
+                peer_address: peer.local_addr().expect("a bound address"),
+                control_address: control.local_addr().expect("a bound address"),
+            });
+            listeners.push((peer, control));
+        }
+        let folders = (0..3).map(|_| tempfile::tempdir().expect("a temporary folder"));
+        let mut group = Self {
+            folders: folders.collect(),
+            peers,
+            running: Vec::new(),
+        };
+        for (index, (peer, control)) in listeners.into_iter().enumerate() {
+            let member = group.member(index, peer, control).await;
+            group.running.push(Some(member));
+        }
+        group
+    }
+
+    async fn member(&self, index: usize, peer: TcpListener, control: TcpListener) -> Member {
+        let options = ReplicaOptions::builder()
+            .name(self.peers[index].name.clone())
+            .listener(peer)
+            .control_address(self.peers[index].control_address)
+            .peers(self.peers.clone())
+            .data_folder(self.folders[index].path().to_path_buf())
+            .seed(index as u64)
+            .build();
+        let machine = SharedMachine::default();
+        let shutdown = CancellationToken::new();
+        let started = replica::start(options, machine.hooks(), shutdown.clone()).await;
+        let (handle, task) = started.expect("the folder is usable");
+        let leadership = handle.leadership();
+        let options = ControlOptions::builder().build();
+        let service = ControlService::start(options, handle, machine, control)
+            .expect("a bound listener has an address");
+        Member {
+            service,
+            task,
+            shutdown,
+            leadership,
+        }
+    }
+
+    fn client(&self) -> Client {
+        let addresses = self.peers.iter().map(|peer| peer.control_address);
+        Client::new(addresses.collect()).with_deadline(Millis(10_000))
+    }
+
+    async fn leader(&self) -> usize {
+        loop {
+            let leads = |member: &Option<Member>| {
+                let member = member.as_ref();
+                member.is_some_and(|member| member.leadership.borrow().leads)
+            };
+            if let Some(leader) = self.running.iter().position(leads) {
+                return leader;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// A planned stop, as the program does it, and a start on the same folder and ports.
+    async fn restart(&mut self, index: usize) {
+        let member = self.running[index].take().expect("it runs");
+        member.service.stop().await;
+        member.shutdown.cancel();
+        member.task.await.expect("the replica ends");
+        let peer = TcpListener::bind(self.peers[index].peer_address).await;
+        let control = TcpListener::bind(self.peers[index].control_address).await;
+        let (peer, control) = (peer.expect("its port"), control.expect("its port"));
+        self.running[index] = Some(self.member(index, peer, control).await);
+    }
+
+    /// Ends a replica without a word; its connections break.
+    async fn kill(&mut self, index: usize) {
+        let member = self.running[index].take().expect("it runs");
+        member.task.abort();
+        drop(member.task.await);
+        member.service.stop().await;
+    }
+}
+
+/// Notes go on through a planned stop and a kill of the leader: what was accepted stays, each
+/// resend gets the first answer, and no entry's revision ever falls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leaders_change() {
+    let mut group = Group::start().await;
+    let client = group.client().with_deadline(Millis(20_000));
+    let first = client.apply_note(note(FIRST)).await;
+    assert_matches!(first, Ok(NoteAnswer::Accepted { .. }));
+    let entry = Exchange::start(
+        ExchangeOptions::builder()
+            .entry("e1".parse().expect("an id"))
+            .incarnation(Incarnation(1))
+            .zone("senec".parse().expect("an id"))
+            .client(group.client())
+            .clock(Clock::start())
+            .build(),
+    );
+    let mut states = entry.state();
+    let watching = tokio::spawn(async move {
+        let mut last = Revision::ZERO;
+        while states.changed().await.is_ok() {
+            let revision = states.borrow_and_update().in_force.revision;
+            assert!(revision >= last, "{revision} after {last}");
+            last = revision;
+        }
+    });
+    let operator = {
+        let client = group.client();
+        tokio::spawn(async move {
+            let mut accepted = Vec::new();
+            let start = Instant::now();
+            for version in 2_u64.. {
+                if start.elapsed() > Duration::from_secs(7) {
+                    break;
+                }
+                match client.apply_note(deadline_note(version, version)).await {
+                    Ok(
+                        NoteAnswer::Accepted { revision }
+                        | NoteAnswer::AlreadyAccepted { revision },
+                    ) => accepted.push((version, revision)),
+                    other => panic!("a change failed: {other:?}"),
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+            accepted
+        })
+    };
+    sleep(Duration::from_millis(500)).await;
+    let leader = group.leader().await;
+    group.restart(leader).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let leader = group.leader().await;
+    group.kill(leader).await;
+    let accepted = operator.await.expect("no change fails");
+    assert!(accepted.len() > 50, "{}", accepted.len());
+    assert!(accepted.is_sorted_by(|a, b| a.1 < b.1), "revisions rise");
+    for (version, revision) in accepted.iter().step_by(10) {
+        let again = client.apply_note(deadline_note(*version, *version)).await;
+        let revision = *revision;
+        assert_eq!(again, Ok(NoteAnswer::AlreadyAccepted { revision }));
+    }
+    let (last, revision) = accepted.last().copied().expect("some were accepted");
+    let state = entry.state();
+    until("the entry is current", || {
+        state.borrow().in_force.revision == revision
+    })
+    .await;
+    let in_force = Arc::clone(&state.borrow().in_force);
+    assert_eq!(in_force.services["booking"].deadline_max_ms, Millis(last));
+    drop(entry);
+    watching.await.expect("no revision fell");
+}
