--- a/src/scheduler/binding.rs
+++ b/src/scheduler/binding.rs
@@ -137,6 +137,28 @@
         self.restore(&order, &before, pool);
     }
 
+    /// Binds a team's unused cells where the fewest would have to leave.
+    pub(super) fn rebind_cheaply(
+        &mut self,
+        team: &TeamId,
+        pool: &mut Pool,
+        now: Millis,
+        cost: impl Fn(&Pool, u32, u32) -> u64,
+    ) {
+        let positions = self.by_team.get(team).cloned().unwrap_or_default();
+        let before: Vec<Vec<u32>> = self.groups.iter().map(|g| g.cells.clone()).collect();
+        for at in &positions {
+            unbind_unused(&mut self.groups[*at], pool);
+        }
+        let mut whole = true;
+        for at in &positions {
+            whole &= complete(&mut self.groups[*at], pool, now, &cost);
+        }
+        if !whole {
+            self.restore(&positions, &before, pool);
+        }
+    }
+
     /// Binds all cells of other teams on some workers elsewhere; false where that can't be done.
     pub(super) fn vacate(
         &mut self,
@@ -232,6 +254,19 @@
     }
 }
 
+/// Unbinds the cells in which the team runs nothing that it may keep.
+fn unbind_unused(group: &mut Group, pool: &mut Pool) {
+    for ix in std::mem::take(&mut group.cells) {
+        let held = pool.worker(ix).holding(&group.team);
+        let unused = held.bound.saturating_sub(held.firm.accelerators);
+        if unused >= group.spec.accelerators.0 {
+            unbind_cell(group, pool, ix);
+        } else {
+            group.cells.push(ix);
+        }
+    }
+}
+
 fn unbind_all(group: &mut Group, pool: &mut Pool) {
     for ix in std::mem::take(&mut group.cells) {
         unbind_cell(group, pool, ix);
@@ -260,27 +295,33 @@
 
 /// Binds the missing cells; where they don't fit beside the others, an unused group moves whole.
 fn bind(group: &mut Group, pool: &mut Pool, now: Millis) -> bool {
-    if complete(group, pool, now) {
+    let by_slack =
+        |pool: &Pool, ix: u32, _size: u32| u64::from(pool.worker(ix).slack().accelerators);
+    if complete(group, pool, now, by_slack) {
         return true;
     }
     if !is_unused(group, pool) {
         return false;
     }
     unbind_all(group, pool);
-    complete(group, pool, now)
+    complete(group, pool, now, by_slack)
 }
 
-/// Binds missing cells in the best domain, as many as fit.
-fn complete(group: &mut Group, pool: &mut Pool, now: Millis) -> bool {
-    let domains = domains(group, pool);
+/// Binds missing cells in the domain that holds most of them, at the lowest cost.
+fn complete(
+    group: &mut Group,
+    pool: &mut Pool,
+    now: Millis,
+    cost: impl Fn(&Pool, u32, u32) -> u64,
+) -> bool {
     let missing = group.missing();
     let mut best: Vec<u32> = Vec::new();
-    let mut best_room = u32::MAX;
-    for domain in domains {
-        let (cells, room) = cells_in(group, pool, &domain, now);
-        let better = cells.len() > best.len() || (cells.len() == best.len() && room < best_room);
+    let mut best_cost = u64::MAX;
+    for domain in domains(group, pool) {
+        let (cells, total) = cells_in(group, pool, &domain, now, &cost);
+        let better = cells.len() > best.len() || (cells.len() == best.len() && total < best_cost);
         if better {
-            (best, best_room) = (cells, room);
+            (best, best_cost) = (cells, total);
         }
     }
     best.truncate(missing);
@@ -311,8 +352,14 @@
     }
 }
 
-/// Workers for the missing cells in one domain, fullest first, and the room that the domain has.
-fn cells_in(group: &Group, pool: &Pool, domain: &[u32], now: Millis) -> (Vec<u32>, u32) {
+/// Workers for the missing cells in one domain, the cheapest first, and what they cost.
+fn cells_in(
+    group: &Group,
+    pool: &Pool,
+    domain: &[u32],
+    now: Millis,
+    cost: &impl Fn(&Pool, u32, u32) -> u64,
+) -> (Vec<u32>, u64) {
     let size = group.spec.accelerators.0;
     let mut slots = Vec::new();
     for ix in domain {
@@ -322,16 +369,18 @@
         }
         let fits = worker.cells_that_fit(&group.team, size);
         if fits > 0 {
-            slots.push((worker.slack().accelerators, *ix, fits));
+            slots.push((cost(pool, *ix, size), *ix, fits));
         }
     }
     slots.sort_unstable();
-    let room = slots
-        .iter()
-        .map(|(slack, _ix, _fits)| *slack)
-        .fold(0, u32::saturating_add);
-    let cells = slots
-        .into_iter()
-        .flat_map(|(_slack, ix, fits)| std::iter::repeat_n(ix, fits as usize));
-    (cells.take(group.missing()).collect(), room)
+    let (mut cells, mut total) = (Vec::new(), 0_u64);
+    for (cost, ix, fits) in slots {
+        let taken = (fits as usize).min(group.missing() - cells.len());
+        if taken == 0 {
+            break;
+        }
+        cells.extend(std::iter::repeat_n(ix, taken));
+        total = total.saturating_add(cost);
+    }
+    (cells, total)
 }
--- a/src/scheduler/core.rs
+++ b/src/scheduler/core.rs
@@ -46,6 +46,8 @@
     /// Whether anything changed that may let a job start.
     pub(super) dirty: bool,
     pub(super) housekeeping_ms: Millis,
+    /// How often guarantees may still be bound afresh in this pass.
+    pub(super) rebinds_left: u32,
     /// Whether some worker waits for a probe.
     pub(super) probe_wanted: bool,
     /// When guarantees were last bound elsewhere to make room.
@@ -75,6 +77,7 @@
             retry: Vec::new(),
             dirty: false,
             housekeeping_ms: Millis::ZERO,
+            rebinds_left: 0,
             probe_wanted: false,
             vacated_ms: Millis::ZERO,
         }
--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -146,20 +146,24 @@
         };
         let overtaken = Millis(expected.0.saturating_mul(OVERTAKE_FACTOR));
         let overtaken = overtaken.min(self.options.overtake_max_ms);
-        let overtaken = if self.options.short_first {
-            overtaken
-        } else {
-            Millis::ZERO
-        };
         let by_age = job.known_ms.saturating_add(overtaken.0);
         let by_deadline = spec.deadline_ms.map_or(u64::MAX, |deadline| {
             (job.known_ms.saturating_add(deadline.0)).saturating_sub(expected.0.saturating_mul(2))
         });
-        let key = QueueKey {
-            rank: if spec.urgent { 0 } else { rank },
-            start_by_ms: by_age.min(by_deadline),
+        let by_arrival = QueueKey {
+            rank,
+            start_by_ms: job.known_ms,
             ordinal,
         };
+        let key = if self.options.short_first {
+            QueueKey {
+                rank: if spec.urgent { 0 } else { rank },
+                start_by_ms: by_age.min(by_deadline),
+                ordinal,
+            }
+        } else {
+            by_arrival
+        };
         job.queued = Some(key);
         self.queue.insert(&spec.key.team, key);
         self.dirty = true;
--- a/src/scheduler/options.rs
+++ b/src/scheduler/options.rs
@@ -26,7 +26,13 @@
     /// The longest that later short work may overtake a job.
     #[builder(default = Millis(7_200_000))]
     pub overtake_max_ms: Millis,
-    /// Orders the queue by expected run time instead of by arrival only.
+    /// Starts work inside guarantees first and reclaims for it.
+    #[builder(default = true)]
+    pub guarantees: bool,
+    /// Binds guarantees where the smallest gangs stand before it makes anyone leave.
+    #[builder(default = true)]
+    pub rebind: bool,
+    /// Orders the queue by expected run time and urgency instead of by arrival only.
     #[builder(default = true)]
     pub short_first: bool,
     /// Lets teams that use less of their share borrow first.
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -14,6 +14,10 @@
 const SCAN_MAX: usize = 512;
 /// Blocked gangs that keep cells at one time.
 const RESERVES_MAX: usize = 3;
+/// Guarantees bound afresh in one pass.
+const REBINDS_MAX: u32 = 4;
+/// How often the cell that frees first is looked for again.
+const REVIEW_EVERY_MS: Millis = Millis(30_000);
 /// A share of the guarantee in use counts in steps of a half up to this many.
 const SHARE_LEVELS: u64 = 8;
 
@@ -24,10 +28,13 @@
             return;
         }
         self.dirty = false;
+        self.rebinds_left = REBINDS_MAX;
         self.bindings.refresh(&mut self.pool, now);
         let mut searches = 0;
         self.serve_claims(now, &mut searches);
-        self.serve_guaranteed(now, &mut searches);
+        if self.options.guarantees {
+            self.serve_guaranteed(now, &mut searches);
+        }
         self.serve_borrowed(now, &mut searches);
         if searches >= SEARCHES_MAX {
             self.dirty = true;
@@ -73,6 +80,10 @@
             self.dirty = true;
             return;
         }
+        if claim.kind != ClaimKind::Move && now.since(claim.since_ms) >= REVIEW_EVERY_MS {
+            self.claims.drop_claim(ordinal, &mut self.pool);
+            self.reserve(ordinal, now);
+        }
         let blocked_ms = self.jobs.get(&ordinal).and_then(|job| job.blocked_ms);
         let blocked_for = now.since(blocked_ms.unwrap_or(now));
         if !self.options.moves || blocked_for < self.options.move_after_ms {
@@ -83,8 +94,10 @@
         if !(stale || fresh) || now.since(claim.since_ms) < Millis(1_000) {
             return;
         }
+        let Some(mut claim) = self.claims.by_job.get(&ordinal).cloned() else {
+            return;
+        };
         if self.clear_places(ordinal, &claim.places, claim.load, &EndCause::Moved, now) {
-            let mut claim = claim.clone();
             claim.kind = ClaimKind::Move;
             claim.since_ms = now;
             self.claims.insert(ordinal, claim, &mut self.pool);
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -139,7 +139,43 @@
         true
     }
 
-    /// Adds gangs to the victims until the worker has room, least lost work first.
+    /// Binds a team's unused cells where the smallest gangs would have to leave for a job.
+    ///
+    /// Cells that others claim already stay where they are.
+    pub(super) fn rebind_cheaply(&mut self, ordinal: u64, now: Millis) {
+        let team = self.jobs[&ordinal].record.spec.key.team.clone();
+        let claimed = self.claims.by_job.values();
+        if claimed
+            .into_iter()
+            .any(|c| c.kind == ClaimKind::Reclaim && c.team == team)
+        {
+            return;
+        }
+        let known: Vec<u32> = self.pool.known().collect();
+        let costs: BTreeMap<u32, u64> = known
+            .into_iter()
+            .map(|ix| (ix, self.cost_of_clearing(ix)))
+            .collect();
+        let cost = |pool: &Pool, ix: u32, size: u32| {
+            if pool.worker(ix).free().accelerators >= size {
+                return 0;
+            }
+            costs.get(&ix).copied().unwrap_or(u64::MAX)
+        };
+        self.bindings
+            .rebind_cheaply(&team, &mut self.pool, now, cost);
+    }
+
+    /// Accelerators of all gangs that would have to leave a worker.
+    pub(super) fn cost_of_clearing(&self, ix: u32) -> u64 {
+        let members = self.pool.worker(ix).members.iter();
+        let gangs: BTreeSet<u64> = members.map(|(ordinal, _index)| *ordinal).collect();
+        let gangs = gangs.into_iter().filter_map(|ordinal| self.gang(ordinal));
+        let borrowed = gangs.filter(|gang| !gang.firm && !gang.leaving());
+        borrowed.map(width).sum()
+    }
+
+    /// Adds gangs to the victims until the worker has room, the smallest and youngest first.
     fn choose_victims(
         &self,
         ordinal: u64,
@@ -166,12 +202,13 @@
                 taken = taken.minus(*held);
             }
         }
-        let mut candidates: Vec<(u64, u64, Load)> = used
+        let mut candidates: Vec<((u64, u64), u64, Load)> = used
             .iter()
             .filter(|(ordinal, _held)| !victims.contains(ordinal))
             .filter_map(|(ordinal, held)| {
                 let gang = self.gang(*ordinal).filter(|gang| !gang.leaving())?;
-                Some((work_at_stake(gang, now), *ordinal, *held))
+                let stake = (width(gang), work_at_stake(gang, now));
+                Some((stake, *ordinal, *held))
             })
             .collect();
         candidates.sort_unstable();
@@ -210,6 +247,10 @@
     if idle || gang.started_ms == Millis::ZERO {
         return 0;
     }
-    let width = gang.places.len() as u64 * u64::from(gang.load.accelerators.max(1));
-    now.since(gang.started_ms).0.saturating_mul(width)
+    now.since(gang.started_ms).0.saturating_mul(width(gang))
+}
+
+/// Accelerators of a whole gang; one for a task without any.
+fn width(gang: &Gang) -> u64 {
+    gang.places.len() as u64 * u64::from(gang.load.accelerators.max(1))
 }
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -2,15 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use super::Scheduler;
 use super::load::Load;
 use super::reclaim::{Claim, ClaimKind};
+use super::{EndCause, Scheduler};
 use crate::release_note::Adjacency;
 use crate::units::Millis;
 
 /// How long a gang is blocked before it keeps a cell.
 const RESERVE_AFTER_MS: Millis = Millis(10_000);
 
+/// Others are moved at once where they use at most one part in this many of the gang.
+const MOVE_PART: u64 = 2;
+
 /// Room for one more task on a worker from a time on.
 type Opening = (Millis, u32);
 
@@ -21,6 +24,10 @@
         if now.since(job.blocked_ms.unwrap_or(now)) < RESERVE_AFTER_MS {
             return;
         }
+        if self.options.moves && self.move_small_gangs(ordinal, now) {
+            return;
+        }
+        let job = &self.jobs[&ordinal];
         let tasks = job.record.spec.tasks as usize;
         let (load, adjacency) = (job.task_load(), job.record.spec.adjacency);
         let domains = self.reserve_domains(adjacency);
@@ -48,6 +55,43 @@
         self.explain_job(ordinal, "reserved", sentence);
     }
 
+    /// Moves gangs that are far smaller out of the cell that is cheapest to clear.
+    fn move_small_gangs(&mut self, ordinal: u64, now: Millis) -> bool {
+        let job = &self.jobs[&ordinal];
+        if !job.record.spec.idempotent {
+            return false;
+        }
+        let limit = job.accelerators() / MOVE_PART;
+        let (load, team) = (job.task_load(), job.record.spec.key.team.clone());
+        let cost = |s: &Self, ix: u32| {
+            let free = s.pool.worker(ix).free().accelerators;
+            let full = free >= s.pool.worker(ix).capacity.accelerators;
+            if full { 0 } else { s.cost_of_clearing(ix) }
+        };
+        let choices = self.cheapest_places(ordinal, now, cost);
+        let Some((cost, places)) = choices.into_iter().min() else {
+            return false;
+        };
+        if cost > limit || !self.clear_places(ordinal, &places, load, &EndCause::Moved, now) {
+            return false;
+        }
+        let claim = Claim {
+            team,
+            places,
+            load,
+            kind: ClaimKind::Move,
+            since_ms: now,
+        };
+        self.claims.insert(ordinal, claim, &mut self.pool);
+        self.dirty = true;
+        self.explain_job(
+            ordinal,
+            "moving",
+            "Small gangs are moved so that the gang fits.",
+        );
+        true
+    }
+
     pub(super) fn reserve_domains(&self, adjacency: Adjacency) -> Vec<Vec<u32>> {
         let racks = || self.pool.open_zones().flat_map(|zone| &zone.racks);
         let workers = |rack: &u32| self.pool.racks[*rack as usize].workers.clone();
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -204,6 +204,10 @@
             return false;
         }
         let team = self.jobs[&ordinal].record.spec.key.team.clone();
+        if self.options.rebind && self.rebinds_left > 0 {
+            self.rebinds_left -= 1;
+            self.rebind_cheaply(ordinal, now);
+        }
         let ask = self.ask(ordinal);
         let racks = self.bindings.racks_of(&team, &self.pool);
         *searches += 1;
--- a/src/scheduler/vacate.rs
+++ b/src/scheduler/vacate.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 
 use super::Scheduler;
-use super::load::Load;
 use crate::units::Millis;
 
 /// The shortest time between two tries.
@@ -16,13 +15,12 @@
             return false;
         }
         self.vacated_ms = now;
-        let job = &self.jobs[&ordinal];
-        let (load, tasks) = (job.task_load(), job.record.spec.tasks);
-        let team = job.record.spec.key.team.clone();
-        let domains = self.reserve_domains(job.record.spec.adjacency);
-        let mut choices: Vec<(u32, BTreeSet<u32>)> = domains
-            .iter()
-            .filter_map(|domain| self.cheapest_set(domain, ordinal, load, tasks, now))
+        let team = self.jobs[&ordinal].record.spec.key.team.clone();
+        let bound = |s: &Self, ix: u32| u64::from(s.pool.worker(ix).bound());
+        let mut choices: Vec<(u64, BTreeSet<u32>)> = self
+            .cheapest_places(ordinal, now, bound)
+            .into_iter()
+            .map(|(cost, places)| (cost, places.into_iter().collect()))
             .collect();
         choices.sort();
         let moved = choices
@@ -34,34 +32,41 @@
         moved
     }
 
-    /// The workers of a domain that would hold all tasks with the fewest bound accelerators.
-    fn cheapest_set(
+    /// For each domain that could hold the whole gang, its cheapest places and what they cost.
+    pub(super) fn cheapest_places(
         &self,
-        domain: &[u32],
         ordinal: u64,
-        load: Load,
-        tasks: u32,
         now: Millis,
-    ) -> Option<(u32, BTreeSet<u32>)> {
-        let mut workers: Vec<(u32, u32, u32)> = domain
-            .iter()
-            .filter_map(|ix| {
-                let worker = self.pool.worker(*ix);
-                let fits = load.times_in(worker.reclaimable());
-                let usable = worker.usable(now) && self.accepts(*ix, worker, ordinal, now);
-                (usable && fits > 0).then_some((worker.bound(), *ix, fits))
-            })
-            .collect();
-        workers.sort_unstable();
-        let (mut bound, mut held, mut set) = (0, 0, BTreeSet::new());
-        for (cells, ix, fits) in workers {
-            if held >= tasks {
-                break;
+        cost: impl Fn(&Self, u32) -> u64,
+    ) -> Vec<(u64, Vec<u32>)> {
+        let job = &self.jobs[&ordinal];
+        let (load, tasks) = (job.task_load(), job.record.spec.tasks as usize);
+        let domains = self.reserve_domains(job.record.spec.adjacency);
+        let places_in = |domain: &Vec<u32>| {
+            let mut workers: Vec<(u64, u32, u32)> = domain
+                .iter()
+                .filter_map(|ix| {
+                    let worker = self.pool.worker(*ix);
+                    let room = worker
+                        .reclaimable()
+                        .minus(self.claims.on(*ix, ordinal, now));
+                    let fits = load.times_in(room);
+                    let usable = worker.usable(now) && self.accepts(*ix, worker, ordinal, now);
+                    (usable && fits > 0).then(|| (cost(self, *ix), *ix, fits))
+                })
+                .collect();
+            workers.sort_unstable();
+            let (mut total, mut places) = (0, Vec::new());
+            for (cost, ix, fits) in workers {
+                let taken = (fits as usize).min(tasks - places.len());
+                if taken == 0 {
+                    break;
+                }
+                places.extend(std::iter::repeat_n(ix, taken));
+                total += cost;
             }
-            bound += cells;
-            held = fits.saturating_add(held);
-            set.insert(ix);
-        }
-        (held >= tasks).then_some((bound, set))
+            (places.len() == tasks).then_some((total, places))
+        };
+        domains.iter().filter_map(places_in).collect()
     }
 }
--- a/tests/support/fake_worker.rs
+++ b/tests/support/fake_worker.rs
@@ -46,6 +46,8 @@
     pub from_ms: Millis,
     /// Open while it runs.
     pub to_ms: Option<Millis>,
+    /// Whether its work was kept, by a result or a checkpoint.
+    pub kept: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -70,6 +72,8 @@
     lease_ends_ms: Millis,
     /// Everything that truly ran.
     pub history: Vec<Ran>,
+    /// Spans of the history that are still open.
+    open: BTreeMap<TaskKey, usize>,
 }
 
 impl FakeWorker {
@@ -84,6 +88,7 @@
             attempts: BTreeMap::new(),
             lease_ends_ms: Millis::ZERO,
             history: Vec::new(),
+            open: BTreeMap::new(),
         }
     }
 
@@ -170,7 +175,7 @@
             Want::Prepare => may_start && self.prepare(order),
             Want::Run | Want::Throttle => self.run(order, term, may_start, now),
             Want::Checkpoint => {
-                self.checkpoint(&order.task);
+                self.checkpoint(&order.task, now);
                 true
             }
             Want::Stop => {
@@ -222,26 +227,30 @@
         task.state = TaskState::Running;
         task.started_ms = Some(now);
         task.ran = true;
+        self.open.insert(order.task.clone(), self.history.len());
         self.history.push(Ran {
             task: order.task.clone(),
             term,
             from_ms: now,
             to_ms: None,
+            kept: false,
         });
         true
     }
 
-    fn checkpoint(&mut self, key: &TaskKey) {
+    fn checkpoint(&mut self, key: &TaskKey, now: Millis) {
         if self.spec.faults.ignores_checkpoint {
             return;
         }
         if let Some(task) = self.held.get_mut(key)
             && task.state == TaskState::Running
         {
-            let text = format!("{}-{}-{}", key.job, key.attempt, key.index);
+            let ran = now.since(task.started_ms.unwrap_or(now));
+            let done = done_before(&task.work).saturating_add(ran);
             task.state = TaskState::Checkpointed {
-                checkpoint: Checkpoint(text.into()),
+                checkpoint: Checkpoint(done.0.to_string().into()),
             };
+            self.keep_history(key);
         }
     }
 
@@ -256,10 +265,14 @@
     }
 
     fn close_history(&mut self, key: &TaskKey, now: Millis) {
-        for ran in &mut self.history {
-            if ran.task == *key && ran.to_ms.is_none() {
-                ran.to_ms = Some(now);
-            }
+        if let Some(at) = self.open.remove(key) {
+            self.history[at].to_ms = Some(now);
+        }
+    }
+
+    fn keep_history(&mut self, key: &TaskKey) {
+        if let Some(at) = self.open.get(key) {
+            self.history[*at].kept = true;
         }
     }
 
@@ -290,6 +303,7 @@
         let over_memory = task.work.memory_mb.0 < faults.needs_memory_mb;
         let fails = faults.fails_all || task.work.payload.starts_with("fail");
         let whole_ms = run_ms(&task.work.payload).unwrap_or(Millis(1_000));
+        let whole_ms = whole_ms.since(done_before(&task.work));
         let lasts_ms = if over_memory || fails {
             Millis(100)
         } else {
@@ -311,6 +325,9 @@
                 result: SmolStr::new(format!("result {}", key.index)),
             }
         };
+        if !over_memory && !fails {
+            self.keep_history(key);
+        }
         self.close_history(key, now);
     }
 
@@ -336,6 +353,15 @@
     }
 }
 
+/// Work that an earlier attempt left in a checkpoint.
+fn done_before(work: &TaskWork) -> Millis {
+    let done = work
+        .checkpoint
+        .as_ref()
+        .and_then(|checkpoint| checkpoint.0.parse().ok());
+    Millis(done.unwrap_or(0))
+}
+
 fn holds(state: &TaskState) -> bool {
     matches!(
         state,
--- a/tests/support/gang_driver.rs
+++ b/tests/support/gang_driver.rs
@@ -20,7 +20,6 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const STEP_MS: Millis = Millis(50);
 const POLL_TIMEOUT_MS: Millis = Millis(2_200);
 
 pub fn id<T: std::str::FromStr>(text: &str) -> T
@@ -145,7 +144,12 @@
     /// The order in which starts were committed.
     pub starts: Vec<(JobKey, Attempt, Millis)>,
     pub check_each_step: bool,
+    pub step_ms: Millis,
+    /// How long an entry holds a poll without new orders.
+    pub hold_ms: Millis,
     pub elections: Vec<Millis>,
+    /// Accelerators of gangs that were put back, by cause.
+    pub requeues: BTreeMap<String, (u32, u32)>,
     /// Decisions and faults in order, to read after a failure.
     pub log: Vec<String>,
     pub term: Term,
@@ -177,7 +181,10 @@
             submitted_ms: BTreeMap::new(),
             starts: Vec::new(),
             check_each_step: true,
+            step_ms: Millis(50),
+            hold_ms: Millis(1_000),
             elections: Vec::new(),
+            requeues: BTreeMap::new(),
             log: Vec::new(),
             term: Term::ZERO,
             rng: StdRng::seed_from_u64(seed),
@@ -333,7 +340,7 @@
         let slot = &mut self.slots[at];
         let version = (orders.term, orders.version.0);
         if version == slot.known {
-            slot.held = Some((orders, self.now.saturating_add(Millis(1_000))));
+            slot.held = Some((orders, self.now.saturating_add(self.hold_ms)));
         } else {
             slot.held = None;
             self.send_orders(at, &orders);
@@ -391,14 +398,14 @@
     }
 
     pub fn step(&mut self) {
-        self.now = self.now.saturating_add(STEP_MS);
+        self.now = self.now.saturating_add(self.step_ms);
         self.commit_due();
         self.deliver_due();
         for at in 0..self.slots.len() {
             self.serve_worker(at);
         }
         self.deliver_due();
-        if self.now.0.is_multiple_of(100) {
+        if self.now.0.is_multiple_of(100) || self.step_ms > Millis(100) {
             self.give(Event::Tick);
         }
         self.commit_due();
@@ -465,6 +472,9 @@
             let poll = slot.worker.poll(now);
             slot.outstanding = Some((poll.sequence, now));
             slot.sent.insert(poll.sequence, now);
+            while slot.sent.len() > 64 {
+                slot.sent.pop_first();
+            }
             slot.known = (poll.term, poll.orders_version.0);
             slot.held = None;
             if !slot.cut {
@@ -506,7 +516,14 @@
             | JobTransition::CancelRequested { job }
             | JobTransition::Ended { job, .. } => job.clone(),
         };
-        let truly_ran = self.truly_ran(&key);
+        let not_run = matches!(
+            transition,
+            JobTransition::Ended {
+                outcome: JobOutcome::NotRun { .. },
+                ..
+            }
+        );
+        let truly_ran = not_run && self.truly_ran(&key);
         self.log
             .push(format!("{now} {key} committed {transition:?}"));
         let record = self.records.get_mut(&key).expect("the job is known");
@@ -542,12 +559,16 @@
             }
             JobTransition::Requeued {
                 attempt,
+                cause,
                 checkpoints,
                 attained_ms,
                 memory_mb,
                 ..
             } => {
                 assert_eq!(*attempt, record.attempt, "the present attempt ends");
+                let requeued = self.requeues.entry(format!("{cause:?}")).or_default();
+                requeued.0 += 1;
+                requeued.1 += record.spec.tasks * record.spec.accelerators.0;
                 record.phase = JobPhase::Waiting;
                 record.checkpoints.clone_from(checkpoints);
                 record.attained_ms = *attained_ms;
@@ -645,6 +666,12 @@
         }
     }
 
+    fn write_log(&mut self, line: impl Fn(Millis) -> String) {
+        if self.check_each_step {
+            self.log.push(line(self.now));
+        }
+    }
+
     /// What was decided about a job, and what happened to all.
     pub fn log_of(&self, key: &JobKey) -> String {
         let name = format!("{key} ");
