Scheduler: rack bounds, boxed jobs and the cost bench

Cause: at 4,608 workers, 37,331 tasks and 7,268 waiting jobs a tick took 19 ms at the median, 71 ms at worst, and the state 22.9 MB. Searches now leave out racks whose bounds can't hold a task, cells to reserve are looked for at most once a second, jobs are boxed and reasons are static text.

--- /dev/null
+++ b/benches/scheduler_cost.rs
@@ -0,0 +1,283 @@
+//! What an event costs and what the state holds, at today's size and at the size to come.
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "figures are printed with three digits"
+)]
+
+#[path = "../tests/support/gang_driver.rs"]
+mod gang_driver;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeMap;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use gang_driver::{Driver, Network, add_team, id, job};
+use marjoramknot::release_note::{Adjacency, InForce, RackSpec, ZoneSpec, ZoneState};
+use marjoramknot::scheduler::{JobSpec, Scheduler, SchedulerOptions};
+use marjoramknot::units::{Accelerators, Cores, MemoryMb, Millis};
+
+/// Counts the bytes that are allocated at present.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed on unchanged to the system allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, block: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the block came from `alloc` with this layout.
+        unsafe { System.dealloc(block, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn clock_ns() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    let elapsed = START.get_or_init(Instant::now).elapsed();
+    u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX)
+}
+
+struct Size {
+    name: &'static str,
+    zones: u32,
+    racks: u32,
+    workers_a_rack: u32,
+    /// One rack in this many has workers with accelerators.
+    accelerated: u32,
+    accelerators: u32,
+    teams: u32,
+    guaranteed: u32,
+    tasks: u32,
+    queued: u32,
+}
+
+fn fleet(size: &Size) -> InForce {
+    let mut state = InForce::default();
+    for zone in 0..size.zones {
+        let racks = (0..size.racks).map(|rack| {
+            let accelerated = (zone * size.racks + rack).is_multiple_of(size.accelerated);
+            RackSpec {
+                name: id(&format!("r{rack}")),
+                workers: size.workers_a_rack,
+                accelerators: Accelerators(if accelerated { size.accelerators } else { 0 }),
+                cores: Cores(64),
+                memory_mb: MemoryMb(256 * 1024),
+            }
+        });
+        let spec = ZoneSpec {
+            name: id(&format!("z{zone}")),
+            state: ZoneState::In,
+            racks: racks.collect(),
+        };
+        state.zones.insert(spec.name.clone(), spec);
+    }
+    for team in 0..size.teams {
+        let cells = [(size.guaranteed, 1, Adjacency::Zone)];
+        add_team(&mut state, &format!("t{team}"), &cells);
+    }
+    state
+}
+
+/// Running gangs of 8 and 512 tasks without accelerators, and small ones with.
+fn running_job(size: &Size, at: u32, left: u32) -> JobSpec {
+    let team = format!("t{}", at % size.teams);
+    let (tasks, accelerators) = match at % 8 {
+        0 => (4, 1),
+        1 => (1, 4),
+        2 if left > 2_000 && at.is_multiple_of(200) => (512, 0),
+        _ => (8, 0),
+    };
+    let mut spec = job(&team, &format!("run{at}"), tasks, accelerators, 900_000_000);
+    spec.cores = Cores(2);
+    spec.adjacency = if tasks > 8 {
+        Adjacency::Any
+    } else {
+        Adjacency::Zone
+    };
+    spec
+}
+
+fn build(size: &Size) -> Driver {
+    let options = SchedulerOptions::default();
+    let mut driver = Driver::new(fleet(size), options, 1);
+    (driver.check_each_step, driver.network) = (false, Network::default());
+    driver.network.delay_max_ms = 50;
+    driver.run_for(9_000);
+    let (mut at, mut tasks) = (0, 0);
+    while tasks < size.tasks {
+        let spec = running_job(size, at, size.tasks - tasks);
+        tasks += spec.tasks;
+        driver.submit(spec);
+        at += 1;
+        if at.is_multiple_of(20) {
+            driver.step();
+        }
+    }
+    driver.run_for(20_000);
+    for at in 0..size.queued {
+        let team = format!("t{}", at % size.teams);
+        let tasks = [64, 128, 256, 512][at as usize % 4].min(size.racks * size.workers_a_rack);
+        let mut spec = job(
+            &team,
+            &format!("wait{at}"),
+            tasks,
+            8.min(size.accelerators),
+            60_000,
+        );
+        spec.adjacency = [Adjacency::Any, Adjacency::Zone][at as usize % 2];
+        driver.submit(spec);
+    }
+    driver.run_for(15_000);
+    driver
+}
+
+fn percentile_ms(costs: &mut [u64], permille: usize) -> f64 {
+    costs.sort_unstable();
+    let at = costs.len().saturating_sub(1) * permille / 1_000;
+    costs.get(at).map_or(0.0, |cost| *cost as f64 / 1e6)
+}
+
+/// Small work keeps coming while events are timed.
+fn time_events(driver: &mut Driver, size: &Size) -> f64 {
+    driver.clock_ns = Some(clock_ns);
+    driver.costs_ns.clear();
+    for at in 0..60 {
+        let team = format!("t{}", at % size.teams);
+        driver.submit(job(&team, &format!("new{at}"), 2, 0, 2_000));
+        driver.run_for(250);
+    }
+    driver.clock_ns = None;
+    let mut by_name: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for (name, cost) in std::mem::take(&mut driver.costs_ns) {
+        by_name.entry(name).or_default().push(cost);
+        by_name.entry("event").or_default().push(cost);
+    }
+    let mut event_p99_ms = 0.0;
+    for (name, mut costs) in by_name {
+        let p99 = percentile_ms(&mut costs, 990);
+        let (p50, worst) = (
+            percentile_ms(&mut costs, 500),
+            percentile_ms(&mut costs, 1_000),
+        );
+        println!(
+            "{}_{name}_p50_ms={p50:.4} p99_ms={p99:.4} max_ms={worst:.3} count={}",
+            size.name,
+            costs.len()
+        );
+        if name == "event" {
+            event_p99_ms = p99;
+        }
+    }
+    event_p99_ms
+}
+
+/// An urgent job whose cells borrowers hold, who ignore their checkpoint orders.
+fn urgent_start(driver: &mut Driver, size: &Size) -> f64 {
+    for slot in &mut driver.slots {
+        slot.worker.spec.faults.ignores_checkpoint = true;
+    }
+    let team = format!("t{}", size.teams - 1);
+    let before = driver
+        .scheduler
+        .teams()
+        .into_iter()
+        .find(|t| t.team.as_str() == team);
+    println!("{}_urgent_team={before:?}", size.name);
+    let mut spec = job(&team, "urgent", 1, 1, 60_000);
+    spec.urgent = true;
+    let key = driver.submit(spec);
+    driver.run_until(60_000, |d| d.started_ms.contains_key(&key));
+    println!(
+        "{}_urgent_told={:?}",
+        size.name,
+        driver.scheduler.explain(&key)
+    );
+    let started = driver.started_ms.get(&key).copied().unwrap_or(Millis::MAX);
+    started.since(driver.submitted_ms[&key]).0 as f64 / 1_000.0
+}
+
+fn measure(size: &Size) -> (f64, f64, f64) {
+    let mut driver = build(size);
+    let running: u32 = driver
+        .scheduler
+        .teams()
+        .iter()
+        .map(|team| team.running)
+        .sum();
+    let waiting: u32 = driver
+        .scheduler
+        .teams()
+        .iter()
+        .map(|team| team.waiting)
+        .sum();
+    let tasks: usize = driver
+        .slots
+        .iter()
+        .map(|slot| slot.worker.running().count())
+        .sum();
+    println!(
+        "{}_workers={} tasks={tasks} gangs={running} waiting={waiting}",
+        size.name,
+        driver.slots.len()
+    );
+    let event_p99_ms = time_events(&mut driver, size);
+    let urgent_start_s = urgent_start(&mut driver, size);
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    driver.scheduler = Scheduler::new(SchedulerOptions::default());
+    let state_mb = before.saturating_sub(ALLOCATED.load(Ordering::Relaxed)) as f64 / 1e6;
+    println!("{}_event_p99_ms={event_p99_ms:.3}", size.name);
+    println!("{}_state_mb={state_mb:.3}", size.name);
+    println!("{}_urgent_start_s={urgent_start_s:.3}", size.name);
+    (event_p99_ms, state_mb, urgent_start_s)
+}
+
+fn main() {
+    let today = Size {
+        name: "today",
+        zones: 4,
+        racks: 2,
+        workers_a_rack: 6,
+        accelerated: 1,
+        accelerators: 8,
+        teams: 4,
+        guaranteed: 40,
+        tasks: 400,
+        queued: 200,
+    };
+    let letter = Size {
+        name: "letter",
+        zones: 24,
+        racks: 6,
+        workers_a_rack: 32,
+        accelerated: 6,
+        accelerators: 8,
+        teams: 300,
+        guaranteed: 12,
+        tasks: 38_000,
+        queued: 7_000,
+    };
+    let (small_ms, small_mb, _) = measure(&today);
+    let (event_p99_ms, state_mb, urgent_start_s) = measure(&letter);
+    let workers = 4_608.0 - 48.0;
+    println!(
+        "slope_event_us_per_worker={:.4}",
+        (event_p99_ms - small_ms) * 1_000.0 / workers
+    );
+    println!(
+        "slope_state_kb_per_worker={:.3}",
+        (state_mb - small_mb) * 1_000.0 / workers
+    );
+    println!("event_p99_ms={event_p99_ms:.3}");
+    println!("state_mb={state_mb:.3}");
+    println!("urgent_start_s={urgent_start_s:.3}");
+}
--- a/src/scheduler/core.rs
+++ b/src/scheduler/core.rs
@@ -1,6 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use smol_str::SmolStr;
+
 use super::binding::Bindings;
 use super::estimate::Estimates;
 use super::gang::Job;
@@ -33,7 +35,7 @@
     pub(super) pool: Pool,
     pub(super) bindings: Bindings,
     pub(super) claims: Claims,
-    pub(super) jobs: BTreeMap<u64, Job>,
+    pub(super) jobs: BTreeMap<u64, Box<Job>>,
     pub(super) by_key: BTreeMap<JobKey, u64>,
     pub(super) queue: Queue,
     pub(super) estimates: Estimates,
@@ -48,6 +50,10 @@
     pub(super) housekeeping_ms: Millis,
     /// How often guarantees may still be bound afresh in this pass.
     pub(super) rebinds_left: u32,
+    /// Whether some worker is doubtful or under probe.
+    pub(super) doubts: bool,
+    /// When a cell was last looked for that frees first.
+    pub(super) reserved_ms: Millis,
     /// Whether some worker waits for a probe.
     pub(super) probe_wanted: bool,
     /// When guarantees were last bound elsewhere to make room.
@@ -78,6 +84,8 @@
             dirty: false,
             housekeeping_ms: Millis::ZERO,
             rebinds_left: 0,
+            doubts: false,
+            reserved_ms: Millis::ZERO,
             probe_wanted: false,
             vacated_ms: Millis::ZERO,
         }
@@ -187,7 +195,7 @@
     }
 
     /// Keeps the reason of a decision and logs it where it changed.
-    pub(super) fn explain_job(&mut self, ordinal: u64, code: &str, sentence: &str) {
+    pub(super) fn explain_job(&mut self, ordinal: u64, code: &'static str, sentence: &'static str) {
         let Some(job) = self.jobs.get_mut(&ordinal) else {
             return;
         };
@@ -195,8 +203,8 @@
             return;
         }
         job.explanation = Explanation {
-            code: code.into(),
-            sentence: sentence.into(),
+            code: SmolStr::new_static(code),
+            sentence: SmolStr::new_static(sentence),
         };
         self.out.push(Action::Explain {
             job: job.record.spec.key.clone(),
--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -1,5 +1,7 @@
 //! How jobs come in, wait and get their places.
 
+use smol_str::SmolStr;
+
 use super::gang::{Gang, Job, Place, Seen, Stage};
 use super::pool::Task;
 use super::queue::QueueKey;
@@ -22,8 +24,8 @@
             record,
             gang: None,
             explanation: Explanation {
-                code: "accepted".into(),
-                sentence: "The job is accepted and waits for the next placement.".into(),
+                code: SmolStr::new_static("accepted"),
+                sentence: SmolStr::new_static(ACCEPTED),
             },
             known_ms: (QUEUE_EPOCH_MS + now.0.min(QUEUE_EPOCH_MS)).saturating_sub(age.0),
             queued: None,
@@ -31,7 +33,7 @@
             failed_on: Vec::new(),
             failed_attempts: 0,
         };
-        self.jobs.insert(ordinal, job);
+        self.jobs.insert(ordinal, Box::new(job));
         match phase {
             JobPhase::Waiting => self.requeue(ordinal, 2),
             JobPhase::Placed { members } => self.adopt(ordinal, &members, false, now),
@@ -202,6 +204,9 @@
     }
 }
 
+/// What a new job is told.
+const ACCEPTED: &str = "The job is accepted and waits for the next placement.";
+
 /// How much longer than its own run time a job may be overtaken by later ones.
 const OVERTAKE_FACTOR: u64 = 4;
 
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -13,6 +13,8 @@
     pub(super) adjacency: Adjacency,
     /// Whether to look for the best place rather than the first.
     pub(super) best_fit: bool,
+    /// Whether only what is free counts, so that full racks can be left out at once.
+    pub(super) free_only: bool,
 }
 
 /// A worker that can hold some of the tasks.
@@ -35,7 +37,7 @@
     let zones: Vec<Vec<RackSlots>> = pool
         .open_zones()
         .map(|zone| {
-            let racks = zone.racks.iter();
+            let racks = zone.racks.iter().filter(|rack| pool.may_hold(**rack, ask));
             let racks = racks.map(|rack| rack_slots(pool, *rack, ask, &room));
             racks.filter(|slots| !slots.is_empty()).collect()
         })
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::load::Load;
+use super::placement::Ask;
 use super::worker::Worker;
 use crate::fleet::WorkerPoll;
 use crate::release_note::{InForce, ZoneState};
@@ -18,6 +19,10 @@
     pub(super) workers: Vec<u32>,
     /// What its note declares of each worker; none where the rack is not declared.
     pub(super) declared: Option<Load>,
+    /// At least the largest free amount of each kind on one of its workers.
+    free_max: Load,
+    /// Whether something may have come free since.
+    touched: bool,
 }
 
 /// An availability zone.
@@ -100,6 +105,9 @@
         for ix in 0..self.workers.len() {
             self.limit_capacity(ix);
         }
+        for rack in &mut self.racks {
+            rack.touched = true;
+        }
     }
 
     /// A worker never counts for more than its rack declares.
@@ -122,6 +130,8 @@
             zone: zone_ix,
             workers: Vec::new(),
             declared: None,
+            free_max: Load::ZERO,
+            touched: true,
         });
         self.zones[zone_ix as usize].racks.push(ix);
         self.rack_index.insert(key, ix);
@@ -193,9 +203,37 @@
         self.limit_capacity(ix as usize);
     }
 
+    /// Something about a worker's load changed.
+    pub(super) fn touch(&mut self, ix: u32) {
+        let rack = self.worker(ix).rack as usize;
+        self.racks[rack].touched = true;
+    }
+
+    /// Brings the racks' bounds up to date; during a pass room only shrinks.
+    pub(super) fn refresh_racks(&mut self) {
+        for rack in self.racks.iter_mut().filter(|rack| rack.touched) {
+            rack.touched = false;
+            let free = rack
+                .workers
+                .iter()
+                .map(|ix| self.workers[*ix as usize].free());
+            rack.free_max = free.fold(Load::ZERO, Load::max);
+        }
+    }
+
+    /// Whether a worker of a rack may hold a task, by bounds only.
+    pub(super) fn may_hold(&self, rack: u32, ask: &Ask) -> bool {
+        let rack = &self.racks[rack as usize];
+        let free = !ask.free_only || ask.load.fits_in(rack.free_max);
+        free && rack
+            .declared
+            .is_some_and(|declared| ask.load.fits_in(declared))
+    }
+
     /// Takes over what a worker says that it has.
     pub(super) fn offer(&mut self, ix: u32, offered: Load) {
         self.worker_mut(ix).offered = offered;
+        self.touch(ix);
         self.limit_capacity(ix as usize);
     }
 
@@ -238,6 +276,7 @@
         task: Task,
         now: Millis,
     ) {
+        self.touch(ix);
         let worker = self.worker_mut(ix);
         if !worker.members.remove(&member) {
             return;
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -29,6 +29,16 @@
     pub(super) since_ms: Millis,
 }
 
+impl Claim {
+    /// Accelerators of the whole claim.
+    fn width(&self) -> u64 {
+        self.places.len() as u64 * u64::from(self.load.accelerators)
+    }
+}
+
+/// A gang is far smaller than another from one part in this many on.
+const FAR_SMALLER: u64 = 8;
+
 /// All claims, by job and by worker.
 #[derive(Debug, Default)]
 pub(super) struct Claims {
@@ -75,8 +85,14 @@
     }
 
     /// What other jobs claim of a worker, seen by a job that is expected to end at a time.
-    pub(super) fn on(&self, ix: u32, except: u64, end_ms: Millis) -> Load {
+    ///
+    /// A gang that can be moved and is far smaller may use a reserved cell in the meantime.
+    pub(super) fn on(&self, ix: u32, except: u64, end_ms: Millis, movable_width: u64) -> Load {
         self.sum_on(ix, |ordinal, claim| {
+            let reserved = matches!(claim.kind, ClaimKind::Reserve { .. });
+            if reserved && movable_width.saturating_mul(FAR_SMALLER) <= claim.width() {
+                return false;
+            }
             let ends_before =
                 matches!(claim.kind, ClaimKind::Reserve { until_ms } if end_ms <= until_ms);
             ordinal != except && !ends_before
--- a/src/scheduler/report.rs
+++ b/src/scheduler/report.rs
@@ -49,9 +49,15 @@
         worker.heard_ms = now;
         worker.incarnation = poll.incarnation;
         worker.sequence = poll.sequence;
+        let foreign = worker.foreign;
         worker.measure(&poll.usage, now);
+        let load_changed = worker.foreign != foreign;
         let offered = Load::of_capacity(&poll.capacity);
-        if appeared || worker.offered != offered {
+        let worker_offers = worker.offered;
+        if load_changed {
+            self.pool.touch(ix);
+        }
+        if appeared || worker_offers != offered {
             self.pool.offer(ix, offered);
             self.bindings.dirty = true;
             self.freed();
@@ -225,13 +231,14 @@
     pub(super) fn watch_workers(&mut self, now: Millis) {
         let mut lost = BTreeSet::new();
         let mut gone = BTreeSet::new();
-        let mut probe_wanted = false;
+        let (mut probe_wanted, mut doubts) = (false, false);
         let settled = self.settled(now);
         let known: Vec<u32> = self.pool.known().collect();
         for ix in known {
             let worker = self.pool.worker_mut(ix);
             worker.health.tick(now);
             probe_wanted |= worker.health.takes_probe(true, now);
+            doubts |= worker.health.is_doubtful() || !worker.health.is_up();
             if worker.alive(now) {
                 continue;
             }
@@ -249,6 +256,7 @@
             self.freed();
         }
         self.probe_wanted = probe_wanted;
+        self.doubts = doubts;
         for member in &gone {
             if let Some((gang, at)) = self.place_mut(*member) {
                 gang.places[at].seen = Seen::Gone;
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -11,6 +11,8 @@
 /// How long a gang is blocked before it keeps a cell.
 const RESERVE_AFTER_MS: Millis = Millis(10_000);
 
+/// The shortest time between two looks for a cell.
+const RESERVE_EVERY_MS: Millis = Millis(1_000);
 /// Others are moved at once where they use at most one part in this many of the gang.
 const MOVE_PART: u64 = 2;
 
@@ -24,13 +26,17 @@
         if now.since(job.blocked_ms.unwrap_or(now)) < RESERVE_AFTER_MS {
             return;
         }
+        if now.since(self.reserved_ms) < RESERVE_EVERY_MS {
+            return;
+        }
+        self.reserved_ms = now;
         if self.options.moves && self.move_small_gangs(ordinal, now) {
             return;
         }
         let job = &self.jobs[&ordinal];
         let tasks = job.record.spec.tasks as usize;
         let (load, adjacency) = (job.task_load(), job.record.spec.adjacency);
-        let domains = self.reserve_domains(adjacency);
+        let domains = self.reserve_domains(adjacency, load);
         let best = domains
             .iter()
             .filter_map(|domain| self.openings(domain, ordinal, load, tasks, now))
@@ -92,8 +98,17 @@
         true
     }
 
-    pub(super) fn reserve_domains(&self, adjacency: Adjacency) -> Vec<Vec<u32>> {
-        let racks = || self.pool.open_zones().flat_map(|zone| &zone.racks);
+    pub(super) fn reserve_domains(&self, adjacency: Adjacency, load: Load) -> Vec<Vec<u32>> {
+        let fitting = |rack: &&u32| {
+            let declared = self.pool.racks[**rack as usize].declared;
+            declared.is_some_and(|declared| load.fits_in(declared))
+        };
+        let racks = || {
+            self.pool
+                .open_zones()
+                .flat_map(|zone| &zone.racks)
+                .filter(fitting)
+        };
         let workers = |rack: &u32| self.pool.racks[*rack as usize].workers.clone();
         match adjacency {
             Adjacency::Worker => racks().flat_map(workers).map(|ix| vec![ix]).collect(),
@@ -101,7 +116,13 @@
             Adjacency::Zone => self
                 .pool
                 .open_zones()
-                .map(|zone| zone.racks.iter().flat_map(workers).collect())
+                .map(|zone| {
+                    zone.racks
+                        .iter()
+                        .filter(fitting)
+                        .flat_map(workers)
+                        .collect()
+                })
                 .collect(),
             Adjacency::Any => vec![racks().flat_map(workers).collect()],
         }
@@ -138,7 +159,7 @@
         if !spec.idempotent {
             limit = limit.min(worker.room_beside(&spec.key.team));
         }
-        let claimed = self.claims.on(ix, ordinal, Millis::MAX);
+        let claimed = self.claims.on(ix, ordinal, Millis::MAX, u64::MAX);
         let mut room = limit.minus(worker.used).minus(claimed);
         let mut ends: BTreeMap<(Millis, u64), Load> = BTreeMap::new();
         for (member, _index) in &worker.members {
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -59,6 +59,7 @@
             load: job.task_load(),
             adjacency: job.record.spec.adjacency,
             best_fit: self.options.best_fit,
+            free_only: true,
         }
     }
 
@@ -115,12 +116,17 @@
         }
         *searches += 1;
         let end_ms = shape.end_ms;
+        let movable = if self.options.moves && self.jobs[&ordinal].record.spec.idempotent {
+            self.jobs[&ordinal].accelerators().max(1)
+        } else {
+            u64::MAX
+        };
         let room = |ix: u32, worker: &Worker| {
             let accepted = self.accepts(ix, worker, ordinal, now);
             accepted.then(|| {
                 let (free, limit) = room(worker);
                 match claims {
-                    ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms)),
+                    ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms, movable)),
                     ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
                 }
                 .min(limit.minus(self.claims.of_team_on(ix, ordinal, &team)))
@@ -140,7 +146,8 @@
         let probes = self.probe_wanted && self.may_probe(ordinal);
         let found = probes.then(|| find(&self.pool, &ask, probe)).flatten();
         let found = found.or_else(|| find(&self.pool, &ask, sure));
-        let found = found.or_else(|| find(&self.pool, &ask, room));
+        let again = found.is_none() && self.doubts;
+        let found = found.or_else(|| again.then(|| find(&self.pool, &ask, room)).flatten());
         if let Some(places) = found {
             return Some(places);
         }
@@ -208,7 +215,8 @@
             self.rebinds_left -= 1;
             self.rebind_cheaply(ordinal, now);
         }
-        let ask = self.ask(ordinal);
+        let mut ask = self.ask(ordinal);
+        ask.free_only = false;
         let racks = self.bindings.racks_of(&team, &self.pool);
         *searches += 1;
         let places = find(&self.pool, &ask, |ix, worker| {
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -1,5 +1,7 @@
 //! What operators see of teams, workers and waiting jobs.
 
+use std::collections::BTreeMap;
+
 use super::gang::Stage;
 use super::{Scheduler, TeamStatus, WorkerStatus};
 use crate::fleet::HealthState;
@@ -10,22 +12,26 @@
     /// What each team holds, by name.
     #[must_use]
     pub fn teams(&self) -> Vec<TeamStatus> {
+        let runs = |stage: &Stage| matches!(stage, Stage::Running | Stage::Checkpointing { .. });
+        let mut running: BTreeMap<&TeamId, u32> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.gang.as_ref().is_some_and(|gang| runs(&gang.stage)) {
+                *running.entry(&job.record.spec.key.team).or_default() += 1;
+            }
+        }
         let teams = self.in_force.teams.keys();
-        teams.map(|team| self.team_status(team)).collect()
+        teams
+            .map(|team| self.team_status(team, running.get(team).copied().unwrap_or(0)))
+            .collect()
     }
 
-    fn team_status(&self, team: &TeamId) -> TeamStatus {
+    fn team_status(&self, team: &TeamId, running: u32) -> TeamStatus {
         let groups = self.bindings.of_team(team);
         let guaranteed = groups
             .map(|g| g.spec.count.saturating_mul(g.spec.accelerators.0))
             .fold(0, u32::saturating_add);
         let held = self.pool.team_use(team);
         let (at_risk, risk_cause) = self.bindings.at_risk(team);
-        let running = self.jobs.values().filter(|job| {
-            let runs =
-                |stage: &Stage| matches!(stage, Stage::Running | Stage::Checkpointing { .. });
-            job.record.spec.key.team == *team && job.gang.as_ref().is_some_and(|g| runs(&g.stage))
-        });
         TeamStatus {
             team: team.clone(),
             guaranteed: Accelerators(guaranteed),
@@ -34,7 +40,7 @@
             at_risk: Accelerators(at_risk),
             risk_cause,
             waiting: u32::try_from(self.queue.len(team)).unwrap_or(u32::MAX),
-            running: u32::try_from(running.count()).unwrap_or(u32::MAX),
+            running,
         }
     }
 
--- a/src/scheduler/vacate.rs
+++ b/src/scheduler/vacate.rs
@@ -41,15 +41,16 @@
     ) -> Vec<(u64, Vec<u32>)> {
         let job = &self.jobs[&ordinal];
         let (load, tasks) = (job.task_load(), job.record.spec.tasks as usize);
-        let domains = self.reserve_domains(job.record.spec.adjacency);
+        let domains = self.reserve_domains(job.record.spec.adjacency, load);
         let places_in = |domain: &Vec<u32>| {
             let mut workers: Vec<(u64, u32, u32)> = domain
                 .iter()
                 .filter_map(|ix| {
                     let worker = self.pool.worker(*ix);
-                    let room = worker
-                        .reclaimable()
-                        .minus(self.claims.on(*ix, ordinal, now));
+                    let room =
+                        worker
+                            .reclaimable()
+                            .minus(self.claims.on(*ix, ordinal, now, u64::MAX));
                     let fits = load.times_in(room);
                     let usable = worker.usable(now) && self.accepts(*ix, worker, ordinal, now);
                     (usable && fits > 0).then(|| (cost(self, *ix), *ix, fits))
