Requests: tests against a stand-in endpoint, and what they found

- A resend heard another code than the first send for the same unknown outcome.
- A record expired between the deadline and the commit of an answer that had come in time: control_away_for_finish got unknown.
The record now waits two seconds longer.

--- a/src/entry/forward_recorded.rs
+++ b/src/entry/forward_recorded.rs
@@ -169,7 +169,7 @@
             Recorded::Answered(answer) => ForwardAnswer::stored(answer),
             Recorded::Other => ForwardAnswer::unknown(
                 StatusCode::BAD_GATEWAY,
-                "attempt_failed",
+                "outcome_unknown",
                 "the endpoint gave no whole answer that can be kept; the work may have run",
             ),
         })
--- a/src/entry/record_keeper.rs
+++ b/src/entry/record_keeper.rs
@@ -23,6 +23,9 @@
 const CHECK_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long the end of an attempt is offered to the ledger; its record expires by itself after.
 const FINISH_TIMEOUT: Duration = Duration::from_mins(1);
+/// How long after the request's deadline its record still waits for the end of the attempt, which
+/// may have to find a new leader first.
+const COMMIT_GRACE_MS: Millis = Millis(2_000);
 /// The endpoint of a check, which sends nothing.
 const NO_ENDPOINT: &str = "none";
 
@@ -182,7 +185,7 @@
             sequence,
             endpoint: run.endpoint.clone(),
             endpoint_incarnation: run.incarnation,
-            deadline_ms,
+            deadline_ms: deadline_ms.saturating_add(COMMIT_GRACE_MS),
         }
     }
 }
--- /dev/null
+++ b/tests/request_answers.rs
@@ -0,0 +1,248 @@
+//! A caller gets the whole answer to its own request, or is told the truth about it.
+
+#[path = "support/fake_endpoint.rs"]
+mod fake_endpoint;
+#[path = "support/forwarding.rs"]
+mod forwarding;
+#[path = "support/shares.rs"]
+mod shares;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake_endpoint::{FakeEndpoint, Fault};
+use forwarding::{Entry, FakeControl, Told, until, whole};
+use marjoramknot::request_ledger::{ANSWER_BYTES_MAX, Outcome};
+use marjoramknot::units::Slots;
+use rstest::rstest;
+
+const LONG: Duration = Duration::from_secs(8);
+
+async fn entry_with(count: usize) -> (Entry, Vec<FakeEndpoint>) {
+    let mut endpoints = Vec::new();
+    for _ in 0..count {
+        endpoints.push(FakeEndpoint::start().await);
+    }
+    let references: Vec<&FakeEndpoint> = endpoints.iter().collect();
+    let control = Arc::new(FakeControl::default());
+    (Entry::new("entry-1", &control, &references), endpoints)
+}
+
+/// Endpoints that answer badly once: the next attempt, elsewhere, gives the whole answer.
+#[rstest]
+#[case(Fault::CloseBefore)]
+#[case(Fault::CloseDuring)]
+#[case(Fault::CloseAfter)]
+#[case(Fault::Busy)]
+#[case(Fault::Die)]
+#[case(Fault::Late(50))]
+#[case(Fault::Truncated)]
+#[case(Fault::Unframed)]
+#[case(Fault::WrongId)]
+#[case(Fault::WrongAttempt)]
+#[case(Fault::NoEcho)]
+#[case(Fault::LargeTruncated(20_000))]
+#[tokio::test]
+async fn bad_answer_once(#[case] fault: Fault) {
+    let (entry, endpoints) = entry_with(2).await;
+    let faulty = if fault == Fault::Die { 1 } else { 2 };
+    for endpoint in endpoints.iter().take(faulty) {
+        endpoint.next(&[fault]);
+    }
+    assert_eq!(entry.send(entry.request("r1", LONG)).await, whole());
+}
+
+/// The same for a request that must run at most once: one attempt, and its truth.
+#[rstest]
+#[case(Fault::None, whole())]
+#[case(Fault::Late(50), whole())]
+#[case(Fault::Busy, whole())]
+#[case(Fault::CloseBefore, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::CloseDuring, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::CloseAfter, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::Die, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::Truncated, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::Unframed, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(Fault::WrongId, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[case(
+    Fault::WrongAttempt,
+    Told::Refused(Outcome::Unknown, "outcome_unknown")
+)]
+#[case(Fault::NoEcho, Told::Refused(Outcome::Unknown, "outcome_unknown"))]
+#[tokio::test]
+async fn bad_answer_recorded(#[case] fault: Fault, #[case] expected: Told) {
+    let (entry, endpoints) = entry_with(2).await;
+    for endpoint in &endpoints {
+        endpoint.next(&[fault]);
+    }
+    let request = entry.once("r1", LONG);
+    assert_eq!(entry.send(request.clone()).await, expected);
+    let runs = |endpoints: &[FakeEndpoint]| endpoints.iter().map(|e| e.ran("r1")).sum::<u32>();
+    let ran = runs(&endpoints);
+    assert!(ran <= 1);
+    assert_eq!(
+        entry.send(request).await,
+        expected,
+        "a resend hears the same"
+    );
+    assert_eq!(runs(&endpoints), ran);
+}
+
+#[tokio::test]
+async fn out_of_order() {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].always(Fault::OutOfOrder);
+    let (first, second) = tokio::join!(
+        entry.send(entry.once("r1", LONG)),
+        entry.send(entry.once("r2", LONG))
+    );
+    let unknown = Told::Refused(Outcome::Unknown, "outcome_unknown");
+    assert_eq!((first, second), (unknown.clone(), unknown));
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+#[tokio::test]
+async fn doubled(#[case] idempotent: bool) {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].next(&[Fault::Doubled]);
+    let send = async |id: &str| {
+        let mut request = entry.once(id, LONG);
+        request.idempotent = idempotent;
+        entry.send(request).await
+    };
+    assert_eq!(send("r1").await, Told::Whole(200, "r1".into()));
+    // At once, so that the doubled answer comes as if it were this request's.
+    let second = send("r2").await;
+    let unknown = Told::Refused(Outcome::Unknown, "outcome_unknown");
+    assert!(
+        second == whole() || (!idempotent && second == unknown),
+        "{second:?}"
+    );
+    assert_eq!(send("r3").await, whole());
+}
+
+#[rstest]
+#[case(1)]
+#[case(32 * 1024)]
+#[case(32 * 1024 + 1)]
+#[case(2_000_000)]
+#[tokio::test]
+async fn large_answer(#[case] bytes: usize) {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].always(Fault::Large(bytes));
+    let expected = Told::Whole(200, "x".repeat(bytes));
+    assert_eq!(entry.send(entry.request("r1", LONG)).await, expected);
+    until("the slot is free", || slots_used(&entry) == 0).await;
+}
+
+#[tokio::test]
+async fn large_truncated() {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].always(Fault::LargeTruncated(1_000_000));
+    let told = entry.send(entry.request("r1", LONG)).await;
+    assert!(matches!(told, Told::Broken(_)), "{told:?}");
+}
+
+#[rstest]
+#[case(ANSWER_BYTES_MAX, true)]
+#[case(ANSWER_BYTES_MAX + 1, false)]
+#[tokio::test]
+async fn recorded_size(#[case] bytes: u64, #[case] kept: bool) {
+    let (entry, endpoints) = entry_with(1).await;
+    let bytes = usize::try_from(bytes).expect("it fits");
+    // The content type counts too.
+    let bytes = bytes - if kept { "text/plain".len() } else { 0 };
+    endpoints[0].always(Fault::Large(bytes));
+    let told = entry.send(entry.once("r1", LONG)).await;
+    let expected = if kept {
+        Told::Whole(200, "x".repeat(bytes))
+    } else {
+        Told::Refused(Outcome::Unknown, "outcome_unknown")
+    };
+    assert_eq!(told, expected);
+}
+
+fn slots_used(entry: &Entry) -> u32 {
+    let uses = entry.forwarder.uses();
+    uses.iter().map(|report| report.slots.get()).sum()
+}
+
+#[tokio::test]
+async fn silent_connections() {
+    let (entry, endpoints) = entry_with(2).await;
+    // Warm connections to both, and a mean answer time.
+    for round in 0..3 {
+        let warm: Vec<_> = (0..8)
+            .map(|n| entry.send(entry.request(&format!("w{round}-{n}"), LONG)))
+            .collect();
+        for told in futures::future::join_all(warm).await {
+            assert_eq!(told, whole());
+        }
+    }
+    // One connection of each endpoint goes silent, new ones work.
+    for endpoint in &endpoints {
+        endpoint.next(&[Fault::Silent]);
+    }
+    let started = std::time::Instant::now();
+    let sent: Vec<_> = (0..16)
+        .map(|n| entry.send(entry.request(&format!("r{n}"), LONG)))
+        .collect();
+    for told in futures::future::join_all(sent).await {
+        assert_eq!(told, whole());
+    }
+    assert!(started.elapsed() < Duration::from_secs(5));
+    // The slots of the two silent requests stay counted: the endpoint may run them still.
+    assert_eq!(slots_used(&entry), 2);
+}
+
+#[tokio::test]
+async fn caller_gone() {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].always(Fault::Hang);
+    let given_up = tokio::time::timeout(
+        Duration::from_millis(100),
+        entry.send(entry.request("r1", LONG)),
+    );
+    given_up.await.expect_err("the endpoint hangs");
+    until("the request is forgotten", || {
+        entry.forwarder.requests() == 0
+    })
+    .await;
+    // It runs still, so its slot is not given to another request.
+    assert_eq!(slots_used(&entry), 1);
+    assert_eq!(endpoints[0].ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn slots_and_connections() {
+    let (mut entry, endpoints) = entry_with(2).await;
+    for share in &mut entry.shares {
+        share.slots = Slots(3);
+        share.connections = Slots(4);
+    }
+    entry.observe();
+    for endpoint in &endpoints {
+        endpoint.work(Duration::from_millis(10));
+    }
+    let sent: Vec<_> = (0..60)
+        .map(|n| {
+            let request = if n % 2 == 0 {
+                entry.request(&format!("r{n}"), LONG)
+            } else {
+                entry.once(&format!("r{n}"), LONG)
+            };
+            entry.send(request)
+        })
+        .collect();
+    for told in futures::future::join_all(sent).await {
+        assert_eq!(told, whole());
+    }
+    for endpoint in &endpoints {
+        endpoint.counts(|counts| {
+            assert_eq!(counts.running_max, 3);
+            assert!(counts.connections_max <= 4, "{counts:?}");
+        });
+    }
+}
--- /dev/null
+++ b/tests/request_once.rs
@@ -0,0 +1,354 @@
+//! A non-idempotent request runs at most once, and "not run" is true.
+
+#[path = "support/fake_endpoint.rs"]
+mod fake_endpoint;
+#[path = "support/forwarding.rs"]
+mod forwarding;
+#[path = "support/shares.rs"]
+mod shares;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fake_endpoint::{FakeEndpoint, Fault};
+use forwarding::{Entry, FakeControl, Told, until, whole};
+use marjoramknot::request_ledger::{
+    BeginRequest, ContentDigest, Outcome, RecordState, RequestKey, WINDOW_MS,
+};
+use marjoramknot::units::{Incarnation, Millis, Sequence, WallMs};
+use rstest::rstest;
+
+const LONG: Duration = Duration::from_secs(8);
+const SHORT: Duration = Duration::from_millis(300);
+
+struct Group {
+    control: Arc<FakeControl>,
+    endpoint: FakeEndpoint,
+    entries: Vec<Entry>,
+}
+
+/// Two entries in front of one endpoint and one ledger.
+async fn group() -> Group {
+    let control = Arc::new(FakeControl::default());
+    let endpoint = FakeEndpoint::start().await;
+    let entries = ["entry-1", "entry-2"];
+    let entries = entries.map(|name| Entry::new(name, &control, &[&endpoint]));
+    Group {
+        control,
+        endpoint,
+        entries: entries.into(),
+    }
+}
+
+const fn unknown(code: &'static str) -> Told {
+    Told::Refused(Outcome::Unknown, code)
+}
+
+const fn not_run(code: &'static str) -> Told {
+    Told::Refused(Outcome::NotRun, code)
+}
+
+#[tokio::test]
+async fn two_entries_at_once() {
+    let group = group().await;
+    group.endpoint.work(Duration::from_millis(100));
+    let (first, second) = (&group.entries[0], &group.entries[1]);
+    let (told, other) = tokio::join!(
+        first.send(first.once("r1", LONG)),
+        second.send(second.once("r1", LONG))
+    );
+    assert_eq!((told, other), (whole(), whole()));
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn resend_after_answer() {
+    let group = group().await;
+    for entry in &group.entries {
+        assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    }
+    group.control.restart();
+    let entry = &group.entries[1];
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn late_answer_kept() {
+    let group = group().await;
+    group.endpoint.next(&[Fault::Hang]);
+    let entry = &group.entries[0];
+    let told = entry.send(entry.once("r1", SHORT)).await;
+    assert_eq!(told, unknown("deadline_passed"));
+    let other = &group.entries[1];
+    let early = other.send(other.once("r1", SHORT)).await;
+    assert_eq!(early, unknown("outcome_unknown"));
+    group.endpoint.release();
+    let kept = || {
+        let finishes = group
+            .control
+            .finishes
+            .lock()
+            .expect("no test panics with it");
+        finishes
+            .iter()
+            .any(|state| matches!(state, RecordState::Answered(_)))
+    };
+    until("the late answer is recorded", kept).await;
+    assert_eq!(other.send(other.once("r1", LONG)).await, whole());
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn caller_goes_away() {
+    let group = group().await;
+    group.endpoint.work(Duration::from_millis(100));
+    let entry = &group.entries[0];
+    let gone = tokio::time::timeout(
+        Duration::from_millis(50),
+        entry.send(entry.once("r1", LONG)),
+    );
+    gone.await.expect_err("the request takes longer");
+    let other = &group.entries[1];
+    assert_eq!(other.send(other.once("r1", LONG)).await, whole());
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+/// The entry's process died at a step, which leaves what it had committed by then.
+#[rstest]
+#[case::before_begin(None, 0, whole())]
+#[case::begun(Some(RecordState::Begun), 0, unknown("in_progress"))]
+#[case::begun_and_expired(Some(RecordState::Begun), 20_000, unknown("outcome_unknown"))]
+#[case::sent_and_lost(Some(RecordState::Unknown), 0, unknown("outcome_unknown"))]
+#[case::not_sent(Some(RecordState::NotSent), 0, whole())]
+#[tokio::test]
+async fn dead_entry(
+    #[case] left: Option<RecordState>,
+    #[case] later_ms: u32,
+    #[case] expected: Told,
+) {
+    let group = group().await;
+    let entry = &group.entries[0];
+    if let Some(state) = left {
+        leave_record(&group, "r1", state);
+    }
+    group.control.skew_ms.store(later_ms, Ordering::Release);
+    let told = entry.send(entry.once("r1", SHORT)).await;
+    assert_eq!(told, expected);
+    assert_eq!(group.endpoint.ran("r1"), u32::from(expected == whole()));
+}
+
+/// What an entry that is dead now had committed for the request of the tests.
+fn leave_record(group: &Group, id: &str, state: RecordState) {
+    let entry = &group.entries[0];
+    let probe = entry.once(id, LONG);
+    let begin = BeginRequest {
+        key: key(id),
+        content: ContentDigest(sha2_of(&probe)),
+        made_ms: probe.made_ms,
+        entry: "entry-9".parse().expect("the entry is an id"),
+        entry_incarnation: Incarnation(1),
+        sequence: Sequence(1),
+        endpoint: "booking-0".parse().expect("the endpoint is an id"),
+        endpoint_incarnation: Incarnation(1),
+        deadline_ms: Millis(10_000),
+    };
+    let finish = marjoramknot::request_ledger::FinishRequest {
+        key: key(id),
+        entry: begin.entry.clone(),
+        entry_incarnation: begin.entry_incarnation,
+        sequence: begin.sequence,
+        state,
+    };
+    let call = group.control.call(|ledger, now| {
+        ledger.begin(&begin, now);
+        ledger.finish(&finish, now)
+    });
+    call.expect("the control group answers");
+}
+
+fn key(id: &str) -> RequestKey {
+    RequestKey {
+        team: "regatta".parse().expect("the team is an id"),
+        service: "booking".parse().expect("the service is an id"),
+        id: id.parse().expect("the request is an id"),
+    }
+}
+
+fn sha2_of(request: &marjoramknot::entry::CallerRequest) -> [u8; 32] {
+    use sha2::Digest;
+    let mut digest = sha2::Sha256::new();
+    let method = request.method.as_str().as_bytes();
+    for part in [method, request.path.as_bytes(), &request.body] {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    }
+    digest.finalize().into()
+}
+
+/// The leader changes and answers get lost, before and after the commit took effect.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[tokio::test]
+async fn lost_commit_answers(#[case] lost: u32) {
+    let group = group().await;
+    group.control.lose_answers.store(lost, Ordering::Release);
+    let entry = &group.entries[0];
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn control_away_for_begin() {
+    let group = group().await;
+    group.control.unreachable.store(true, Ordering::Release);
+    let entry = &group.entries[0];
+    let told = entry.send(entry.once("r1", SHORT)).await;
+    assert_eq!(told, unknown("not_checked"));
+    assert_eq!(group.endpoint.ran("r1"), 0);
+    group.control.unreachable.store(false, Ordering::Release);
+    let other = &group.entries[1];
+    assert_eq!(other.send(other.once("r1", LONG)).await, whole());
+}
+
+#[tokio::test]
+async fn control_away_for_finish() {
+    let group = group().await;
+    group.endpoint.work(Duration::from_millis(200));
+    let entry = &group.entries[0];
+    let control = &group.control;
+    let (told, ()) = tokio::join!(entry.send(entry.once("r1", SHORT)), async {
+        until("the request runs", || group.endpoint.ran("r1") == 1).await;
+        control.unreachable.store(true, Ordering::Release);
+    });
+    // The answer is there, but it must not be relayed before it is committed.
+    assert_eq!(told, unknown("deadline_passed"));
+    control.unreachable.store(false, Ordering::Release);
+    let other = &group.entries[1];
+    assert_eq!(other.send(other.once("r1", LONG)).await, whole());
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn other_content() {
+    let group = group().await;
+    let entry = &group.entries[0];
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    let mut other = entry.once("r1", LONG);
+    other.body = Bytes::from_static(b"heat 3");
+    assert_eq!(entry.send(other).await, not_run("content_mismatch"));
+    assert_eq!(group.endpoint.ran("r1"), 1);
+}
+
+#[tokio::test]
+async fn outside_window() {
+    let group = group().await;
+    let entry = &group.entries[0];
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    let window_ms = u32::try_from(WINDOW_MS.get()).expect("it fits");
+    group
+        .control
+        .skew_ms
+        .store(window_ms + 1, Ordering::Release);
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, unknown("too_old"));
+    let mut ahead = entry.once("r2", LONG);
+    ahead.made_ms = Some(WallMs(u64::MAX));
+    assert_eq!(entry.send(ahead).await, not_run("made_ahead"));
+    assert_eq!((group.endpoint.ran("r1"), group.endpoint.ran("r2")), (1, 0));
+}
+
+/// An attempt that never reached its endpoint may go on to another one.
+#[rstest]
+#[case::refuses_connection(true)]
+#[case::busy(false)]
+#[tokio::test]
+async fn goes_on_elsewhere(#[case] dead: bool) {
+    let control = Arc::new(FakeControl::default());
+    let (first, second) = (FakeEndpoint::start().await, FakeEndpoint::start().await);
+    let entry = Entry::new("entry-1", &control, &[&first, &second]);
+    if dead {
+        first.die();
+        // Its port takes no connection once the accept loop has seen its end.
+        until("the port is closed", || {
+            std::net::TcpStream::connect(first.address).is_err()
+        })
+        .await;
+    } else {
+        first.always(Fault::Busy);
+    }
+    for number in 0..4 {
+        let id = format!("r{number}");
+        assert_eq!(entry.send(entry.once(&id, LONG)).await, whole());
+        assert_eq!((first.ran(&id), second.ran(&id)), (0, 1));
+    }
+}
+
+/// Whoever is refused "not run" by one entry may have run through another.
+#[rstest]
+#[case::ran_before(true, whole())]
+#[case::never_ran(false, not_run("deadline_passed"))]
+#[tokio::test]
+async fn refusal_is_checked(#[case] ran: bool, #[case] expected: Told) {
+    let group = group().await;
+    if ran {
+        let entry = &group.entries[0];
+        assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+    }
+    let mut cut_off = Entry::new("entry-3", &group.control, &[&group.endpoint]);
+    cut_off.granted_until_ms = Millis::ZERO;
+    cut_off.observe();
+    let told = cut_off.send(cut_off.once("r1", SHORT)).await;
+    assert_eq!(told, expected);
+    assert_eq!(group.endpoint.ran("r1"), u32::from(ran));
+    let entry = &group.entries[1];
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+}
+
+#[tokio::test]
+async fn grant_ends_in_between() {
+    let group = group().await;
+    let mut entry = Entry::new("entry-3", &group.control, &[&group.endpoint]);
+    group.control.unreachable.store(true, Ordering::Release);
+    let (told, ()) = tokio::join!(entry.send(entry.once("r1", SHORT)), async {
+        let begins = || group.control.begins.load(Ordering::Acquire) > 1;
+        until("the begin is tried", begins).await;
+        let view = marjoramknot::router::RouterView {
+            in_force: Arc::new(entry.in_force.clone()),
+            shares: Arc::new(entry.shares.clone()),
+            granted_until_ms: Millis::ZERO,
+        };
+        entry.forwarder.observe(view);
+        group.control.unreachable.store(false, Ordering::Release);
+    });
+    assert_eq!(told, not_run("deadline_passed"));
+    assert_eq!(group.endpoint.ran("r1"), 0);
+    entry.granted_until_ms = Millis::MAX;
+    entry.observe();
+    assert_eq!(entry.send(entry.once("r1", LONG)).await, whole());
+}
+
+/// A restarted endpoint gets neither the record nor the answer of its earlier process.
+#[tokio::test]
+async fn restarted_endpoint() {
+    let group = group().await;
+    let entry = &group.entries[0];
+    group.endpoint.next(&[Fault::Die]);
+    let told = entry.send(entry.once("r1", LONG)).await;
+    assert_eq!(told, unknown("outcome_unknown"));
+    until("the port is free", || {
+        std::net::TcpListener::bind(group.endpoint.address).is_ok()
+    })
+    .await;
+    let again = FakeEndpoint::start_at(group.endpoint.address).await;
+    let mut other = Entry::new("entry-3", &group.control, &[&again]);
+    other.shares[0].incarnation = Incarnation(2);
+    other.observe();
+    let told = other.send(other.once("r1", LONG)).await;
+    assert_eq!(told, unknown("outcome_unknown"));
+    assert_eq!(again.ran("r1"), 0);
+    assert_eq!(other.send(other.once("r2", LONG)).await, whole());
+}
--- /dev/null
+++ b/tests/support/fake_endpoint.rs
@@ -0,0 +1,506 @@
+//! A stand-in endpoint that counts what ran, announces itself, and misbehaves on command.
+
+#![allow(dead_code, reason = "each test file uses its own part of the stand-in")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use marjoramknot::fleet::{EndpointAnnouncement, EndpointAnswer};
+use marjoramknot::units::{Sequence, Slots};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+
+type AnswerBody = BoxBody<Bytes, io::Error>;
+
+/// How the endpoint treats one request or connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// Runs it and answers.
+    None,
+    /// Closes the connection as soon as it is opened.
+    CloseBefore,
+    /// Closes the connection in the middle of the request.
+    CloseDuring,
+    /// Runs the request and closes the connection without an answer.
+    CloseAfter,
+    /// Answers that it is busy and did not run it.
+    Busy,
+    /// Runs it and answers only when released.
+    Hang,
+    /// Runs it and dies with all connections.
+    Die,
+    /// Runs it and answers after this many milliseconds.
+    Late(u64),
+    /// Answers with the answer to another request that runs at the same time.
+    OutOfOrder,
+    /// Answers twice.
+    Doubled,
+    /// Breaks the body off.
+    Truncated,
+    /// Gives a body of which the end does not show.
+    Unframed,
+    /// Echoes another request's id.
+    WrongId,
+    /// Echoes another attempt's number.
+    WrongAttempt,
+    /// Echoes nothing.
+    NoEcho,
+    /// Answers with a body of this many bytes.
+    Large(usize),
+    /// Breaks a body of this many bytes off before its end.
+    LargeTruncated(usize),
+    /// Reads the request, does not run it and never answers on this connection again.
+    Silent,
+}
+
+/// What the stand-in has seen.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// How often each request id ran.
+    pub ran: BTreeMap<String, u32>,
+    /// Requests that run now, and the most there were at once.
+    pub running: u32,
+    /// See [`Counts::running`].
+    pub running_max: u32,
+    /// Connections open now, and the most there were at once.
+    pub connections: u32,
+    /// See [`Counts::connections`].
+    pub connections_max: u32,
+    /// Connections that were opened in all.
+    pub connections_opened: u32,
+}
+
+#[derive(Debug)]
+struct Shared {
+    counts: Mutex<Counts>,
+    faults: Mutex<VecDeque<Fault>>,
+    always: Mutex<Fault>,
+    work_ms: AtomicU32,
+    release: Notify,
+    released: AtomicBool,
+    dead: Mutex<CancellationToken>,
+    swap: Mutex<Option<Swap>>,
+}
+
+/// A request that waits for another one to exchange answers with.
+#[derive(Debug)]
+struct Swap {
+    echo: Echo,
+    other: oneshot::Sender<Echo>,
+}
+
+/// What an answer says of the request that it belongs to.
+#[derive(Clone, Debug, Default)]
+struct Echo {
+    id: String,
+    attempt: String,
+}
+
+/// A stand-in endpoint.
+#[derive(Clone, Debug)]
+pub struct FakeEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl FakeEndpoint {
+    /// Starts on a port of its own.
+    pub async fn start() -> Self {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0))).await
+    }
+
+    /// Starts at an address, for example that of an endpoint that died.
+    pub async fn start_at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.expect("the port is free");
+        let address = listener.local_addr().expect("a bound listener has one");
+        let endpoint = Self {
+            address,
+            shared: Arc::new(Shared {
+                counts: Mutex::default(),
+                faults: Mutex::default(),
+                always: Mutex::new(Fault::None),
+                work_ms: AtomicU32::new(0),
+                release: Notify::new(),
+                released: AtomicBool::new(false),
+                dead: Mutex::default(),
+                swap: Mutex::default(),
+            }),
+        };
+        tokio::spawn(accept(listener, Arc::clone(&endpoint.shared)));
+        endpoint
+    }
+
+    /// Treats the next requests this way, one after the other.
+    pub fn next(&self, faults: &[Fault]) {
+        lock(&self.shared.faults).extend(faults);
+    }
+
+    /// Treats every request this way from now on.
+    pub fn always(&self, fault: Fault) {
+        *lock(&self.shared.always) = fault;
+    }
+
+    /// Lets each request take this long.
+    pub fn work(&self, span: Duration) {
+        let work_ms = u32::try_from(span.as_millis()).expect("the span is short");
+        self.shared.work_ms.store(work_ms, Ordering::Relaxed);
+    }
+
+    /// Lets all that hang go on, now and later.
+    pub fn release(&self) {
+        self.shared.released.store(true, Ordering::Release);
+        self.shared.release.notify_waiters();
+    }
+
+    /// Dies: stops listening and breaks all connections.
+    pub fn die(&self) {
+        lock(&self.shared.dead).cancel();
+    }
+
+    /// How often a request ran.
+    pub fn ran(&self, id: &str) -> u32 {
+        self.counts(|counts| counts.ran.get(id).copied().unwrap_or_default())
+    }
+
+    /// Looks at the counts.
+    pub fn counts<T>(&self, look: impl FnOnce(&Counts) -> T) -> T {
+        look(&lock(&self.shared.counts))
+    }
+
+    /// Announces itself to an entry again and again, as often as it is asked to.
+    pub fn announce(&self, entry: SocketAddr, first: EndpointAnnouncement) -> Announcer {
+        let announcer = Announcer {
+            current: Arc::new(Mutex::new(first)),
+            accepted: Arc::new(AtomicBool::new(false)),
+        };
+        tokio::spawn(announce(entry, self.clone(), announcer.clone()));
+        announcer
+    }
+}
+
+/// A stand-in's announcements.
+#[derive(Clone, Debug)]
+pub struct Announcer {
+    current: Arc<Mutex<EndpointAnnouncement>>,
+    accepted: Arc<AtomicBool>,
+}
+
+impl Announcer {
+    /// Says from now on that the endpoint is leaving.
+    pub fn leave(&self) {
+        lock(&self.current).leaving = true;
+    }
+
+    /// Whether the last announcement was accepted.
+    pub fn accepted(&self) -> bool {
+        self.accepted.load(Ordering::Acquire)
+    }
+}
+
+async fn announce(entry: SocketAddr, endpoint: FakeEndpoint, announcer: Announcer) {
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let dead = lock(&endpoint.shared.dead).clone();
+    while !dead.is_cancelled() {
+        let body = {
+            let mut current = lock(&announcer.current);
+            current.address = endpoint.address;
+            current.sequence = Sequence(current.sequence.get() + 1);
+            current.slots_used = Slots(endpoint.counts(|counts| counts.running));
+            current.connections_used = Slots(endpoint.counts(|counts| counts.connections));
+            serde_json::to_vec(&*current).expect("an announcement serializes")
+        };
+        let request = Request::post(format!("http://{entry}/v1/endpoints/announce"))
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .expect("the request is well formed");
+        let answer = announced(&client, request).await;
+        let accepted = matches!(answer, Some(EndpointAnswer::Accepted { .. }));
+        announcer.accepted.store(accepted, Ordering::Release);
+        let pause = match answer {
+            Some(EndpointAnswer::Accepted { renew_ms }) => renew_ms.duration(),
+            _ => Duration::from_millis(200),
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn announced(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Option<EndpointAnswer> {
+    let response = client.request(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let dead = lock(&shared.dead).clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = dead.cancelled() => return,
+        };
+        let (stream, _caller) = accepted.expect("the system gives connections");
+        stream.set_nodelay(true).expect("the connection is open");
+        let (shared, dead) = (Arc::clone(&shared), dead.clone());
+        tokio::spawn(async move {
+            open_connection(&shared);
+            tokio::select! {
+                () = connection(stream, &shared) => {}
+                () = dead.cancelled() => {}
+            }
+            lock(&shared.counts).connections -= 1;
+        });
+    }
+}
+
+fn open_connection(shared: &Shared) {
+    let mut counts = lock(&shared.counts);
+    counts.connections += 1;
+    counts.connections_opened += 1;
+    counts.connections_max = counts.connections_max.max(counts.connections);
+}
+
+/// Serves one connection; the faults below HTTP are decided by its first request.
+async fn connection(mut stream: TcpStream, shared: &Arc<Shared>) {
+    let first = lock(&shared.faults).front().copied();
+    let always = *lock(&shared.always);
+    match first.unwrap_or(always) {
+        Fault::CloseBefore => {
+            take_fault(shared);
+        }
+        Fault::CloseDuring => {
+            take_fault(shared);
+            let mut some = [0; 32];
+            let _read = stream.read(&mut some).await;
+        }
+        Fault::Doubled => {
+            take_fault(shared);
+            answer_twice(stream, shared).await;
+        }
+        _ => {
+            let served = Arc::clone(shared);
+            let service = service_fn(move |request| serve(request, Arc::clone(&served)));
+            // A connection that a fault breaks ends with an error.
+            let _ended = Builder::new(TokioExecutor::new())
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        }
+    }
+}
+
+async fn serve(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<Response<AnswerBody>, io::Error> {
+    let mut echo = Echo {
+        id: header(&request, "marjoramknot-request-id"),
+        attempt: header(&request, "marjoramknot-attempt"),
+    };
+    let path = request.uri().to_string();
+    let body = request.into_body().collect().await;
+    let body = body.map_err(io::Error::other)?.to_bytes();
+    let fault = take_fault(&shared);
+    if fault == Fault::Busy {
+        let mut busy = answer(&echo, StatusCode::SERVICE_UNAVAILABLE, whole(Bytes::new()));
+        let outcome = HeaderValue::from_static("not_run");
+        busy.headers_mut().insert("marjoramknot-outcome", outcome);
+        return Ok(busy);
+    }
+    if fault == Fault::Silent {
+        return std::future::pending().await;
+    }
+    let _running = Running::begin(&shared, &echo.id);
+    let work_ms = shared.work_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(work_ms.into())).await;
+    let text = Bytes::from(format!("{path} {}", String::from_utf8_lossy(&body)));
+    match fault {
+        Fault::CloseAfter => return Err(io::ErrorKind::ConnectionAborted.into()),
+        Fault::Die => {
+            lock(&shared.dead).cancel();
+            return std::future::pending().await;
+        }
+        Fault::Hang => hang(&shared).await,
+        Fault::Late(span_ms) => tokio::time::sleep(Duration::from_millis(span_ms)).await,
+        Fault::OutOfOrder => echo = swap(&shared, echo).await,
+        Fault::WrongId => echo.id = "another".into(),
+        Fault::WrongAttempt => echo.attempt = "another".into(),
+        Fault::NoEcho => echo = Echo::default(),
+        _ => {}
+    }
+    let body = match fault {
+        Fault::Truncated => broken(text.len() + 10, text),
+        Fault::Unframed => unframed(text),
+        Fault::Large(bytes) => whole(Bytes::from(vec![b'x'; bytes])),
+        Fault::LargeTruncated(bytes) => broken(bytes, Bytes::from(vec![b'x'; bytes / 2])),
+        _ => whole(text),
+    };
+    let mut answer = answer(&echo, StatusCode::OK, body);
+    if let Fault::LargeTruncated(bytes) = fault {
+        answer.headers_mut().insert("content-length", bytes.into());
+    }
+    if fault == Fault::Unframed {
+        *answer.version_mut() = http::Version::HTTP_10;
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert("connection", close);
+    }
+    Ok(answer)
+}
+
+/// Answers one request twice on its connection, then keeps it open.
+async fn answer_twice(mut stream: TcpStream, shared: &Arc<Shared>) {
+    let mut head = Vec::new();
+    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
+        let mut some = [0; 1024];
+        let read = stream.read(&mut some).await.unwrap_or_default();
+        if read == 0 {
+            return;
+        }
+        head.extend_from_slice(&some[..read]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    let field = |name: &str| {
+        let mut lines = head.lines();
+        let line = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+        line.unwrap_or_default().to_owned()
+    };
+    let (id, attempt) = (
+        field("marjoramknot-request-id"),
+        field("marjoramknot-attempt"),
+    );
+    drop(Running::begin(shared, &id));
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nmarjoramknot-request-id: {id}\r\nmarjoramknot-attempt: {attempt}\r\n\
+         content-length: {}\r\n\r\n{id}",
+        id.len()
+    );
+    // The second answer comes in a segment of its own, when the first has been taken.
+    let _sent = stream.write_all(answer.as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let _sent = stream.write_all(answer.as_bytes()).await;
+    let mut rest = Vec::new();
+    let _read = stream.read_to_end(&mut rest).await;
+}
+
+/// Counts a request while it runs.
+#[derive(Debug)]
+struct Running(Arc<Shared>);
+
+impl Running {
+    fn begin(shared: &Arc<Shared>, id: &str) -> Self {
+        let mut counts = lock(&shared.counts);
+        *counts.ran.entry(id.to_owned()).or_default() += 1;
+        counts.running += 1;
+        counts.running_max = counts.running_max.max(counts.running);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        lock(&self.0.counts).running -= 1;
+    }
+}
+
+async fn hang(shared: &Shared) {
+    let released = shared.release.notified();
+    if !shared.released.load(Ordering::Acquire) {
+        released.await;
+    }
+}
+
+/// Exchanges answers with the next request of its kind.
+async fn swap(shared: &Shared, echo: Echo) -> Echo {
+    let waiting = lock(&shared.swap).take();
+    if let Some(waiting) = waiting {
+        // Where the first has gone away, nobody needs its answer.
+        let _taken = waiting.other.send(echo);
+        return waiting.echo;
+    }
+    let (other, swapped) = oneshot::channel();
+    let waits = Swap {
+        echo: echo.clone(),
+        other,
+    };
+    *lock(&shared.swap) = Some(waits);
+    swapped.await.unwrap_or(echo)
+}
+
+fn take_fault(shared: &Shared) -> Fault {
+    let next = lock(&shared.faults).pop_front();
+    next.unwrap_or(*lock(&shared.always))
+}
+
+fn header(request: &Request<Incoming>, name: &str) -> String {
+    let value = request.headers().get(name);
+    value.map_or_else(String::new, |value| {
+        String::from_utf8_lossy(value.as_bytes()).into_owned()
+    })
+}
+
+fn answer(echo: &Echo, status: StatusCode, body: AnswerBody) -> Response<AnswerBody> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    let mut set = |name: &'static str, value: &str| {
+        if !value.is_empty() {
+            let value = HeaderValue::try_from(value).expect("the echo was a header");
+            headers.insert(name, value);
+        }
+    };
+    set("marjoramknot-request-id", &echo.id);
+    set("marjoramknot-attempt", &echo.attempt);
+    set("content-type", "text/plain");
+    answer
+}
+
+fn whole(bytes: Bytes) -> AnswerBody {
+    let body = Full::new(bytes);
+    body.map_err(|never: Infallible| match never {}).boxed()
+}
+
+/// A body that promises `promised` bytes, gives `bytes` and breaks.
+fn broken(promised: usize, bytes: Bytes) -> AnswerBody {
+    let _ = promised;
+    let frames = vec![
+        Ok(Frame::data(bytes)),
+        Err(io::ErrorKind::ConnectionAborted.into()),
+    ];
+    BodyExt::boxed(StreamBody::new(futures::stream::iter(frames).then(
+        |frame| async move {
+            // The first part goes out before the break.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            frame
+        },
+    )))
+}
+
+fn unframed(bytes: Bytes) -> AnswerBody {
+    let frames = vec![Ok(Frame::data(bytes))];
+    BodyExt::boxed(StreamBody::new(futures::stream::iter(frames)))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/tests/support/forwarding.rs
@@ -0,0 +1,232 @@
+//! One or more entries' forwarders in front of stand-in endpoints, with a ledger in this process.
+
+#![allow(dead_code, reason = "each test file uses its own part of the harness")]
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use marjoramknot::control::{ControlError, EndpointCapacity, EndpointShare};
+use marjoramknot::entry::{CallerRequest, ForwardAnswer, ForwardOptions, Forwarder};
+use marjoramknot::kernel::Clock;
+use marjoramknot::release_note::InForce;
+use marjoramknot::request_ledger::{Ledger, Outcome, RecordState};
+use marjoramknot::router::RouterView;
+use marjoramknot::units::{Incarnation, Millis, Revision, Slots, WallMs};
+
+use crate::fake_endpoint::FakeEndpoint;
+use crate::shares;
+
+/// A stand-in control group: a ledger that can be out of reach or lose its answers.
+#[derive(Debug, Default)]
+pub struct FakeControl {
+    pub ledger: Mutex<Ledger>,
+    /// Added to the ledger's clock.
+    pub skew_ms: AtomicU32,
+    pub unreachable: AtomicBool,
+    /// Commits that take effect although their answers are lost.
+    pub lose_answers: AtomicU32,
+    /// Begins committed.
+    pub begins: AtomicU32,
+    /// Finishes committed, with their states.
+    pub finishes: Mutex<Vec<RecordState>>,
+}
+
+impl FakeControl {
+    pub fn call<T>(&self, apply: impl FnOnce(&mut Ledger, WallMs) -> T) -> Result<T, ControlError> {
+        if self.unreachable.load(Ordering::Acquire) {
+            return Err(ControlError::Unreachable);
+        }
+        let now = WallMs(wall().0 + u64::from(self.skew_ms.load(Ordering::Acquire)));
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        let answer = apply(&mut ledger, now);
+        let lost = self
+            .lose_answers
+            .try_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+                left.checked_sub(1)
+            });
+        if lost.is_ok() {
+            return Err(ControlError::Uncertain);
+        }
+        Ok(answer)
+    }
+
+    /// Restarts the whole control group from what it has on disk.
+    pub fn restart(&self) {
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        let bytes = postcard::to_stdvec(&*ledger).expect("a ledger serializes");
+        *ledger = postcard::from_bytes(&bytes).expect("a ledger deserializes");
+    }
+}
+
+/// An entry's forwarder with its own view.
+#[derive(Debug)]
+pub struct Entry {
+    pub forwarder: Arc<Forwarder>,
+    pub clock: Clock,
+    pub in_force: InForce,
+    pub shares: Vec<EndpointShare>,
+    pub granted_until_ms: Millis,
+}
+
+impl Entry {
+    /// An entry with 8 slots and 64 connections of each endpoint and a grant without end.
+    pub fn new(name: &str, control: &Arc<FakeControl>, endpoints: &[&FakeEndpoint]) -> Self {
+        let clock = Clock::start();
+        let mut in_force = shares::in_force();
+        in_force.revision = Revision(1);
+        let shares = endpoints.iter().enumerate();
+        let entry = Self {
+            forwarder: Forwarder::start(options(name, control, clock)),
+            clock,
+            in_force,
+            shares: shares
+                .map(|(number, endpoint)| share(number, endpoint))
+                .collect(),
+            granted_until_ms: Millis::MAX,
+        };
+        entry.observe();
+        entry
+    }
+
+    /// Gives the forwarder the present view.
+    pub fn observe(&self) {
+        self.forwarder.observe(RouterView {
+            in_force: Arc::new(self.in_force.clone()),
+            shares: Arc::new(self.shares.clone()),
+            granted_until_ms: self.granted_until_ms,
+        });
+    }
+
+    pub fn request(&self, id: &str, within: Duration) -> CallerRequest {
+        CallerRequest {
+            team: "regatta".parse().expect("the team is an id"),
+            service: "booking".parse().expect("the service is an id"),
+            id: id.parse().expect("the request is an id"),
+            idempotent: true,
+            made_ms: None,
+            deadline_ms: self.clock.now().saturating_add(within.into()),
+            method: Method::POST,
+            path: "/ponds/4".into(),
+            content_type: None,
+            body: Bytes::from_static(b"heat 2"),
+        }
+    }
+
+    /// A non-idempotent request whose id was made now.
+    pub fn once(&self, id: &str, within: Duration) -> CallerRequest {
+        CallerRequest {
+            idempotent: false,
+            made_ms: Some(made_ms(id)),
+            ..self.request(id, within)
+        }
+    }
+
+    pub async fn send(&self, request: CallerRequest) -> Told {
+        told(self.forwarder.forward(request).await).await
+    }
+}
+
+/// The time at which an id was made: the same for each resend of a test.
+fn made_ms(_id: &str) -> WallMs {
+    static MADE: std::sync::OnceLock<WallMs> = std::sync::OnceLock::new();
+    *MADE.get_or_init(wall)
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Told {
+    /// A whole body.
+    Whole(u16, String),
+    /// A body that broke off after this many bytes.
+    Broken(usize),
+    /// No answer, with the outcome and its code.
+    Refused(Outcome, &'static str),
+}
+
+pub async fn told(answer: ForwardAnswer) -> Told {
+    match answer {
+        ForwardAnswer::Answered { status, body, .. } => read(status, body).await,
+        ForwardAnswer::Refused(refusal) => Told::Refused(refusal.outcome, refusal.code),
+    }
+}
+
+async fn read(status: StatusCode, mut body: gotham::helpers::http::Body) -> Told {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+            Err(_early) => return Told::Broken(bytes.len()),
+        }
+    }
+    Told::Whole(
+        status.as_u16(),
+        String::from_utf8_lossy(&bytes).into_owned(),
+    )
+}
+
+/// The answer that an endpoint gives to the requests above.
+pub fn whole() -> Told {
+    Told::Whole(200, "/ponds/4 heat 2".into())
+}
+
+fn options(name: &str, control: &Arc<FakeControl>, clock: Clock) -> ForwardOptions {
+    let (begin, finish) = (Arc::clone(control), Arc::clone(control));
+    ForwardOptions::builder()
+        .entry(name.parse().expect("the entry is an id"))
+        .incarnation(Incarnation(1))
+        .clock(clock)
+        .begin(Arc::new(move |request| {
+            let answer = begin.call(|ledger, now| ledger.begin(&request, now));
+            begin.begins.fetch_add(1, Ordering::AcqRel);
+            async { answer }.boxed()
+        }))
+        .finish(Arc::new(move |request| {
+            let answer = finish.call(|ledger, now| ledger.finish(&request, now));
+            if answer.is_ok() {
+                let mut finishes = finish
+                    .finishes
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner);
+                finishes.push(request.state);
+            }
+            async { answer }.boxed()
+        }))
+        .uses(Arc::new(|_uses| {}))
+        .build()
+}
+
+/// A whole share of a stand-in.
+pub fn share(number: usize, endpoint: &FakeEndpoint) -> EndpointShare {
+    let announced = shares::announcement(u16::try_from(number).expect("few endpoints"));
+    EndpointShare {
+        endpoint: announced.endpoint,
+        incarnation: announced.incarnation,
+        address: endpoint.address,
+        service: announced.service,
+        zone: announced.zone,
+        slots: Slots(8),
+        connections: Slots(64),
+        leaving: false,
+        abandoned_seen: EndpointCapacity::default(),
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("not in 10 s: {what}");
+}
+
+pub fn wall() -> WallMs {
+    Clock::start().wall()
+}
