Router: tests of the core, and what they found

The estimate at arrival left out the request's own time and had no margin, so requests were taken that could only be late. It now counts both and leaves a quarter of the deadline; what waits is refused once even the fastest answer of late would miss its deadline. - A leaving endpoint still passed the last check before the first byte. - A request that had lost time to a silent connection could meet a second one: its next attempt takes a new connection. - Uses and the version that an exchange acknowledges now come from the router as one report (Exchange::set_uses). The exchange had named the version that it had received with counts that the router had made under the version before, so the leader could take a share as given back while its slots were in use. A router whose grant ended drops its shares with the report that says so, and starts again only with a new list.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,9 +11,10 @@
 use super::grant::{EntryState, GrantHolder, Taken};
 use super::held_polls::{HeldPolls, Released};
 use super::reports::{Report, Reporter};
-use crate::control::{Client, ControlError, EndpointUse, ExchangeAnswer, ExchangeRequest, Result};
+use crate::control::{Client, ControlError, ExchangeAnswer, ExchangeRequest, Result};
 use crate::fleet::{EndpointAnnouncement, EndpointAnswer, POLL_HOLD_MS, WorkerOrders, WorkerPoll};
 use crate::kernel::Clock;
+use crate::router::UsesReport;
 use crate::units::{EntryId, Incarnation, WorkerId, ZoneId};
 
 /// The shortest time between two exchanges, so that a burst of news is taken together.
@@ -56,7 +57,7 @@
     options: ExchangeOptions,
     holder: Mutex<GrantHolder>,
     state: watch::Sender<EntryState>,
-    uses: Mutex<Vec<EndpointUse>>,
+    uses: Mutex<UsesReport>,
     polls: Arc<HeldPolls>,
     /// Tells the pull loop that the entry begins to leave.
     leave: Notify,
@@ -116,7 +117,10 @@
     }
 
     /// Sets what this entry uses of its shares, for the next exchange.
-    pub fn set_uses(&self, uses: Vec<EndpointUse>) {
+    ///
+    /// The exchange acknowledges the version that these uses were counted under, and no newer one:
+    /// what the router has not taken over yet, it does not obey yet.
+    pub fn set_uses(&self, uses: UsesReport) {
         *self
             .shared
             .uses
@@ -251,8 +255,8 @@
             zone: self.options.zone.clone(),
             sequence: sent.sequence,
             revision: sent.revision,
-            uses: uses.clone(),
-            shares_version: sent.shares_version,
+            uses: uses.uses.clone(),
+            shares_version: uses.shares_version,
             leaving: holder.is_leaving(),
         }
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,19 +5,20 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::endpoint_link::{Connector, Sender, connector};
 use super::forward_request::{CallerRequest, ForwardAnswer};
-use crate::control::{self, EndpointUse};
+use super::grant::EntryState;
+use crate::control;
 use crate::kernel::Clock;
 use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
 use crate::router::{
     AttemptEnd, ConnectionId, EndpointRun, Router, RouterAction, RouterEvent, RouterRefusal,
-    RouterView, SendOrder, Ticket,
+    RouterView, SendOrder, Ticket, UsesReport,
 };
 use crate::units::{EntryId, Incarnation, Millis, Sequence, ServiceName, TeamId};
 
@@ -35,7 +36,7 @@
 pub type FinishFn =
     Arc<dyn Fn(FinishRequest) -> BoxFuture<'static, control::Result<FinishAnswer>> + Send + Sync>;
 /// Takes what the entry uses of its shares.
-pub type UsesFn = Arc<dyn Fn(Vec<EndpointUse>) + Send + Sync>;
+pub type UsesFn = Arc<dyn Fn(UsesReport) + Send + Sync>;
 
 /// What a forwarder needs of the rest of its entry.
 #[derive(bon::Builder, Clone)]
@@ -114,6 +115,23 @@
     /// Takes what the entry knows from the leader.
     pub fn observe(self: &Arc<Self>, view: RouterView) {
         self.handle(RouterEvent::View(view));
+        self.report_uses();
+    }
+
+    /// Takes what the exchange gives until it ends.
+    pub async fn follow(self: Arc<Self>, mut state: watch::Receiver<EntryState>) {
+        loop {
+            let now = state.borrow_and_update().clone();
+            self.observe(RouterView {
+                in_force: now.in_force,
+                shares: now.shares,
+                shares_version: now.shares_version,
+                granted_until_ms: now.grant_until_ms,
+            });
+            if state.changed().await.is_err() {
+                return;
+            }
+        }
     }
 
     /// Forwards one request and waits for its answer.
@@ -161,10 +179,15 @@
         lock(&self.router).requests()
     }
 
-    /// What the entry uses of each endpoint now.
+    /// What the entry uses of its shares now.
     #[must_use]
-    pub fn uses(&self) -> Vec<EndpointUse> {
-        lock(&self.router).uses()
+    pub fn uses(&self) -> UsesReport {
+        let now = self.now();
+        lock(&self.router).report(now)
+    }
+
+    fn report_uses(&self) {
+        (self.options.uses)(self.uses());
     }
 
     pub(super) fn now(&self) -> Millis {
@@ -282,7 +305,7 @@
             let waiting = lock(&self.router).waiting() > 0;
             sleep(if waiting { BUSY_TICK } else { IDLE_TICK }).await;
             self.handle(RouterEvent::Tick);
-            (self.options.uses)(self.uses());
+            self.report_uses();
         }
     }
 }
--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -6,6 +6,9 @@
 /// The shortest time after which it is worth coming again.
 pub(super) const RETRY_AFTER_MIN_MS: Millis = Millis(1_000);
 
+/// The part of a deadline that estimates must leave free, as a divisor: a quarter.
+const DEADLINE_MARGIN: u64 = 4;
+
 impl Router {
     /// What is refused is refused at once, while nothing of it has run.
     pub(super) fn reason_to_refuse(
@@ -29,29 +32,31 @@
         if waiting >= ServiceState::team_max(&request.team, in_force) as usize {
             return Some(RefusalKind::QueueFull);
         }
-        let wait_ms = self.expected_wait(service, request);
-        (now.saturating_add(wait_ms) >= request.deadline_ms).then_some(RefusalKind::WouldBeLate)
+        let left_ms = request.deadline_ms.since(now).get();
+        let usable_ms = left_ms - left_ms / DEADLINE_MARGIN;
+        let time_ms = self.expected_time(service, request);
+        (time_ms.get() >= usable_ms).then_some(RefusalKind::WouldBeLate)
     }
 
-    pub(super) fn expected_wait(&self, service: &ServiceState, request: &QueuedRequest) -> Millis {
+    pub(super) fn expected_time(&self, service: &ServiceState, request: &QueuedRequest) -> Millis {
         let slots = self
             .endpoints
             .values()
             .filter(|state| state.listed && state.share.service == request.service)
             .map(|state| state.share.slots.get())
             .sum();
-        service.expected_wait(&request.team, slots, &self.view.in_force)
+        service.expected_time(&request.team, slots, &self.view.in_force)
     }
 
     /// When the queue before the caller will have passed.
     pub(super) fn retry_after(&self, request: &QueuedRequest) -> Millis {
         let service = self.services.get(&request.service);
-        let wait_ms = service.map_or(Millis::ZERO, |service| self.expected_wait(service, request));
+        let wait_ms = service.map_or(Millis::ZERO, |service| self.expected_time(service, request));
         wait_ms.max(RETRY_AFTER_MIN_MS)
     }
 
     pub(super) fn why_waiting(&self, now: Millis) -> &'static str {
-        if now >= self.view.granted_until_ms {
+        if !self.may_start(now) {
             ", while this entry had no leave of the control group to start work"
         } else if self.view.shares.is_empty() {
             ", while no endpoint took new work"
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use super::admission::RETRY_AFTER_MIN_MS;
 use super::endpoint_state::EndpointState;
@@ -7,9 +8,8 @@
 use super::service_state::ServiceState;
 use super::{
     AttemptEnd, ConnectionId, EndpointRun, QueuedRequest, RefusalKind, RouterAction, RouterEvent,
-    RouterRefusal, RouterView, Ticket, may_start_work,
+    RouterRefusal, RouterView, Ticket, UsesReport, may_start_work,
 };
-use crate::control::EndpointUse;
 use crate::units::{Millis, ServiceName, TeamId};
 
 /// A request that waits or has an attempt in progress.
@@ -20,6 +20,8 @@
     pub(super) tried: Vec<EndpointRun>,
     /// Attempts that may have run.
     attempts: u32,
+    /// Whether a silent connection has cost it time, so that it gets a new one.
+    pub(super) needs_fresh: bool,
     /// The attempt in progress.
     pub(super) sent_ms: Option<Millis>,
     /// Whether its caller was told.
@@ -42,6 +44,8 @@
     trust_since_ms: Millis,
     /// The endpoint run and time of the last silence on a connection that had answered before.
     last_silence: Option<(EndpointRun, Millis)>,
+    /// Whether the shares of the view were dropped with the grant that they came under.
+    dropped: bool,
     /// Where the choice among equal endpoints starts.
     pub(super) rotation: usize,
 }
@@ -86,24 +90,42 @@
         actions
     }
 
-    /// What this entry uses of each endpoint, for its exchange with the leader.
-    #[must_use]
-    pub fn uses(&self) -> Vec<EndpointUse> {
-        self.endpoints
-            .iter()
-            .map(|(run, state)| {
-                let service = self.services.get(&state.share.service);
-                let waiting = service.map_or(0, |service| service.queue.len());
-                state.report(run, u32::try_from(waiting).unwrap_or(u32::MAX))
-            })
-            .collect()
+    /// What this entry uses of its shares, for its exchange with the leader.
+    ///
+    /// A router whose grant has ended drops its shares with the first report that says so: the
+    /// leader may give them to others from then on, so it starts nothing until it is given new ones.
+    pub fn report(&mut self, now: Millis) -> UsesReport {
+        if now >= self.view.granted_until_ms {
+            self.dropped = true;
+        }
+        let uses = self.endpoints.iter().map(|(run, state)| {
+            let service = self.services.get(&state.share.service);
+            let waiting = service.map_or(0, |service| service.queue.len());
+            let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            state.report(run, waiting, !self.dropped)
+        });
+        let uses = uses.collect();
+        let shares_version = if self.dropped {
+            0
+        } else {
+            self.view.shares_version
+        };
+        UsesReport {
+            shares_version,
+            uses,
+        }
+    }
+
+    /// Whether new work may start.
+    pub(super) fn may_start(&self, now: Millis) -> bool {
+        !self.dropped && now < self.view.granted_until_ms
     }
 
     /// Whether an attempt that was ordered may still be sent now.
     #[must_use]
     pub fn may_send(&self, run: &EndpointRun, now: Millis) -> bool {
         let listed = self.endpoints.get(run).is_some_and(|state| state.listed);
-        listed && now < self.view.granted_until_ms
+        listed && self.may_start(now)
     }
 
     /// Whether a team is declared.
@@ -135,6 +157,8 @@
     }
 
     fn take_view(&mut self, view: RouterView, now: Millis, actions: &mut Vec<RouterAction>) {
+        // The same list as before was dropped with its grant; only a new one gives shares again.
+        self.dropped &= Arc::ptr_eq(&self.view.shares, &view.shares);
         for state in self.endpoints.values_mut() {
             state.unlist(now);
         }
@@ -148,7 +172,8 @@
                 .entry(run)
                 .or_insert_with(|| EndpointState::new(share.clone()));
             state.share = share.clone();
-            if may_start_work(&share.endpoint, &share.zone, &view.in_force) {
+            let wanted = may_start_work(&share.endpoint, &share.zone, &view.in_force);
+            if wanted && !share.leaving {
                 state.list();
             }
         }
@@ -175,6 +200,7 @@
             request,
             tried: Vec::new(),
             attempts: 0,
+            needs_fresh: false,
             sent_ms: None,
             gone: false,
         };
@@ -255,6 +281,7 @@
             return;
         }
         state.tried.push(run);
+        state.needs_fresh |= end == AttemptEnd::Silent;
         match end {
             AttemptEnd::Answered { .. } => {
                 let service = self.services.entry(state.request.service.clone());
@@ -328,7 +355,9 @@
     fn tick(&mut self, now: Millis, actions: &mut Vec<RouterAction>) {
         let mut late = Vec::new();
         for service in self.services.values_mut() {
-            late.append(&mut service.queue.take_late(now));
+            // An endpoint could not answer these in time any more.
+            let by_ms = now.saturating_add(service.fastest());
+            late.append(&mut service.queue.take_late(by_ms));
         }
         for ticket in late {
             let state = self.requests.remove(&ticket);
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -12,12 +12,13 @@
     load: u32,
     idempotent: Option<Pick>,
     non_idempotent: Option<Pick>,
+    fresh: Option<Pick>,
 }
 
 impl Router {
     /// Hands requests that wait to endpoints with a free slot, team by team.
     pub(super) fn send_waiting(&mut self, now: Millis, actions: &mut Vec<RouterAction>) {
-        if now >= self.view.granted_until_ms {
+        if !self.may_start(now) {
             return;
         }
         let waits = |name: &ServiceName, router: &Self| router.services[name].queue.len() > 0;
@@ -145,11 +146,14 @@
             load: used / state.share.slots.get().max(1),
             idempotent,
             non_idempotent,
+            fresh: state.pick_fresh(now),
         })
     }
 
-    const fn pick(&self, idempotent: bool) -> Option<Pick> {
-        if idempotent {
+    const fn pick(&self, state: &RequestState) -> Option<Pick> {
+        if state.needs_fresh {
+            self.fresh
+        } else if state.request.idempotent {
             self.idempotent
         } else {
             self.non_idempotent
@@ -163,7 +167,7 @@
         .iter()
         .enumerate()
         .filter_map(|(index, candidate)| {
-            let pick = candidate.pick(state.request.idempotent)?;
+            let pick = candidate.pick(state)?;
             let tried = state.tried.contains(&candidate.run);
             Some(((tried, candidate.load), index, pick))
         });
--- a/src/router/endpoint_state.rs
+++ b/src/router/endpoint_state.rs
@@ -101,18 +101,26 @@
         !self.listed && !open && (taken_over || long_ago)
     }
 
+    /// Whether it could take one more request now.
+    fn has_slot(&self, now: Millis) -> bool {
+        let tried = self.on_trial && !self.in_use.is_empty();
+        let free_slot = self.slots_used() < self.share.slots.get();
+        self.listed && free_slot && !tried && now >= self.rests_until_ms
+    }
+
     /// How it could take one more request now.
     pub(super) fn pick(&self, idempotent: bool, now: Millis) -> Option<Pick> {
-        let free_slot = self.slots_used() < self.share.slots.get();
-        let tried = self.on_trial && !self.in_use.is_empty();
-        if !self.listed || self.share.leaving || !free_slot || tried || now < self.rests_until_ms {
+        if !self.has_slot(now) {
             return None;
         }
-        if let Some(connection) = self.best_idle(idempotent, now) {
-            return Some(Pick::Idle(connection));
-        }
+        let idle = self.best_idle(idempotent, now).map(Pick::Idle);
+        idle.or_else(|| self.pick_fresh(now))
+    }
+
+    /// The same, on a new connection.
+    pub(super) fn pick_fresh(&self, now: Millis) -> Option<Pick> {
         let room = self.connections_used() < self.share.connections.get();
-        room.then_some(Pick::Fresh)
+        (self.has_slot(now) && room).then_some(Pick::Fresh)
     }
 
     /// The idle connection that answered last, which is the least likely to have gone silent.
@@ -191,7 +199,7 @@
     /// Takes out the idle connections that are too old, doubtful or more than the share allows.
     pub(super) fn take_stale(&mut self, answered_before: Millis, now: Millis) -> Vec<ConnectionId> {
         self.settling.retain(|until_ms| *until_ms > now);
-        let unlisted = !self.listed || self.share.leaving;
+        let unlisted = !self.listed;
         let mut stale: Vec<ConnectionId> = self
             .idle
             .iter()
@@ -213,8 +221,8 @@
         stale
     }
 
-    pub(super) fn report(&self, run: &EndpointRun, waiting: u32) -> EndpointUse {
-        let held = if self.listed {
+    pub(super) fn report(&self, run: &EndpointRun, waiting: u32, holds: bool) -> EndpointUse {
+        let held = if self.listed && holds {
             EndpointCapacity {
                 slots: self.share.slots,
                 connections: self.share.connections,
--- a/src/router/event.rs
+++ b/src/router/event.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 use smol_str::SmolStr;
 
-use crate::control::EndpointShare;
+use crate::control::{EndpointShare, EndpointUse};
 use crate::release_note::InForce;
 use crate::units::{EndpointId, Incarnation, Millis, ServiceName, TeamId};
 
@@ -32,10 +32,21 @@
     pub in_force: Arc<InForce>,
     /// The entry's shares of endpoints.
     pub shares: Arc<Vec<EndpointShare>>,
+    /// The version of the shares.
+    pub shares_version: u64,
     /// Until when new work may start, on the entry's clock.
     pub granted_until_ms: Millis,
 }
 
+/// What an entry tells the leader of its shares.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct UsesReport {
+    /// The version of the shares that the router obeyed when it counted; 0 once it dropped them.
+    pub shares_version: u64,
+    /// What it uses of each endpoint.
+    pub uses: Vec<EndpointUse>,
+}
+
 /// A request that wants an endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct QueuedRequest {
--- a/src/router/fair_queue.rs
+++ b/src/router/fair_queue.rs
@@ -109,12 +109,12 @@
         self.drop_if_empty(team);
     }
 
-    /// Removes and gives the requests whose deadline has passed.
-    pub(super) fn take_late(&mut self, now_ms: Millis) -> Vec<Ticket> {
+    /// Removes and gives the requests whose deadline passes before `by_ms`.
+    pub(super) fn take_late(&mut self, by_ms: Millis) -> Vec<Ticket> {
         let mut late = Vec::new();
         for queue in self.teams.values_mut() {
             queue.waiters.retain(|waiter| {
-                let is_late = waiter.deadline_ms <= now_ms;
+                let is_late = waiter.deadline_ms <= by_ms;
                 if is_late {
                     late.push(waiter.ticket);
                 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,7 +21,7 @@
 pub use acceptance::{Acceptance, accept, may_start_work};
 pub use event::{
     AttemptEnd, ConnectionId, EndpointRun, QueuedRequest, RefusalKind, RouterAction, RouterEvent,
-    RouterRefusal, RouterView, SendOrder, Ticket,
+    RouterRefusal, RouterView, SendOrder, Ticket, UsesReport,
 };
 pub use limits::{
     ANSWER_FIRST_MS, ANSWER_MAX_MS, ANSWER_MIN_MS, ATTEMPTS_MAX, IDLE_MAX_MS, JUST_ANSWERED_MS,
--- a/src/router/service_state.rs
+++ b/src/router/service_state.rs
@@ -9,6 +9,9 @@
 /// Weight of one new answer time in the running mean: an eighth.
 const MEAN_SHIFT: u32 = 3;
 
+/// Rise of the shortest time with each answer: a 64th.
+const FLOOR_SHIFT: u32 = 6;
+
 /// What a router knows of one service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceState {
@@ -16,12 +19,16 @@
     pub(super) budget: RetryBudget,
     /// The running mean of the time that an attempt holds its slot, in microseconds.
     mean_us: Option<u64>,
+    /// The shortest of late: each answer raises it by a part, a faster one lowers it at once.
+    floor_us: u64,
 }
 
 impl ServiceState {
     pub(super) fn observe_answer(&mut self, took: Millis) {
         let took_us = took.get().saturating_mul(1_000);
         let mean_us = self.mean_us.unwrap_or(took_us);
+        let raised = self.floor_us + (self.floor_us >> FLOOR_SHIFT) + 1;
+        self.floor_us = raised.min(took_us);
         self.mean_us = Some(mean_us - (mean_us >> MEAN_SHIFT) + (took_us >> MEAN_SHIFT));
     }
 
@@ -33,8 +40,23 @@
         })
     }
 
+    /// No answer of late came faster than this.
+    pub(super) const fn fastest(&self) -> Millis {
+        Millis(self.floor_us / 1_000)
+    }
+
+    /// How long a further request of `team` would take, where others wait for one of `slots`.
+    pub(super) fn expected_time(&self, team: &TeamId, slots: u32, in_force: &InForce) -> Millis {
+        if self.queue.len() == 0 {
+            return Millis::ZERO;
+        }
+        let mean_ms = Millis(self.mean_us.unwrap_or_default() / 1_000);
+        let wait_ms = self.expected_wait(team, slots, in_force);
+        wait_ms.saturating_add(mean_ms)
+    }
+
     /// How long a further request of `team` would wait for one of `slots`.
-    pub(super) fn expected_wait(&self, team: &TeamId, slots: u32, in_force: &InForce) -> Millis {
+    fn expected_wait(&self, team: &TeamId, slots: u32, in_force: &InForce) -> Millis {
         let Some(mean_us) = self.mean_us else {
             return Millis::ZERO;
         };
--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -37,7 +37,7 @@
 /// is handed out when every grant of an earlier leader has ended and the endpoint shows it free.
 ///
 /// An entry whose grant ends drops its shares and names version 0 from then on: another entry may
-/// hold them by the time it is heard again.
+/// hold them by the time it is heard again. No version that is given out is 0, so it gets them anew.
 #[derive(Clone, Debug, Default)]
 pub struct ShareBook {
     /// When every grant of an earlier leader has ended.
@@ -107,7 +107,7 @@
         if request.shares_version > record.version {
             record.version = request.shares_version.saturating_add(1);
         }
-        if is_new && settled {
+        if is_new && (settled || request.shares_version == 0) {
             record.frozen = false;
             record.version = request.shares_version.saturating_add(1);
         }
--- a/tests/request_once.rs
+++ b/tests/request_once.rs
@@ -319,6 +319,7 @@
         let view = marjoramknot::router::RouterView {
             in_force: Arc::new(entry.in_force.clone()),
             shares: Arc::new(entry.shares.clone()),
+            shares_version: 1,
             granted_until_ms: Millis::ZERO,
         };
         entry.forwarder.observe(view);
--- /dev/null
+++ b/tests/router_overload.rs
@@ -0,0 +1,232 @@
+//! Queues under overload: shares by team, early and true refusals, bounded retries, recovery.
+
+#[path = "support/router_sim.rs"]
+mod router_sim;
+#[path = "support/shares.rs"]
+mod shares;
+
+use std::collections::BTreeMap;
+
+use marjoramknot::router::{
+    ATTEMPTS_MAX, AttemptEnd, QUEUE_MAX, RETRY_BURST, RefusalKind, RouterEvent, SendOrder,
+};
+use marjoramknot::units::Millis;
+use router_sim::Sim;
+
+const SERVICE_MS: u64 = 100;
+const SLOTS: u32 = 40;
+const CAPACITY_PER_S: u64 = SLOTS as u64 * 1_000 / SERVICE_MS;
+
+/// Runs a load in virtual time: every endpoint takes [`SERVICE_MS`] for each request.
+struct Load {
+    sim: Sim,
+    running: Vec<(u64, SendOrder)>,
+    done: BTreeMap<String, u64>,
+    /// Answers that came behind the deadline of their caller.
+    late: u64,
+    deadlines: BTreeMap<u64, u64>,
+    waiting_max: usize,
+    known_max: usize,
+}
+
+impl Load {
+    fn new() -> Self {
+        Self {
+            sim: Sim::new(10, SLOTS / 10),
+            running: Vec::new(),
+            done: BTreeMap::new(),
+            late: 0,
+            deadlines: BTreeMap::new(),
+            waiting_max: 0,
+            known_max: 0,
+        }
+    }
+
+    /// Each millisecond `per_s / 1000` requests arrive, by turns of the teams in `teams`.
+    fn run(&mut self, span: u64, per_s: u64, teams: &[&str], within: u64) {
+        let mut owed = 0;
+        let mut turn = 0;
+        for _ in 0..span {
+            owed += per_s;
+            while owed >= 1_000 {
+                owed -= 1_000;
+                let ticket = self.sim.arrive(teams[turn % teams.len()], true, within);
+                self.deadlines.insert(ticket.0, self.sim.now.get() + within);
+                turn += 1;
+            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.sim.now = self.sim.now.saturating_add(Millis(1));
+        let now = self.sim.now.get();
+        for order in self.sim.sent.drain(..) {
+            self.running.push((now + SERVICE_MS - 1, order));
+        }
+        let (ended, running) = self.running.drain(..).partition(|(end, _)| *end <= now);
+        self.running = running;
+        let ended: Vec<(u64, SendOrder)> = ended;
+        for (_, order) in ended {
+            self.sim
+                .end_order(&order, AttemptEnd::Answered { reusable: true });
+            let team = self.sim.teams[&order.ticket].clone();
+            *self.done.entry(team).or_default() += 1;
+            let deadline = self.deadlines[&order.ticket.0];
+            self.late += u64::from(now > deadline);
+        }
+        if now.is_multiple_of(20) {
+            self.sim.handle(RouterEvent::Tick);
+        }
+        self.waiting_max = self.waiting_max.max(self.sim.router.waiting());
+        self.known_max = self.known_max.max(self.sim.router.requests());
+    }
+
+    fn done(&self) -> u64 {
+        self.done.values().sum()
+    }
+}
+
+#[test]
+fn ten_times_capacity() {
+    let mut load = Load::new();
+    load.run(20_000, CAPACITY_PER_S * 10, &["regatta", "judges"], 2_000);
+    let goodput = load.done() - load.late;
+    let capacity = CAPACITY_PER_S * 20;
+    assert!(
+        goodput * 10 >= capacity * 9,
+        "{goodput} of {capacity} in time"
+    );
+    assert!(load.waiting_max <= QUEUE_MAX as usize);
+    assert!(load.known_max <= (QUEUE_MAX + SLOTS) as usize);
+    // Weights are 3 to 1.
+    let ratio = load.done["regatta"] as f64 / load.done["judges"] as f64;
+    assert!((2.7..=3.3).contains(&ratio), "{ratio}");
+    assert!(
+        load.sim
+            .refused
+            .iter()
+            .all(|(_, refusal)| !refusal.may_have_run)
+    );
+    // Almost nobody is told only when it is too late.
+    let late = load
+        .sim
+        .refused
+        .iter()
+        .filter(|(_, refusal)| matches!(refusal.kind, RefusalKind::DeadlinePassed(_)));
+    assert!(late.count() * 100 <= load.sim.refused.len());
+}
+
+#[test]
+fn recovers_at_once() {
+    let mut load = Load::new();
+    load.run(5_000, CAPACITY_PER_S * 10, &["regatta", "judges"], 2_000);
+    // What was taken may still wait for its whole deadline.
+    load.run(2_000, CAPACITY_PER_S / 2, &["regatta", "judges"], 2_000);
+    let refused = load.sim.refused.len();
+    load.run(5_000, CAPACITY_PER_S / 2, &["regatta", "judges"], 2_000);
+    assert_eq!(
+        load.sim.refused.len(),
+        refused,
+        "nothing is refused any more"
+    );
+    assert!(load.sim.router.waiting() <= 1);
+}
+
+#[test]
+fn quiet_team_is_served() {
+    let mut load = Load::new();
+    load.run(2_000, CAPACITY_PER_S * 10, &["regatta"], 2_000);
+    let flood = load.sim.refused.len();
+    assert!(flood > 0);
+    let ticket = load.sim.arrive("judges", true, 2_000);
+    load.deadlines.insert(ticket.0, load.sim.now.get() + 2_000);
+    load.run(SERVICE_MS * 4, CAPACITY_PER_S * 10, &["regatta"], 2_000);
+    assert_eq!(
+        load.done["judges"], 1,
+        "it is behind four requests of the others at most"
+    );
+}
+
+#[test]
+fn full_queue() {
+    let mut sim = Sim::new(0, 0);
+    let mut taken = 0;
+    while sim.refused.is_empty() {
+        sim.arrive("judges", true, 60_000);
+        taken += 1;
+    }
+    // One of four parts of the weights.
+    assert_eq!(taken - 1, QUEUE_MAX / 4);
+    assert_eq!(*sim.last_refusal(), RefusalKind::QueueFull);
+    sim.arrive("regatta", true, 60_000);
+    assert_eq!(sim.refused.len(), 1, "the other team has its own part");
+    sim.pass(60_000);
+    assert_eq!(sim.router.requests(), 0, "all are told at their deadline");
+}
+
+#[test]
+fn deadline_while_queued() {
+    let mut sim = Sim::new(1, 1);
+    sim.arrive("judges", true, 60_000);
+    let late = sim.arrive("judges", true, 500);
+    sim.pass(500);
+    assert_eq!(sim.refused.len(), 1);
+    let (ticket, refusal) = &sim.refused[0];
+    assert_eq!((*ticket, refusal.may_have_run), (late, false));
+    assert_eq!(
+        refusal.kind.to_string(),
+        "the deadline passed before an endpoint was free"
+    );
+}
+
+#[test]
+fn retry_storm() {
+    let mut sim = Sim::new(50, 8);
+    let mut attempts = 0;
+    let requests = 1_000;
+    for _ in 0..requests {
+        sim.arrive("regatta", true, 60_000);
+        while !sim.sent.is_empty() {
+            attempts += 1;
+            sim.end(AttemptEnd::Broken);
+        }
+        sim.pass(100);
+    }
+    let retries_max = RETRY_BURST + requests / 10;
+    assert!(attempts <= requests + retries_max, "{attempts} attempts");
+    assert!(
+        sim.refused
+            .iter()
+            .all(|(_, refusal)| refusal.may_have_run || refusal.kind != RefusalKind::AttemptFailed)
+    );
+}
+
+#[test]
+fn attempts_of_one() {
+    let mut sim = Sim::new(50, 8);
+    sim.arrive("regatta", true, 60_000);
+    let mut attempts = 0;
+    while !sim.sent.is_empty() {
+        attempts += 1;
+        sim.end(AttemptEnd::Broken);
+    }
+    assert_eq!(attempts, ATTEMPTS_MAX);
+    assert_eq!(*sim.last_refusal(), RefusalKind::AttemptFailed);
+}
+
+#[test]
+fn asked_again_later() {
+    let mut sim = Sim::new(1, 1);
+    let ticket = sim.arrive("regatta", false, 60_000);
+    sim.end(AttemptEnd::Unused { reusable: true });
+    let not_before_ms = sim.now.saturating_add(Millis(100));
+    sim.handle(RouterEvent::Again {
+        ticket,
+        not_before_ms,
+    });
+    sim.pass(99);
+    assert_eq!(sim.sent.len(), 0);
+    sim.pass(1);
+    assert_eq!(sim.sent[0].ticket, ticket);
+}
--- a/tests/support/forwarding.rs
+++ b/tests/support/forwarding.rs
@@ -98,6 +98,7 @@
         self.forwarder.observe(RouterView {
             in_force: Arc::new(self.in_force.clone()),
             shares: Arc::new(self.shares.clone()),
+            shares_version: 1,
             granted_until_ms: self.granted_until_ms,
         });
     }
--- /dev/null
+++ b/tests/support/router_sim.rs
@@ -0,0 +1,144 @@
+//! A router with stand-in endpoints in virtual time: each runs its requests for a given time.
+
+#![allow(
+    dead_code,
+    reason = "each test file uses its own part of the simulation"
+)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use marjoramknot::control::{EndpointCapacity, EndpointShare};
+use marjoramknot::release_note::InForce;
+use marjoramknot::router::{
+    AttemptEnd, ConnectionId, EndpointRun, QueuedRequest, RefusalKind, Router, RouterAction,
+    RouterEvent, RouterRefusal, RouterView, SendOrder, Ticket,
+};
+use marjoramknot::units::{Millis, Revision, Slots};
+
+use crate::shares;
+
+/// A router, its clock and what it asked for.
+pub struct Sim {
+    pub router: Router,
+    pub now: Millis,
+    pub in_force: InForce,
+    pub shares: Arc<Vec<EndpointShare>>,
+    pub granted_until_ms: Millis,
+    /// Orders that have not ended.
+    pub sent: Vec<SendOrder>,
+    pub refused: Vec<(Ticket, RouterRefusal)>,
+    pub closed: Vec<ConnectionId>,
+    pub teams: BTreeMap<Ticket, String>,
+    last_ticket: u64,
+}
+
+impl Sim {
+    /// A router with a grant without end and `slots` of each of some endpoints.
+    pub fn new(endpoints: u16, slots: u32) -> Self {
+        let mut in_force = shares::in_force();
+        in_force.revision = Revision(1);
+        let shares = (0..endpoints).map(|number| share(number, slots)).collect();
+        let mut sim = Self {
+            router: Router::new(),
+            now: Millis(1_000),
+            in_force,
+            shares: Arc::new(shares),
+            granted_until_ms: Millis::MAX,
+            sent: Vec::new(),
+            refused: Vec::new(),
+            closed: Vec::new(),
+            teams: BTreeMap::new(),
+            last_ticket: 0,
+        };
+        sim.observe();
+        sim
+    }
+
+    pub fn observe(&mut self) {
+        self.handle(RouterEvent::View(RouterView {
+            in_force: Arc::new(self.in_force.clone()),
+            shares: Arc::clone(&self.shares),
+            shares_version: 5,
+            granted_until_ms: self.granted_until_ms,
+        }));
+    }
+
+    pub fn handle(&mut self, event: RouterEvent) {
+        for action in self.router.handle(event, self.now) {
+            match action {
+                RouterAction::Send(order) => self.sent.push(order),
+                RouterAction::Refuse { ticket, refusal } => self.refused.push((ticket, refusal)),
+                RouterAction::Close { connection, .. } => self.closed.push(connection),
+            }
+        }
+    }
+
+    pub fn arrive(&mut self, team: &str, idempotent: bool, within: u64) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket(self.last_ticket);
+        self.teams.insert(ticket, team.to_owned());
+        let request = QueuedRequest {
+            team: team.parse().expect("the team is an id"),
+            service: "booking".parse().expect("the service is an id"),
+            idempotent,
+            deadline_ms: self.now.saturating_add(Millis(within)),
+        };
+        self.handle(RouterEvent::Arrived { ticket, request });
+        ticket
+    }
+
+    /// Ends the oldest attempt in progress.
+    pub fn end(&mut self, end: AttemptEnd) -> SendOrder {
+        let order = self.sent.remove(0);
+        self.end_order(&order, end);
+        order
+    }
+
+    pub fn end_order(&mut self, order: &SendOrder, end: AttemptEnd) {
+        self.handle(RouterEvent::Ended {
+            ticket: order.ticket,
+            run: order.run.clone(),
+            connection: order.connection,
+            end,
+        });
+    }
+
+    pub fn answer(&mut self) -> SendOrder {
+        self.end(AttemptEnd::Answered { reusable: true })
+    }
+
+    pub fn pass(&mut self, span: u64) {
+        self.now = self.now.saturating_add(Millis(span));
+        self.handle(RouterEvent::Tick);
+    }
+
+    pub fn last_refusal(&self) -> &RefusalKind {
+        &self.refused.last().expect("a request was refused").1.kind
+    }
+}
+
+/// A share of endpoint `booking-N`.
+pub fn share(number: u16, slots: u32) -> EndpointShare {
+    let announced = shares::announcement(number);
+    EndpointShare {
+        endpoint: announced.endpoint,
+        incarnation: announced.incarnation,
+        address: announced.address,
+        service: announced.service,
+        zone: announced.zone,
+        slots: Slots(slots),
+        connections: Slots(slots * 8),
+        leaving: false,
+        abandoned_seen: EndpointCapacity::default(),
+    }
+}
+
+/// The run of endpoint `booking-N` in the shares above.
+pub fn run(number: u16) -> EndpointRun {
+    let announced = shares::announcement(number);
+    EndpointRun {
+        endpoint: announced.endpoint,
+        incarnation: announced.incarnation,
+    }
+}
