--- a/tests/router_overload.rs
+++ b/tests/router_overload.rs
@@ -100,8 +100,8 @@
     assert!(load.waiting_max <= QUEUE_MAX as usize);
     assert!(load.known_max <= (QUEUE_MAX + SLOTS) as usize);
     // Weights are 3 to 1.
-    let ratio = load.done["regatta"] as f64 / load.done["judges"] as f64;
-    assert!((2.7..=3.3).contains(&ratio), "{ratio}");
+    let thousandths = load.done["regatta"] * 1_000 / load.done["judges"];
+    assert!((2_700..=3_300).contains(&thousandths), "{thousandths}");
     assert!(
         load.sim
             .refused
