--- /dev/null
+++ b/tests/support/http_endpoint.rs
@@ -0,0 +1,104 @@
+//! An endpoint of a service that answers over HTTP and announces itself to entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use futures::FutureExt;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::state::{FromState, State};
+use http::{HeaderMap, Method, StatusCode};
+use marjoramknot::entry::{Answering, Listener, ListenerHandle, read_body, route, text_answer};
+use marjoramknot::fleet::EndpointAnnouncement;
+use marjoramknot::settings::ListenerSettings;
+use marjoramknot::units::{Incarnation, Sequence, Slots};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::http::Http;
+
+/// Headers by which an answer is matched to its request.
+const ECHOED: [&str; 2] = ["marjoramknot-request-id", "marjoramknot-attempt"];
+/// Time between two announcements.
+const ANNOUNCE_EVERY: Duration = Duration::from_secs(1);
+
+/// A running endpoint.
+pub struct HttpEndpoint {
+    pub address: SocketAddr,
+    pub name: &'static str,
+    /// Requests that truly ran.
+    pub ran: Arc<AtomicU32>,
+    _listener: ListenerHandle,
+}
+
+struct Work {
+    ran: Arc<AtomicU32>,
+}
+
+impl HttpEndpoint {
+    /// Listens on a free port.
+    pub async fn start(name: &'static str) -> Self {
+        let settings = ListenerSettings::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = Listener::bind("endpoint", settings).await;
+        let listener = listener.expect("a free port is bound");
+        let ran = Arc::new(AtomicU32::new(0));
+        let work = Arc::new(Work {
+            ran: Arc::clone(&ran),
+        });
+        let router = build_simple_router(|builder| {
+            builder.post("/bookings").to_new_handler(route(&work, book));
+        });
+        let address = listener.address();
+        let listener = listener.serve(router, &CancellationToken::new());
+        Self {
+            address,
+            name,
+            ran,
+            _listener: listener,
+        }
+    }
+
+    /// Announces itself to the entries in turn until the task is dropped.
+    pub async fn announce(&self, service: &str, zone: &str, entries: Vec<SocketAddr>) {
+        let http = Http::default();
+        let mut announcement = EndpointAnnouncement {
+            endpoint: self.name.parse().expect("the name is an id"),
+            service: service.parse().expect("the name is an id"),
+            zone: zone.parse().expect("the name is an id"),
+            address: self.address,
+            incarnation: Incarnation(1),
+            sequence: Sequence::ZERO,
+            slots: Slots(8),
+            connections: Slots(64),
+            slots_used: Slots::ZERO,
+            connections_used: Slots::ZERO,
+            leaving: false,
+        };
+        for entry in entries.iter().cycle() {
+            announcement.sequence = announcement.sequence.next();
+            let body = serde_json::to_vec(&announcement).expect("an announcement is JSON");
+            let path = "/v1/endpoints/announce";
+            // A lost announcement is followed by the next.
+            let _answer = http.send(Method::POST, *entry, path, &[], body).await;
+            sleep(ANNOUNCE_EVERY).await;
+        }
+    }
+}
+
+fn book<'a>(work: &'a Work, state: &'a mut State) -> Answering<'a> {
+    async {
+        let headers = HeaderMap::borrow_from(state).clone();
+        let body = read_body(state).await?;
+        let count = work.ran.fetch_add(1, Ordering::Relaxed) + 1;
+        let text = format!("booking {count}: {}", String::from_utf8_lossy(&body));
+        let mut answer = text_answer(StatusCode::OK, text);
+        for name in ECHOED {
+            if let Some(value) = headers.get(name) {
+                answer.headers_mut().insert(name, value.clone());
+            }
+        }
+        Ok(answer)
+    }
+    .boxed()
+}
