--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,206 @@
+//! Three control replicas, an entry, a stand-in endpoint and two stand-in workers in one process,
+//! through the same kernel as the programs: a release note, a request and a gang of 2 x 8.
+//!
+//! Run it with `cargo run --release --example quickstart`.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use marjoramknot::cli::run_ctl;
+use marjoramknot::fleet::WorkerCapacity;
+use marjoramknot::telemetry::start_metrics;
+use marjoramknot::units::{Accelerators, Cores, MemoryMb, Millis};
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use fake_worker::{FakeWorker, Faults, Spec};
+use http_client::Http;
+use http_endpoint::HttpEndpoint;
+use http_worker::run_worker;
+use in_process::InProcess;
+
+#[expect(dead_code, reason = "tests use the rest")]
+#[path = "../tests/support/fake_worker.rs"]
+mod fake_worker;
+#[path = "../tests/support/http_client.rs"]
+mod http_client;
+#[expect(dead_code, reason = "tests use the rest")]
+#[path = "../tests/support/http_endpoint.rs"]
+mod http_endpoint;
+#[path = "../tests/support/http_worker.rs"]
+mod http_worker;
+#[path = "../tests/support/in_process.rs"]
+mod in_process;
+#[path = "../tests/support/ports.rs"]
+mod ports;
+
+type Done = Result<(), Box<dyn Error>>;
+
+const NOTE: &str = r#"
+version = 1
+
+[[added.teams]]
+name = "judges"
+
+[[added.guarantees]]
+team = "judges"
+cells = [{ count = 2, accelerators = 8, adjacency = "rack" }]
+
+[[added.zones]]
+name = "Senec"
+racks = [{ name = "senec-1", workers = 2, accelerators = 8, cores = 32, memory_mb = 65536 }]
+
+[[added.services]]
+name = "booking"
+
+[[added.endpoints]]
+name = "booking-runners"
+prefix = "booking-"
+service = "booking"
+slots_max = 8
+connections_max = 64
+"#;
+
+/// Longest wait for the small deployment to get ready.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+#[tokio::main]
+async fn main() -> Done {
+    println!(
+        "1. Three control replicas and an entry start; each finds the others by its settings."
+    );
+    let deployment = InProcess::start(3, "Senec", &start_metrics()?).await;
+    let http = Http::default();
+    wait_for(&http, deployment.callers, "/health/ready", "ready\":true").await?;
+    println!("   The entry holds a grant: its health check is green.\n");
+
+    apply_note(deployment.operators).await?;
+
+    println!("3. Two workers and an endpoint announce themselves over HTTP.");
+    let mut fleet = JoinSet::new();
+    for name in ["senec-a", "senec-b"] {
+        fleet.spawn(run_worker(worker(name)?, vec![deployment.fleet]));
+    }
+    let endpoint = HttpEndpoint::start("booking-a").await;
+    let entries = vec![deployment.fleet];
+    fleet.spawn(async move { endpoint.announce("booking", "Senec", entries).await });
+    wait_for(&http, deployment.operators, "/v1/status", "senec-b").await?;
+    wait_for(&http, deployment.operators, "/v1/status", "booking-a").await?;
+    operator(deployment.operators, "workers").await;
+    operator(deployment.operators, "endpoints").await;
+
+    send_request(&http, deployment.callers).await?;
+    run_gang(&http, deployment.callers).await?;
+    operator(deployment.operators, "jobs list --all").await;
+
+    println!(
+        "6. Planned stop: the health check turns red, what is in progress ends, leadership is"
+    );
+    println!("   handed over.");
+    fleet.shutdown().await;
+    deployment.stop().await;
+    println!("   Stopped.");
+    Ok(())
+}
+
+async fn apply_note(operators: SocketAddr) -> Done {
+    println!("2. An operator applies a release note and waits until it is in force.");
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("note.toml");
+    std::fs::write(&path, NOTE)?;
+    let line = format!("release-note apply --wait {}", path.display());
+    println!("   $ marjoramctl release-note apply --wait note.toml");
+    print_indented(&ctl(operators, &line).await);
+    operator(operators, "teams").await;
+    Ok(())
+}
+
+async fn send_request(http: &Http, callers: SocketAddr) -> Done {
+    println!("4. A caller's request goes to the endpoint and back.");
+    let headers = [
+        ("marjoramknot-team", "judges"),
+        ("marjoramknot-request-id", "slot-1"),
+        ("marjoramknot-idempotent", "true"),
+    ];
+    let path = "/v1/services/booking/bookings";
+    let (status, body) = http
+        .send(Method::POST, callers, path, &headers, "Piešťany at nine")
+        .await?;
+    println!("   POST {path}\n   {status}: {body}\n");
+    Ok(())
+}
+
+async fn run_gang(http: &Http, callers: SocketAddr) -> Done {
+    println!(
+        "5. A gang of 2 tasks x 8 accelerators: submitted, prepared on both workers, started."
+    );
+    let job = json!({
+        "key": { "team": "judges", "id": "heat-7" },
+        "class": "re-score",
+        "tasks": 2,
+        "accelerators": 8,
+        "cores": 16,
+        "memory_mb": 32_768,
+        "adjacency": "rack",
+        "idempotent": true,
+        "declared_run_ms": 500,
+        "payload": "500",
+    });
+    let (status, body) = http
+        .send(Method::POST, callers, "/v1/jobs", &[], job.to_string())
+        .await?;
+    println!("   POST /v1/jobs\n   {status}: {body}");
+    let path = "/v1/jobs/judges/heat-7?wait_ms=20000";
+    let (status, body) = http.send(Method::GET, callers, path, &[], "").await?;
+    let view: Value = serde_json::from_str(&body)?;
+    println!("   GET {path}\n   {status}: {}\n", view["outcome"]);
+    Ok(())
+}
+
+fn worker(name: &str) -> Result<FakeWorker, Box<dyn Error>> {
+    Ok(FakeWorker::new(Spec {
+        worker: name.parse()?,
+        zone: "Senec".parse()?,
+        rack: "senec-1".parse()?,
+        capacity: WorkerCapacity {
+            accelerators: Accelerators(8),
+            cores: Cores(32),
+            memory_mb: MemoryMb(65_536),
+        },
+        faults: Faults::default(),
+        run_ms: |payload| payload.parse().ok().map(Millis),
+    }))
+}
+
+async fn wait_for(http: &Http, address: SocketAddr, path: &str, text: &str) -> Done {
+    let since = Instant::now();
+    while since.elapsed() < READY_WITHIN {
+        let answer = http.send(Method::GET, address, path, &[], "").await;
+        if answer.is_ok_and(|(_status, body)| body.contains(text)) {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Err(format!("{path} did not show {text} in time").into())
+}
+
+async fn operator(operators: SocketAddr, command: &str) {
+    println!("   $ marjoramctl {command}");
+    print_indented(&ctl(operators, command).await);
+}
+
+async fn ctl(operators: SocketAddr, command: &str) -> String {
+    let line = format!("--entry {operators} {command}");
+    let args: Vec<_> = line.split_whitespace().map(str::to_owned).collect();
+    run_ctl(&args).await.text
+}
+
+fn print_indented(text: &str) {
+    for line in text.lines() {
+        println!("   {line}");
+    }
+    println!();
+}
--- a/tests/support/http_endpoint.rs
+++ b/tests/support/http_endpoint.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::http::Http;
+use super::http_client::Http;
 
 /// Headers by which an answer is matched to its request.
 const ECHOED: [&str; 2] = ["marjoramknot-request-id", "marjoramknot-attempt"];
--- a/tests/support/http_worker.rs
+++ b/tests/support/http_worker.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::fake_worker::FakeWorker;
-use super::http::Http;
+use super::http_client::Http;
 
 /// Pause after a poll that got no orders.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 
 use support::fake_worker::{FakeWorker, Faults, Spec};
-use support::http::Http;
+use support::http_client::Http;
 use support::http_endpoint::HttpEndpoint;
 use support::http_worker::run_worker;
 use support::ports::{ReplicaPorts, replica_ports};
@@ -26,8 +26,8 @@
     #[expect(dead_code, reason = "other tests use the rest")]
     #[path = "../support/fake_worker.rs"]
     pub mod fake_worker;
-    #[path = "../support/http.rs"]
-    pub mod http;
+    #[path = "../support/http_client.rs"]
+    pub mod http_client;
     #[path = "../support/http_endpoint.rs"]
     pub mod http_endpoint;
     #[path = "../support/http_worker.rs"]
