Whole path: planned stops of an entry and of the leader cut no request

Six requests, half of them non-idempotent, are in progress at the entry when it and then the leader are told to stop; all six are answered whole and ran once, both programs end with code 0.

--- a/tests/support/http_endpoint.rs
+++ b/tests/support/http_endpoint.rs
@@ -9,10 +9,13 @@
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
 use gotham::state::{FromState, State};
 use http::{HeaderMap, Method, StatusCode};
-use marjoramknot::entry::{Answering, Listener, ListenerHandle, read_body, route, text_answer};
+use marjoramknot::entry::{
+    Answer, Answering, Listener, ListenerHandle, read_body, route, text_answer,
+};
 use marjoramknot::fleet::EndpointAnnouncement;
 use marjoramknot::settings::ListenerSettings;
 use marjoramknot::units::{Incarnation, Sequence, Slots};
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -29,11 +32,14 @@
     pub name: &'static str,
     /// Requests that truly ran.
     pub ran: Arc<AtomicU32>,
+    /// Lets requests to `/slow` end, one for each permit.
+    pub gate: Arc<Semaphore>,
     _listener: ListenerHandle,
 }
 
 struct Work {
     ran: Arc<AtomicU32>,
+    gate: Arc<Semaphore>,
 }
 
 impl HttpEndpoint {
@@ -43,11 +49,16 @@
         let listener = Listener::bind("endpoint", settings).await;
         let listener = listener.expect("a free port is bound");
         let ran = Arc::new(AtomicU32::new(0));
+        let gate = Arc::new(Semaphore::new(0));
         let work = Arc::new(Work {
             ran: Arc::clone(&ran),
+            gate: Arc::clone(&gate),
         });
         let router = build_simple_router(|builder| {
             builder.post("/bookings").to_new_handler(route(&work, book));
+            builder
+                .post("/slow")
+                .to_new_handler(route(&work, book_slowly));
         });
         let address = listener.address();
         let listener = listener.serve(router, &CancellationToken::new());
@@ -55,6 +66,7 @@
             address,
             name,
             ran,
+            gate,
             _listener: listener,
         }
     }
@@ -88,17 +100,31 @@
 
 fn book<'a>(work: &'a Work, state: &'a mut State) -> Answering<'a> {
     async {
-        let headers = HeaderMap::borrow_from(state).clone();
-        let body = read_body(state).await?;
         let count = work.ran.fetch_add(1, Ordering::Relaxed) + 1;
-        let text = format!("booking {count}: {}", String::from_utf8_lossy(&body));
-        let mut answer = text_answer(StatusCode::OK, text);
-        for name in ECHOED {
-            if let Some(value) = headers.get(name) {
-                answer.headers_mut().insert(name, value.clone());
-            }
-        }
-        Ok(answer)
+        answer(state, count).await
     }
     .boxed()
 }
+
+fn book_slowly<'a>(work: &'a Work, state: &'a mut State) -> Answering<'a> {
+    async {
+        let count = work.ran.fetch_add(1, Ordering::Relaxed) + 1;
+        let permit = work.gate.acquire().await;
+        permit.expect("the semaphore is never closed").forget();
+        answer(state, count).await
+    }
+    .boxed()
+}
+
+async fn answer(state: &mut State, count: u32) -> Answer {
+    let headers = HeaderMap::borrow_from(state).clone();
+    let body = read_body(state).await?;
+    let text = format!("booking {count}: {}", String::from_utf8_lossy(&body));
+    let mut answer = text_answer(StatusCode::OK, text);
+    for name in ECHOED {
+        if let Some(value) = headers.get(name) {
+            answer.headers_mut().insert(name, value.clone());
+        }
+    }
+    Ok(answer)
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -192,6 +192,14 @@
         (status, answer)
     }
 
+    /// Who leads the control group, as the entries know.
+    fn leader(&self) -> String {
+        let (_code, text) = self.ctl("--json status");
+        let status: Value = serde_json::from_str(&text).expect("the status is JSON");
+        let leader = status["group"]["leader"].as_str();
+        leader.expect("a leader gave the status").to_owned()
+    }
+
     /// Waits until both entries hold a grant.
     async fn wait_ready(&self) {
         for entry in &self.entries {
@@ -406,3 +414,72 @@
     stop(&mut deployment);
     insta::assert_snapshot!(deployment.session.join("\n"));
 }
+
+/// Sends requests that end when the endpoint's gate opens; every second one may run only once.
+fn send_slow(deployment: &Deployment, ids: std::ops::Range<u32>) -> JoinSet<(u32, String)> {
+    let now_ms = Clock::start().wall().to_string();
+    let address = deployment.entries[0].callers;
+    let mut requests = JoinSet::new();
+    for id in ids {
+        let (http, now_ms) = (deployment.http.clone(), now_ms.clone());
+        requests.spawn(async move {
+            let name = format!("slow-{id}");
+            let once = ("marjoramknot-made-ms", now_ms.as_str());
+            let again = ("marjoramknot-idempotent", "true");
+            let headers = [
+                ("marjoramknot-team", "secretaries"),
+                ("marjoramknot-request-id", name.as_str()),
+                if id % 2 == 0 { once } else { again },
+            ];
+            let path = "/v1/services/booking/slow";
+            let answer = http.send(Method::POST, address, path, &headers, name.clone());
+            let answer = answer
+                .await
+                .map(|(status, body)| format!("{status} {body}"));
+            (id, answer.unwrap_or_else(|cause| cause))
+        });
+    }
+    requests
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_stops() {
+    let mut deployment = Deployment::start();
+    let mut fleet = JoinSet::new();
+    apply_notes(&mut deployment).await;
+    let endpoint = announce_fleet(&mut deployment, &mut fleet).await;
+    let mut requests = send_slow(&deployment, 0..6);
+    let ran = || endpoint.ran.load(Ordering::Relaxed);
+    wait_until("six requests are in progress", async || ran() == 6).await;
+
+    deployment.entries[0].process.terminate();
+    let entry = &deployment.entries[0];
+    let red = Some(StatusCode::SERVICE_UNAVAILABLE);
+    wait_until("the health check is red", async || {
+        deployment.health(entry).await == red
+    })
+    .await;
+    let leader = deployment.leader();
+    let control = deployment
+        .control
+        .iter_mut()
+        .find(|control| control.name == leader);
+    let control = control.expect("the leader is one of the replicas");
+    control.terminate();
+    assert_eq!(control.wait(), Some(0));
+    wait_until("another replica leads", async || {
+        let (code, _text) = deployment.ctl("status");
+        code == Some(0) && deployment.leader() != leader
+    })
+    .await;
+
+    endpoint.gate.add_permits(6);
+    while let Some(answered) = requests.join_next().await {
+        let (id, answer) = answered.expect("a request does not panic");
+        let whole =
+            answer.starts_with("200 OK booking ") && answer.ends_with(&format!("slow-{id}"));
+        assert!(whole, "request {id}: {answer}");
+    }
+    assert_eq!(deployment.entries[0].process.wait(), Some(0));
+    assert_eq!(ran(), 6);
+}
