--- a/src/programs/entry.rs
+++ b/src/programs/entry.rs
@@ -9,9 +9,12 @@
 use tracing::info;
 
 use super::Result;
+use super::forwarding::{Run, announcing, forwarder_service};
 use super::listening::{find, listen};
+use crate::control::Client;
 use crate::entry::{
-    Client, EntryContext, Exchange, draw_health, draw_jobs, draw_workers, operators_router,
+    EntryContext, Exchange, ExchangeOptions, Forwarder, draw_endpoints, draw_health, draw_jobs,
+    draw_requests, draw_workers, operators_router,
 };
 use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
 use crate::settings::{EntrySettings, ListenerSettings};
@@ -30,8 +33,10 @@
     leaving: CancellationToken,
 ) -> Result<Kernel> {
     let settings = Arc::new(settings);
+    let run = Run::start();
     let started = KernelBuilder::default()
-        .with(exchange_service(Arc::clone(&settings)))
+        .with(exchange_service(Arc::clone(&settings), run))
+        .with(forwarder_service(Arc::clone(&settings), run))
         .with(context_service(metrics, leaving))
         .with(listener_service(&settings, &OPERATORS))
         .with(listener_service(&settings, &FLEET))
@@ -62,21 +67,30 @@
     .boxed()
 }
 
-fn exchange_service(settings: Arc<EntrySettings>) -> Service {
+fn exchange_service(settings: Arc<EntrySettings>, run: Run) -> Service {
     Service::new("exchange", &[], move |registry| async move {
-        drop(settings);
-        registry.publish("exchange", Exchange);
-        let stop: Stopper = Box::new(|| Box::pin(async {}));
+        let options = ExchangeOptions::builder()
+            .entry(settings.name.clone())
+            .incarnation(run.incarnation)
+            .zone(settings.zone.clone())
+            .client(Client::new(settings.control.clone()))
+            .clock(run.clock)
+            .build();
+        let exchange = Arc::new(Exchange::start(options));
+        registry.publish("exchange", Arc::clone(&exchange));
+        let stop: Stopper = Box::new(move || Box::pin(async move { exchange.leave().await }));
         Ok(stop)
     })
 }
 
 fn context_service(metrics: Metrics, leaving: CancellationToken) -> Service {
-    Service::new("context", &["exchange"], move |registry| async move {
-        let exchange = find::<Exchange>(&registry, "exchange")?;
+    let needs = ["exchange", "forwarder"];
+    Service::new("context", &needs, move |registry| async move {
+        let exchange = find::<Arc<Exchange>>(&registry, "exchange")?;
+        let forwarder = find::<Arc<Forwarder>>(&registry, "forwarder")?;
         let context = EntryContext {
-            exchange,
-            client: Client,
+            exchange: Arc::clone(&exchange),
+            forwarder: Arc::clone(&forwarder),
             metrics,
             leaving,
         };
@@ -102,7 +116,13 @@
 static FLEET: EntryListener = EntryListener {
     name: "fleet",
     settings: |settings| &settings.fleet,
-    router: |context| build_simple_router(|builder| draw_workers(builder, context)),
+    router: |context| {
+        let announcing = Arc::new(announcing(&context.exchange));
+        build_simple_router(|builder| {
+            draw_workers(builder, context);
+            draw_endpoints(builder, &announcing);
+        })
+    },
 };
 
 static CALLERS: EntryListener = EntryListener {
@@ -112,6 +132,7 @@
         build_simple_router(|builder| {
             draw_health(builder, context);
             draw_jobs(builder, context);
+            draw_requests(builder, &context.forwarder);
         })
     },
 };
--- a/src/programs/mod.rs
+++ b/src/programs/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod daemon;
 mod entry;
+mod forwarding;
 mod listening;
 
 pub use control::{serve_control, start_control};
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -172,9 +172,10 @@
         self.advance_commit(now);
         self.replace_lost_members(now);
         self.send_appends(now);
+        // Steps of one call come before a snapshot that is taken while its actions are carried out.
+        self.save_unsaved();
         self.apply_committed();
         self.finish_hand_over(now);
-        self.save_unsaved();
         std::mem::take(&mut self.out)
     }
 
@@ -398,6 +399,13 @@
         self.election_at_ms = now.saturating_add(Millis(wait));
     }
 
+    /// Tries again soon where an election was not won: nobody has to be heard before that.
+    fn retry_election(&mut self, now: Millis) {
+        let longest = self.config.election_min_ms.get() / 2;
+        let wait = self.rng.random_range(longest / 4..=longest);
+        self.election_at_ms = now.saturating_add(Millis(wait));
+    }
+
     /// Whether this replica is the only voter.
     fn alone(&self) -> bool {
         self.is_voter() && self.log.members().is_some_and(|m| m.voters.len() == 1)
@@ -453,6 +461,12 @@
         self.log.members()
     }
 
+    /// The position of the record that named the voters now in force.
+    #[must_use]
+    pub fn members_index(&self) -> LogIndex {
+        self.log.members_index()
+    }
+
     /// The record at a position, where it is kept in memory.
     #[must_use]
     pub fn entry(&self, index: LogIndex) -> Option<&Arc<Entry>> {
--- a/src/scheduler/report.rs
+++ b/src/scheduler/report.rs
@@ -56,6 +56,18 @@
             self.bindings.dirty = true;
             self.freed();
         }
+        if appeared && self.pool.worker(ix).is_closed() {
+            self.leave_worker(ix, now);
+        }
+    }
+
+    /// Takes gangs off a worker that turns out to stand in a closed zone.
+    fn leave_worker(&mut self, ix: u32, now: Millis) {
+        let members = self.pool.worker(ix).members.iter();
+        let gangs: BTreeSet<u64> = members.map(|(ordinal, _index)| *ordinal).collect();
+        for ordinal in gangs {
+            self.evict(ordinal, EndCause::ZoneOut, now);
+        }
     }
 
     fn take_reports(&mut self, ix: u32, poll: &WorkerPoll, now: Millis) {
@@ -164,14 +176,13 @@
         let Some(job) = self.jobs.get_mut(&ordinal) else {
             return;
         };
-        if !job.failed_on.contains(&worker) {
-            job.failed_on.push(worker);
-        }
+        job.failed_on.retain(|(failed, _when)| *failed != worker);
+        job.failed_on.push((worker, now));
         if !self.options.quarantine {
             return;
         }
         if job.failed_on.len() > 1 {
-            for ix in &job.failed_on {
+            for (ix, _when) in &job.failed_on {
                 self.pool.worker_mut(*ix).health.withdraw(ordinal, now);
             }
             let probe = &mut self.pool.worker_mut(worker).health;
@@ -214,11 +225,13 @@
     pub(super) fn watch_workers(&mut self, now: Millis) {
         let mut lost = BTreeSet::new();
         let mut gone = BTreeSet::new();
+        let mut probe_wanted = false;
         let settled = self.settled(now);
         let known: Vec<u32> = self.pool.known().collect();
         for ix in known {
             let worker = self.pool.worker_mut(ix);
             worker.health.tick(now);
+            probe_wanted |= worker.health.takes_probe(true, now);
             if worker.alive(now) {
                 continue;
             }
@@ -232,6 +245,10 @@
                 lost.extend(members.map(|(ordinal, _index)| ordinal));
             }
         }
+        if probe_wanted && !self.probe_wanted {
+            self.freed();
+        }
+        self.probe_wanted = probe_wanted;
         for member in &gone {
             if let Some((gang, at)) = self.place_mut(*member) {
                 gang.places[at].seen = Seen::Gone;
@@ -287,7 +304,7 @@
     }
 
     fn stands_in_closed_zone(&self, job: &Job) -> bool {
-        let closed = |place: &Place| !self.pool.worker(place.worker).open;
+        let closed = |place: &Place| self.pool.worker(place.worker).is_closed();
         job.gang
             .as_ref()
             .is_some_and(|gang| gang.places.iter().any(closed))
@@ -305,20 +322,20 @@
         let Some(gang) = job.gang.as_mut() else {
             return;
         };
-        let runs = |p: &Place| matches!(p.seen, Seen::Running | Seen::Succeeded);
         match gang.stage {
             Stage::Placing | Stage::Starting => gang.abort = Some(Then::Requeue(cause)),
             Stage::Preparing => self.stop(ordinal, Then::Requeue(cause), now),
-            Stage::Running if !idempotent && gang.places.iter().all(runs) => {
+            Stage::Running if !idempotent => {
                 let sentence = "It may not run again, so it finishes where it runs.";
                 self.explain_job(ordinal, "finishes_in_place", sentence);
+                self.evaluate(ordinal, now);
             }
-            Stage::Running if !idempotent => self.stop(ordinal, Then::Requeue(cause), now),
             Stage::Running => {
                 gang.stage = Stage::Checkpointing { cause, until_ms };
                 self.changed_members(ordinal);
                 let sentence = "It writes a checkpoint and then leaves its places.";
                 self.explain_job(ordinal, "checkpointing", sentence);
+                self.evaluate(ordinal, now);
             }
             _ => {}
         }
