--- a/src/programs/forwarding.rs
+++ b/src/programs/forwarding.rs
@@ -5,7 +5,6 @@
 use super::listening::find;
 use crate::entry::{Announcing, Exchange, ForwardOptions, Forwarder};
 use crate::kernel::{Clock, Service, Stopper};
-use crate::router::RouterView;
 use crate::settings::EntrySettings;
 use crate::units::{EntryId, Incarnation};
 
@@ -31,11 +30,10 @@
 pub(super) fn forwarder_service(settings: Arc<EntrySettings>, run: Run) -> Service {
     Service::new("forwarder", &["exchange"], move |registry| async move {
         let exchange = find::<Arc<Exchange>>(&registry, "exchange")?;
-        let exchange = Arc::clone(&*exchange);
         let options = forward_options(settings.name.clone(), run, &exchange);
         let forwarder = Forwarder::start(options);
         registry.publish("forwarder", Arc::clone(&forwarder));
-        let observing = tokio::spawn(observe(exchange, Arc::clone(&forwarder)));
+        let observing = tokio::spawn(Arc::clone(&forwarder).follow(exchange.state()));
         let stop: Stopper = Box::new(move || {
             Box::pin(async move {
                 forwarder.drain().await;
@@ -65,22 +63,6 @@
         .build()
 }
 
-/// Tells the forwarder of each change of the state in force, the shares and the grant.
-async fn observe(exchange: Arc<Exchange>, forwarder: Arc<Forwarder>) {
-    let mut states = exchange.state();
-    loop {
-        let state = states.borrow_and_update().clone();
-        forwarder.observe(RouterView {
-            in_force: state.in_force,
-            shares: state.shares,
-            granted_until_ms: state.grant_until_ms,
-        });
-        if states.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Passes endpoints' announcements to the leader.
 pub(super) fn announcing(exchange: &Arc<Exchange>) -> Announcing {
     let exchange = Arc::clone(exchange);
--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -274,7 +274,7 @@
     fn drop_shares(&mut self, holder: &Holder) {
         let mut changed = BTreeSet::new();
         for endpoint in self.endpoints.values_mut() {
-            if endpoint.drop_share(holder) {
+            if endpoint.drop_share(holder, self.settled) {
                 changed.insert(holder.clone());
             }
         }
--- a/src/router/shared_endpoint.rs
+++ b/src/router/shared_endpoint.rs
@@ -257,19 +257,28 @@
         free.min(free_connections / per_slot)
     }
 
-    /// Notes that a holder has dropped its share; true where it had one.
+    /// Notes that a holder has dropped its share; true where it cannot have all of it again.
     ///
     /// It takes no answer to an earlier exchange any more, so only what it has in progress counts.
-    pub(super) fn drop_share(&mut self, holder: &Holder) -> bool {
+    /// Until a new leader knows all holders (`settled`), it gives back nothing of what it adopted.
+    pub(super) fn drop_share(&mut self, holder: &Holder, settled: bool) -> bool {
         let Some(holding) = self.holdings.get_mut(holder) else {
             return false;
         };
-        holding.may_use = holding.used.slots.get();
-        let had_share = holding.told > 0;
-        if had_share {
-            holding.tell(0);
+        let (used, told) = (holding.used.slots.get(), holding.told);
+        holding.may_use = used;
+        let kept = if settled {
+            told.min(used.saturating_add(self.free_slots()))
+        } else {
+            0
+        };
+        if let Some(holding) = self.holdings.get_mut(holder) {
+            holding.may_use = kept.max(used);
+            if kept < told {
+                holding.tell(kept);
+            }
         }
-        had_share
+        kept < told
     }
 
     /// Takes all shares away and gives those who had one.
