Requests over HTTP: golden file of refusals, planned stop, shares that move

Malformed requests named their outcome in the body only; every refusal now has the header. planned_stop at first drained a listener without connections and proved nothing; it drains the one that holds the forty requests.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -53,7 +53,10 @@
     async move {
         let arrived_ms = forwarder.now();
         let request = read_request(forwarder, state).await;
-        let request = request.map_err(|refusal| refusal.with_outcome(Outcome::NotRun))?;
+        let request = match request {
+            Ok(request) => request,
+            Err(refusal) => return Ok(unread_to_http(&refusal)),
+        };
         let (team, service, id) = (
             request.team.clone(),
             request.service.clone(),
@@ -166,6 +169,15 @@
     response
 }
 
+/// The answer to a request that was not even read: nothing of it ran.
+fn unread_to_http(refusal: &Refusal) -> Response<Body> {
+    let not_run = Some(Outcome::NotRun);
+    let message = refusal.message.clone();
+    let mut response = error_answer(refusal.status, &refusal.code, message, not_run);
+    set_header(&mut response, OUTCOME, &Outcome::NotRun.to_string());
+    response
+}
+
 fn refusal_to_http(refusal: ForwardRefusal) -> Response<Body> {
     let ForwardRefusal {
         status,
--- a/src/entry/forward_request.rs
+++ b/src/entry/forward_request.rs
@@ -152,7 +152,10 @@
             return Self::unknown(status, code, message);
         }
         let message = format!("{}; the work did not run", refusal.kind);
-        Self::not_run(status, code, message, Some(refusal.retry_after_ms))
+        let passing =
+            status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after_ms = passing.then_some(refusal.retry_after_ms);
+        Self::not_run(status, code, message, retry_after_ms)
     }
 
     /// The answer where the deadline passed while an endpoint had the request.
--- /dev/null
+++ b/tests/request_http.rs
@@ -0,0 +1,405 @@
+//! The callers' and endpoints' routes over HTTP: headers, refusals, streams and a planned stop.
+
+#[path = "support/fake_endpoint.rs"]
+mod fake_endpoint;
+#[path = "support/forwarding.rs"]
+mod forwarding;
+#[path = "support/shares.rs"]
+mod shares;
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fake_endpoint::{FakeEndpoint, Fault};
+use forwarding::{Entry, FakeControl, until, wall};
+use futures::FutureExt;
+use gotham::router::builder::build_simple_router;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use marjoramknot::control::{EndpointShare, ExchangeRequest, GRANT_MS};
+use marjoramknot::entry::{Announcing, Listener, ListenerHandle, draw_endpoints, draw_requests};
+use marjoramknot::router::{RouterView, ShareBook};
+use marjoramknot::settings::ListenerSettings;
+use marjoramknot::units::{Incarnation, Millis, Revision, Sequence};
+use rstest::rstest;
+use tokio_util::sync::CancellationToken;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+struct Server {
+    entry: Entry,
+    endpoint: FakeEndpoint,
+    control: Arc<FakeControl>,
+    address: SocketAddr,
+    handle: Option<ListenerHandle>,
+    client: HttpClient,
+}
+
+async fn server() -> Server {
+    let control = Arc::new(FakeControl::default());
+    let endpoint = FakeEndpoint::start().await;
+    let entry = Entry::new("entry-1", &control, &[&endpoint]);
+    let routes = build_simple_router(|builder| draw_requests(builder, &entry.forwarder));
+    let settings = ListenerSettings::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = Listener::bind("callers", settings).await;
+    let listener = listener.expect("a free port is bound");
+    let handle = listener.serve(routes, &CancellationToken::new());
+    Server {
+        entry,
+        endpoint,
+        control,
+        address: handle.address,
+        handle: Some(handle),
+        client: Client::builder(TokioExecutor::new()).build_http(),
+    }
+}
+
+/// One call: its method, path and headers, each as `name: value`.
+struct Call {
+    method: &'static str,
+    path: &'static str,
+    headers: Vec<String>,
+}
+
+fn call(headers: &[&str]) -> Call {
+    let mut all = vec![
+        "marjoramknot-team: regatta".to_owned(),
+        "marjoramknot-idempotent: true".to_owned(),
+        "marjoramknot-deadline-ms: 300".to_owned(),
+    ];
+    all.extend(headers.iter().map(|&header| header.to_owned()));
+    Call {
+        method: "POST",
+        path: "/v1/services/booking/ponds/4?day=sat",
+        headers: all,
+    }
+}
+
+impl Server {
+    async fn send(&self, call: &Call) -> http::Response<hyper::body::Incoming> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let mut request = Request::builder().method(call.method).uri(uri);
+        for header in &call.headers {
+            let (name, value) = header.split_once(": ").expect("a name and a value");
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::from("heat 2"))
+            .expect("a well-formed request");
+        self.client
+            .request(request)
+            .await
+            .expect("the entry answers")
+    }
+
+    /// Sends and writes down what a caller sees.
+    async fn seen(&self, call: &Call) -> String {
+        let response = self.send(call).await;
+        let mut seen = format!("{}\n", response.status());
+        for name in [
+            "marjoramknot-request-id",
+            "marjoramknot-outcome",
+            "retry-after",
+        ] {
+            if let Some(value) = response.headers().get(name) {
+                let value = value.to_str().expect("the header is text");
+                writeln!(seen, "{name}: {value}").expect("a text can be written");
+            }
+        }
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .expect("the body is whole");
+        let body = String::from_utf8(body.to_bytes().to_vec()).expect("the body is text");
+        seen + &body + "\n"
+    }
+}
+
+#[tokio::test]
+async fn refusals() {
+    let server = server().await;
+    let mut session = String::new();
+    let mut see = async |title: &str, call: Call| {
+        let seen = server.seen(&call).await;
+        writeln!(session, "# {title}\n{seen}").expect("a text can be written");
+    };
+    see("answered", call(&["marjoramknot-request-id: r1"])).await;
+    see("id missing", call(&[])).await;
+    let mut other = call(&["marjoramknot-request-id: r2"]);
+    other.headers.remove(0);
+    see("team missing", other).await;
+    let twice = ["marjoramknot-request-id: r2", "marjoramknot-team: judges"];
+    see("team twice", call(&twice)).await;
+    see("id malformed", call(&["marjoramknot-request-id: r 2"])).await;
+    let mut other = call(&["marjoramknot-request-id: r2"]);
+    other.headers[1] = "marjoramknot-idempotent: maybe".to_owned();
+    see("idempotent malformed", other).await;
+    let mut other = call(&["marjoramknot-request-id: r2"]);
+    other.headers.remove(1);
+    see("made-ms missing", other).await;
+    let mut other = call(&["marjoramknot-request-id: r2"]);
+    other.path = "/v1/services/maps/4";
+    see("no such service", other).await;
+    let mut other = call(&["marjoramknot-request-id: r2"]);
+    other.headers[0] = "marjoramknot-team: nobody".to_owned();
+    see("no such team", other).await;
+    server.endpoint.next(&[Fault::Hang]);
+    see(
+        "deadline while running",
+        call(&["marjoramknot-request-id: r3"]),
+    )
+    .await;
+    server.endpoint.always(Fault::CloseAfter);
+    see("no whole answer", call(&["marjoramknot-request-id: r4"])).await;
+    let recorded = |id: &str, made_ms: u64| {
+        let mut call = call(&[]);
+        call.headers[1] = "marjoramknot-idempotent: false".to_owned();
+        call.headers.push(format!("marjoramknot-request-id: {id}"));
+        call.headers
+            .push(format!("marjoramknot-made-ms: {made_ms}"));
+        call
+    };
+    let made_ms = wall().0;
+    see("outcome unknown", recorded("r5", made_ms)).await;
+    see("resent", recorded("r5", made_ms)).await;
+    see("id used again", recorded("r5", made_ms + 1)).await;
+    see("too old", recorded("r6", 0)).await;
+    see("made ahead", recorded("r6", made_ms + 3_600_000)).await;
+    server
+        .control
+        .unreachable
+        .store(true, std::sync::atomic::Ordering::Release);
+    see("ledger out of reach", recorded("r7", made_ms)).await;
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test]
+async fn cut_off_entry() {
+    let mut server = server().await;
+    server.entry.granted_until_ms = Millis::ZERO;
+    server.entry.observe();
+    let seen = server.seen(&call(&["marjoramknot-request-id: r1"])).await;
+    insta::assert_snapshot!(seen);
+    assert_eq!(server.endpoint.ran("r1"), 0);
+}
+
+#[tokio::test]
+async fn streamed_and_broken() {
+    let server = server().await;
+    let mut call = call(&["marjoramknot-request-id: r1"]);
+    call.headers[2] = "marjoramknot-deadline-ms: 8000".to_owned();
+    server
+        .endpoint
+        .next(&[Fault::Large(3_000_000), Fault::LargeTruncated(3_000_000)]);
+    let whole = server.send(&call).await.into_body().collect().await;
+    assert_eq!(
+        whole.expect("the stream is whole").to_bytes().len(),
+        3_000_000
+    );
+    let broken = server.send(&call).await.into_body().collect().await;
+    broken.expect_err("the early end shows");
+}
+
+#[tokio::test]
+async fn planned_stop() {
+    let mut server = server().await;
+    let handle = server.handle.take().expect("it serves");
+    server.endpoint.work(Duration::from_millis(100));
+    let mut calls = Vec::new();
+    for number in 0..40 {
+        let mut call = call(&[]);
+        call.headers[2] = "marjoramknot-deadline-ms: 8000".to_owned();
+        call.headers
+            .push(format!("marjoramknot-request-id: r{number}"));
+        if number % 4 == 0 {
+            call.headers[1] = "marjoramknot-idempotent: false".to_owned();
+            call.headers
+                .push(format!("marjoramknot-made-ms: {}", wall().0));
+        }
+        calls.push(call);
+    }
+    let sent: Vec<_> = calls.iter().map(|call| server.send(call)).collect();
+    let sent = futures::future::join_all(sent);
+    let forwarder = Arc::clone(&server.entry.forwarder);
+    let (answers, cut) = tokio::join!(sent, async {
+        until("all are taken", || forwarder.requests() == 40).await;
+        // Eight run, the others wait: none of them is cut or refused.
+        let cut = handle.drain(Millis(8_000)).await;
+        forwarder.drain().await;
+        cut
+    });
+    assert_eq!(cut, 0);
+    for answer in answers {
+        assert_eq!(answer.status(), 200);
+        answer
+            .into_body()
+            .collect()
+            .await
+            .expect("the body is whole");
+    }
+    assert_eq!(server.endpoint.counts(|counts| counts.running_max), 8);
+}
+
+/// Two entries, the leader's share book and one endpoint that announces itself over HTTP.
+struct Shared {
+    book: Arc<Mutex<ShareBook>>,
+    entries: Vec<(Entry, Held)>,
+    endpoint: FakeEndpoint,
+}
+
+struct Held {
+    sequence: u64,
+    version: u64,
+    shares: Arc<Vec<EndpointShare>>,
+}
+
+impl Shared {
+    async fn start() -> Self {
+        let control = Arc::new(FakeControl::default());
+        let endpoint = FakeEndpoint::start().await;
+        let entries = ["entry-1", "entry-2"].map(|name| {
+            let mut entry = Entry::new(name, &control, &[]);
+            entry.in_force.revision = Revision(1);
+            let held = Held {
+                sequence: 0,
+                version: 0,
+                shares: Arc::default(),
+            };
+            (entry, held)
+        });
+        let shared = Self {
+            book: Arc::default(),
+            entries: entries.into(),
+            endpoint,
+        };
+        let first = shares::announcement(0);
+        let address = shared.announcements().await;
+        shared.endpoint.announce(address, first);
+        shared
+    }
+
+    /// Serves the endpoints' route in front of the book.
+    async fn announcements(&self) -> SocketAddr {
+        let book = Arc::clone(&self.book);
+        let clock = self.entries[0].0.clock;
+        let in_force = self.entries[0].0.in_force.clone();
+        let announcing = Arc::new(Announcing {
+            announce: Arc::new(move |announcement| {
+                let mut book = book.lock().expect("no test panics with the book");
+                let answer = book.observe_announcement(&announcement, &in_force, clock.now());
+                async { Ok(answer) }.boxed()
+            }),
+        });
+        let routes = build_simple_router(|builder| draw_endpoints(builder, &announcing));
+        let settings = ListenerSettings::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = Listener::bind("fleet", settings).await;
+        let handle = listener
+            .expect("a free port is bound")
+            .serve(routes, &CancellationToken::new());
+        let address = handle.address;
+        // The listener serves until the test ends.
+        std::mem::forget(handle);
+        address
+    }
+
+    /// One exchange of every entry that is not cut off.
+    fn exchange(&mut self, cut_off: &[usize]) {
+        let now = self.entries[0].0.clock.now();
+        let mut book = self.book.lock().expect("no test panics with the book");
+        for (index, (entry, held)) in self.entries.iter_mut().enumerate() {
+            if cut_off.contains(&index) {
+                continue;
+            }
+            held.sequence += 1;
+            let report = entry.forwarder.uses();
+            let id = format!("entry-{}", index + 1).parse().expect("an id");
+            book.observe_entry(
+                &ExchangeRequest {
+                    entry: id,
+                    incarnation: Incarnation(1),
+                    zone: "Senec".parse().expect("an id"),
+                    sequence: Sequence(held.sequence),
+                    revision: Revision(1),
+                    uses: report.uses,
+                    shares_version: report.shares_version,
+                    leaving: false,
+                },
+                now,
+            );
+            book.tick(&entry.in_force, now);
+            let id = format!("entry-{}", index + 1).parse().expect("an id");
+            let version = book.version(&id, Incarnation(1));
+            if version != report.shares_version {
+                held.version = version;
+                held.shares = Arc::new(book.shares_for(&id, Incarnation(1)));
+            }
+            entry.granted_until_ms = now.saturating_add(GRANT_MS);
+            entry.forwarder.observe(RouterView {
+                in_force: Arc::new(entry.in_force.clone()),
+                shares: Arc::clone(&held.shares),
+                shares_version: held.version,
+                granted_until_ms: entry.granted_until_ms,
+            });
+        }
+    }
+
+    /// Exchanges every 20 ms until a condition holds.
+    async fn until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        for _ in 0..1_000 {
+            self.exchange(&[]);
+            if condition(self) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("not in 20 s: {what}");
+    }
+
+    fn slots(&self, index: usize) -> u32 {
+        let shares = self.entries[index].1.shares.iter();
+        shares.map(|share| share.slots.get()).sum()
+    }
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[tokio::test]
+async fn shares_move(#[case] busy: usize) {
+    let mut shared = Shared::start().await;
+    let both = |shared: &Shared| shared.slots(0) + shared.slots(1) == 8;
+    shared.until("the slots are shared", both).await;
+    shared.endpoint.work(Duration::from_millis(30));
+    // All demand comes to one entry, then to the other.
+    for (round, index) in [busy, 1 - busy].into_iter().enumerate() {
+        let entry = &shared.entries[index].0;
+        let sent: Vec<_> = (0..100)
+            .map(|n| {
+                let request = entry.request(&format!("r{round}-{n}"), Duration::from_secs(20));
+                let forwarder = Arc::clone(&entry.forwarder);
+                tokio::spawn(
+                    async move { forwarding::told(forwarder.forward(request).await).await },
+                )
+            })
+            .collect();
+        let all_here = move |shared: &Shared| shared.slots(index) == 8;
+        shared.until("one entry has all slots", all_here).await;
+        let done = |_: &Shared| sent.iter().all(tokio::task::JoinHandle::is_finished);
+        shared.until("all are answered", done).await;
+        for told in sent {
+            let told = told.await.expect("no request panics");
+            assert_eq!(told, forwarding::whole());
+        }
+    }
+    shared.endpoint.counts(|counts| {
+        assert_eq!(counts.running_max, 8, "all slots were used and no more");
+        assert!(counts.connections_max <= 64);
+    });
+}
