--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -3,7 +3,7 @@
 
 use tokio_util::sync::CancellationToken;
 
-use super::Exchange;
+use super::{Exchange, Forwarder};
 use crate::control::Client;
 use crate::telemetry::Metrics;
 
@@ -12,6 +12,8 @@
 pub struct EntryContext {
     /// The exchange with the leader, which holds the grant and the state in force.
     pub exchange: Arc<Exchange>,
+    /// What carries callers' requests to endpoints.
+    pub forwarder: Arc<Forwarder>,
     /// This process's metrics.
     pub metrics: Metrics,
     /// Cancelled once a planned stop has begun.
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -3,17 +3,21 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use http::{Method, StatusCode};
 use marjoramknot::fleet::WorkerCapacity;
+use marjoramknot::kernel::Clock;
 use marjoramknot::units::{Accelerators, Cores, MemoryMb, Millis};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::task::JoinSet;
 
 use support::fake_worker::{FakeWorker, Faults, Spec};
-use support::http::Http;
+use support::http_client::Http;
+use support::http_endpoint::HttpEndpoint;
 use support::http_worker::run_worker;
 use support::ports::{ReplicaPorts, replica_ports};
 use support::processes::{BOUND, PAUSE, Process, control_settings, entry_settings, write};
@@ -22,8 +26,10 @@
     #[expect(dead_code, reason = "other tests use the rest")]
     #[path = "../support/fake_worker.rs"]
     pub mod fake_worker;
-    #[path = "../support/http.rs"]
-    pub mod http;
+    #[path = "../support/http_client.rs"]
+    pub mod http_client;
+    #[path = "../support/http_endpoint.rs"]
+    pub mod http_endpoint;
     #[path = "../support/http_worker.rs"]
     pub mod http_worker;
     #[path = "../support/ports.rs"]
@@ -68,6 +74,13 @@
 connections_max = 64
 "#;
 
+/// Workers by name, zone and rack.
+const WORKERS: [(&str, &str, &str); 3] = [
+    ("senec-a", "Senec", "senec-1"),
+    ("senec-b", "Senec", "senec-1"),
+    ("trnava-a", "Trnava", "trnava-1"),
+];
+
 /// Fields of JSON that differ from run to run.
 const VOLATILE: [&str; 6] = [
     "address",
@@ -154,6 +167,11 @@
         body: &Value,
     ) -> (StatusCode, Value) {
         let address = self.entries[entry].callers;
+        let shown_headers: Vec<_> = headers
+            .iter()
+            .filter(|(name, _value)| *name != "marjoramknot-made-ms")
+            .map(|(name, value)| format!("{name}: {value}\n"))
+            .collect();
         let sent = if body.is_null() {
             String::new()
         } else {
@@ -166,12 +184,22 @@
         let answer = serde_json::from_str(&text).unwrap_or(Value::String(text));
         let shown = masked(&answer);
         let name = &self.entries[entry].process.name;
-        self.session.push(format!(
-            "caller to {name}: {method} {path} {sent}\n{status} {shown}\n"
-        ));
+        let headers = shown_headers.concat();
+        let request = format!("{method} {path}\n{headers}{sent}");
+        let request = request.trim_end();
+        self.session
+            .push(format!("caller to {name}: {request}\n{status} {shown}\n"));
         (status, answer)
     }
 
+    /// Who leads the control group, as the entries know.
+    fn leader(&self) -> String {
+        let (_code, text) = self.ctl("--json status");
+        let status: Value = serde_json::from_str(&text).expect("the status is JSON");
+        let leader = status["group"]["leader"].as_str();
+        leader.expect("a leader gave the status").to_owned()
+    }
+
     /// Waits until both entries hold a grant.
     async fn wait_ready(&self) {
         for entry in &self.entries {
@@ -277,61 +305,83 @@
     })
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn whole_session() {
-    let mut deployment = Deployment::start();
+/// An operator applies a note, sends it again, races with another one and makes mistakes.
+async fn apply_notes(deployment: &mut Deployment) {
     deployment.wait_ready().await;
-
-    write(deployment.folder.path(), "note.toml", NOTE);
-    write(deployment.folder.path(), "other.toml", "version = 1\n");
-    write(
-        deployment.folder.path(),
-        "faulty.toml",
-        "version = 2\ncolour = 1\n[[added.teams]]\nname = \"a b\"\n",
-    );
+    let folder = deployment.folder.path();
+    write(folder, "note.toml", NOTE);
+    write(folder, "other.toml", "version = 1\n");
+    let faulty = "version = 2\ncolour = 1\n[[added.teams]]\nname = \"a b\"\n";
+    write(folder, "faulty.toml", faulty);
     deployment.operator("release-note apply --wait note.toml");
     deployment.operator("release-note apply note.toml");
     deployment.operator("release-note apply other.toml");
     deployment.operator("release-note apply faulty.toml");
     deployment.operator("zones");
+}
 
-    let fleet: Vec<_> = deployment.entries.iter().map(|entry| entry.fleet).collect();
-    let mut workers = JoinSet::new();
-    for (name, zone, rack) in [
-        ("senec-a", "Senec", "senec-1"),
-        ("senec-b", "Senec", "senec-1"),
-        ("trnava-a", "Trnava", "trnava-1"),
-    ] {
-        workers.spawn(run_worker(worker(name, zone, rack), fleet.clone()));
+/// Workers and an endpoint announce themselves.
+async fn announce_fleet(deployment: &mut Deployment, fleet: &mut JoinSet<()>) -> Arc<HttpEndpoint> {
+    let entries: Vec<_> = deployment.entries.iter().map(|entry| entry.fleet).collect();
+    for (name, zone, rack) in WORKERS {
+        fleet.spawn(run_worker(worker(name, zone, rack), entries.clone()));
     }
-    wait_until("three workers are up", async || {
-        let (_code, text) = deployment.ctl("workers");
-        text.matches(" up ").count() == 3
+    let endpoint = Arc::new(HttpEndpoint::start("booking-a").await);
+    let announced = Arc::clone(&endpoint);
+    fleet.spawn(async move { announced.announce("booking", "Senec", entries).await });
+    wait_until("the fleet is known", async || {
+        let (_code, workers) = deployment.ctl("workers");
+        let (_code, endpoints) = deployment.ctl("endpoints");
+        workers.matches(" up ").count() == WORKERS.len() && endpoints.contains("booking-a")
     })
     .await;
     deployment.operator("workers");
+    endpoint
+}
 
-    let no_body = Value::Null;
-    let submitted = deployment
-        .caller(0, Method::POST, "/v1/jobs", &[], &gang("heat-7", 2, 300))
-        .await;
-    assert_eq!(submitted.0, StatusCode::ACCEPTED);
-    let path = "/v1/jobs/judges/heat-7?wait_ms=20000";
-    let (status, view) = deployment.caller(1, Method::GET, path, &[], &no_body).await;
-    assert_eq!(status, StatusCode::OK);
-    assert_eq!(
-        view["outcome"]["succeeded"]["results"]
-            .as_array()
-            .map(Vec::len),
-        Some(2)
-    );
-
+/// A request that may run again, and one that may not, sent twice at different entries.
+async fn book(deployment: &mut Deployment, endpoint: &HttpEndpoint) {
+    let booking = json!({ "pond": "Piešťany", "hour": 9 });
+    let path = "/v1/services/booking/bookings";
+    let idempotent = [
+        ("marjoramknot-team", "secretaries"),
+        ("marjoramknot-request-id", "slot-1"),
+        ("marjoramknot-idempotent", "true"),
+    ];
     deployment
-        .caller(1, Method::POST, "/v1/jobs", &[], &gang("heat-7", 2, 301))
+        .caller(0, Method::POST, path, &idempotent, &booking)
         .await;
-    deployment
-        .caller(0, Method::POST, "/v1/jobs", &[], &gang("heat-8", 400, 300))
+    let now_ms = Clock::start().wall().to_string();
+    let once = [
+        ("marjoramknot-team", "secretaries"),
+        ("marjoramknot-request-id", "slot-2"),
+        ("marjoramknot-made-ms", now_ms.as_str()),
+    ];
+    for entry in 0..2 {
+        deployment
+            .caller(entry, Method::POST, path, &once, &booking)
+            .await;
+    }
+    assert_eq!(endpoint.ran.load(Ordering::Relaxed), 2);
+}
+
+/// A gang that fits, the same id with other content, and a gang that no rack could hold.
+async fn run_gang(deployment: &mut Deployment) {
+    let path = "/v1/jobs";
+    let heat = gang("heat-7", 2, 300);
+    let (status, _answer) = deployment.caller(0, Method::POST, path, &[], &heat).await;
+    assert_eq!(status, StatusCode::ACCEPTED);
+    let look = "/v1/jobs/judges/heat-7?wait_ms=20000";
+    let (status, view) = deployment
+        .caller(1, Method::GET, look, &[], &Value::Null)
         .await;
+    assert_eq!(status, StatusCode::OK);
+    let results = view["outcome"]["succeeded"]["results"].as_array();
+    assert_eq!(results.map(Vec::len), Some(2));
+    let other = gang("heat-7", 2, 301);
+    deployment.caller(1, Method::POST, path, &[], &other).await;
+    let large = gang("heat-8", 400, 300);
+    deployment.caller(0, Method::POST, path, &[], &large).await;
     wait_until("the accelerators are free again", async || {
         let (_code, text) = deployment.ctl("--json teams");
         let teams: Value = serde_json::from_str(&text).expect("teams are JSON");
@@ -340,18 +390,96 @@
     .await;
     deployment.operator("jobs list --all");
     deployment.operator("teams");
+}
 
-    for entry in &deployment.entries {
+fn stop(deployment: &mut Deployment) {
+    for entry in &mut deployment.entries {
         entry.process.terminate();
-    }
-    for index in 0..2 {
-        assert_eq!(deployment.entries[index].process.wait(), Some(0));
-    }
-    for control in &deployment.control {
-        control.terminate();
+        assert_eq!(entry.process.wait(), Some(0), "{}", entry.process.name);
     }
     for control in &mut deployment.control {
+        control.terminate();
         assert_eq!(control.wait(), Some(0), "{}", control.name);
     }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn whole_session() {
+    let mut deployment = Deployment::start();
+    let mut fleet = JoinSet::new();
+    apply_notes(&mut deployment).await;
+    let endpoint = announce_fleet(&mut deployment, &mut fleet).await;
+    book(&mut deployment, &endpoint).await;
+    run_gang(&mut deployment).await;
+    stop(&mut deployment);
     insta::assert_snapshot!(deployment.session.join("\n"));
 }
+
+/// Sends requests that end when the endpoint's gate opens; every second one may run only once.
+fn send_slow(deployment: &Deployment, ids: std::ops::Range<u32>) -> JoinSet<(u32, String)> {
+    let now_ms = Clock::start().wall().to_string();
+    let address = deployment.entries[0].callers;
+    let mut requests = JoinSet::new();
+    for id in ids {
+        let (http, now_ms) = (deployment.http.clone(), now_ms.clone());
+        requests.spawn(async move {
+            let name = format!("slow-{id}");
+            let once = ("marjoramknot-made-ms", now_ms.as_str());
+            let again = ("marjoramknot-idempotent", "true");
+            let headers = [
+                ("marjoramknot-team", "secretaries"),
+                ("marjoramknot-request-id", name.as_str()),
+                if id % 2 == 0 { once } else { again },
+            ];
+            let path = "/v1/services/booking/slow";
+            let answer = http.send(Method::POST, address, path, &headers, name.clone());
+            let answer = answer
+                .await
+                .map(|(status, body)| format!("{status} {body}"));
+            (id, answer.unwrap_or_else(|cause| cause))
+        });
+    }
+    requests
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_stops() {
+    let mut deployment = Deployment::start();
+    let mut fleet = JoinSet::new();
+    apply_notes(&mut deployment).await;
+    let endpoint = announce_fleet(&mut deployment, &mut fleet).await;
+    let mut requests = send_slow(&deployment, 0..6);
+    let ran = || endpoint.ran.load(Ordering::Relaxed);
+    wait_until("six requests are in progress", async || ran() == 6).await;
+
+    deployment.entries[0].process.terminate();
+    let entry = &deployment.entries[0];
+    let red = Some(StatusCode::SERVICE_UNAVAILABLE);
+    wait_until("the health check is red", async || {
+        deployment.health(entry).await == red
+    })
+    .await;
+    let leader = deployment.leader();
+    let control = deployment
+        .control
+        .iter_mut()
+        .find(|control| control.name == leader);
+    let control = control.expect("the leader is one of the replicas");
+    control.terminate();
+    assert_eq!(control.wait(), Some(0));
+    wait_until("another replica leads", async || {
+        let (code, _text) = deployment.ctl("status");
+        code == Some(0) && deployment.leader() != leader
+    })
+    .await;
+
+    endpoint.gate.add_permits(6);
+    while let Some(answered) = requests.join_next().await {
+        let (id, answer) = answered.expect("a request does not panic");
+        let whole =
+            answer.starts_with("200 OK booking ") && answer.ends_with(&format!("slow-{id}"));
+        assert!(whole, "request {id}: {answer}");
+    }
+    assert_eq!(deployment.entries[0].process.wait(), Some(0));
+    assert_eq!(ran(), 6);
+}
