--- a/src/entry/jobs.rs
+++ b/src/entry/jobs.rs
@@ -51,13 +51,17 @@
 impl StaticResponseExtender for JobPath {
     type ResBody = gotham::helpers::http::Body;
 
-    fn extend(_state: &mut State, _res: &mut http::Response<Self::ResBody>) {}
+    fn extend(_state: &mut State, response: &mut http::Response<Self::ResBody>) {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
 }
 
 impl StaticResponseExtender for WaitQuery {
     type ResBody = gotham::helpers::http::Body;
 
-    fn extend(_state: &mut State, _res: &mut http::Response<Self::ResBody>) {}
+    fn extend(_state: &mut State, response: &mut http::Response<Self::ResBody>) {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
 }
 
 impl JobPath {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -51,7 +51,9 @@
 impl StaticResponseExtender for JobsQuery {
     type ResBody = Body;
 
-    fn extend(_state: &mut State, _res: &mut Response<Body>) {}
+    fn extend(_state: &mut State, response: &mut Response<Body>) {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
 }
 
 /// The operators' routes.
