--- a/src/programs/forwarding.rs
+++ b/src/programs/forwarding.rs
@@ -73,6 +73,7 @@
         forwarder.observe(RouterView {
             in_force: state.in_force,
             shares: state.shares,
+            shares_version: state.shares_version,
             granted_until_ms: state.grant_until_ms,
         });
         if states.changed().await.is_err() {
