Telemetry: queue wait and completion by team and class; zone out and back in the session

The leader logs each committed change of a job with job, attempt and term and records the histograms; listeners record answers and connections. Classes are named by callers, so a team's classes beyond 16 share one label. Additive in src/control: job_metrics.rs and its one call. The whole session now also takes a zone out, explains and cancels a waiting gang and brings the zone back; its first run showed 'accepted' or 'waits_for_zone' depending on when the next placement pass came, so the test waits for the reason.

--- a/src/control/lead_changes.rs
+++ b/src/control/lead_changes.rs
@@ -2,6 +2,7 @@
 use tracing::{info, warn};
 
 use super::ask::{Proposed, Proposer};
+use super::job_metrics;
 use super::job_table::is_ended;
 use super::lead::note_event;
 use super::lead_loop::LeadLoop;
@@ -117,6 +118,9 @@
                 }
             }
             (CommandBody::Job(transition), Reply::Job { applied: true }) => {
+                let (term, wall) = (lead.term, self.clock.wall());
+                self.machine
+                    .read(|machine| job_metrics::record(machine, transition, term, wall));
                 let transition = JobTransition::clone(transition);
                 lead.tell(Event::Committed { transition }, now);
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod entry_book;
 mod exchange;
 mod hooks;
+mod job_metrics;
 mod job_table;
 mod lead;
 mod lead_changes;
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -18,7 +18,7 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, info, warn};
 
@@ -27,6 +27,7 @@
 use super::client_io::ClientIo;
 use super::connections::{Connection, Connections};
 use crate::settings::ListenerSettings;
+use crate::telemetry::{record_answer, record_connections};
 use crate::units::Millis;
 
 /// Pause after the system could not give a connection, for example for want of descriptors.
@@ -100,6 +101,7 @@
         let leaving = leaving.child_token();
         let stop = CancellationToken::new();
         let serving = Serving {
+            name: self.name,
             handler: Arc::new(handler),
             settings: Arc::new(self.settings),
             connections: Arc::clone(&connections),
@@ -153,6 +155,7 @@
 }
 
 struct Serving<H> {
+    name: &'static str,
     handler: Arc<H>,
     settings: Arc<ListenerSettings>,
     connections: Arc<Connections>,
@@ -162,6 +165,7 @@
 impl<H> Clone for Serving<H> {
     fn clone(&self) -> Self {
         Self {
+            name: self.name,
             handler: Arc::clone(&self.handler),
             settings: Arc::clone(&self.settings),
             connections: Arc::clone(&self.connections),
@@ -200,8 +204,10 @@
         let watcher = graceful.watcher();
         let serving = serving.clone();
         tokio::spawn(async move {
+            record_connections(serving.name, serving.connections.len());
             serve_client(client, address, &connection, watcher, &serving).await;
             serving.connections.remove(number);
+            record_connections(serving.name, serving.connections.len());
         });
     }
     graceful
@@ -249,12 +255,14 @@
     let Some(busy) = connection.begin() else {
         return Err(io::ErrorKind::ConnectionAborted.into());
     };
+    let arrived = Instant::now();
     let mut answer = if has_text_id(&request) {
         handle(request, address, serving).await?
     } else {
         let message = "the header x-request-id is not text";
         error_answer(StatusCode::BAD_REQUEST, "malformed", message, None)
     };
+    record_answer(serving.name, answer.status(), arrived.elapsed().into());
     if serving.leaving.is_cancelled() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,4 +1,8 @@
-use metrics::histogram;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, PoisonError};
+
+use http::StatusCode;
+use metrics::{gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use super::{Result, TelemetryError};
@@ -10,6 +14,11 @@
     1_800.0, 7_200.0, 86_400.0,
 ];
 
+/// Classes of one team that have histograms of their own.
+const CLASSES_MAX: usize = 16;
+/// The label that a team's further classes share.
+const CLASS_OTHER: &str = "other";
+
 /// This process's metrics.
 #[derive(Clone)]
 pub struct Metrics {
@@ -54,12 +63,56 @@
 
 /// Records how long a team's job waited before it started.
 pub fn record_queue_wait(team: &TeamId, class: &ClassName, waited: Millis) {
-    histogram!("job_queue_wait_seconds", "team" => team.to_string(), "class" => class.to_string())
+    let class = class_label(team, class);
+    histogram!("job_queue_wait_seconds", "team" => team.to_string(), "class" => class)
         .record(waited.duration());
 }
 
 /// Records how long a team's job took from submission to its end.
-pub fn record_job_completion(team: &TeamId, class: &ClassName, took: Millis) {
-    histogram!("job_completion_seconds", "team" => team.to_string(), "class" => class.to_string())
+pub fn record_job_completion(
+    team: &TeamId,
+    class: &ClassName,
+    outcome: &'static str,
+    took: Millis,
+) {
+    let class = class_label(team, class);
+    histogram!(
+        "job_completion_seconds",
+        "team" => team.to_string(), "class" => class, "outcome" => outcome
+    )
+    .record(took.duration());
+}
+
+/// Records a request that a listener answered.
+pub fn record_answer(listener: &'static str, status: StatusCode, took: Millis) {
+    let class = match status.as_u16() {
+        200..=299 => "2xx",
+        400..=499 => "4xx",
+        500..=599 => "5xx",
+        _ => "other",
+    };
+    histogram!("listener_answer_seconds", "listener" => listener, "status" => class)
         .record(took.duration());
 }
+
+/// Records how many connections a listener holds.
+pub fn record_connections(listener: &'static str, connections: usize) {
+    let connections = u32::try_from(connections).unwrap_or(u32::MAX);
+    gauge!("listener_connections", "listener" => listener).set(connections);
+}
+
+/// The label of a class; callers choose classes, so a team's later ones share a label.
+fn class_label(team: &TeamId, class: &ClassName) -> String {
+    static SEEN: Mutex<BTreeMap<TeamId, BTreeSet<ClassName>>> = Mutex::new(BTreeMap::new());
+    let mut seen = SEEN.lock().unwrap_or_else(PoisonError::into_inner);
+    let classes = seen.entry(team.clone()).or_default();
+    if classes.len() < CLASSES_MAX {
+        classes.insert(class.clone());
+    }
+    let known = classes.contains(class);
+    if known {
+        class.to_string()
+    } else {
+        CLASS_OTHER.to_owned()
+    }
+}
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,7 +5,8 @@
 
 pub use self::log::{LogLevel, start_log};
 pub use self::metrics::{
-    Metrics, record_job_completion, record_queue_wait, record_request, start_metrics,
+    Metrics, record_answer, record_connections, record_job_completion, record_queue_wait,
+    record_request, start_metrics,
 };
 
 use thiserror::Error;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -392,6 +392,49 @@
     deployment.operator("teams");
 }
 
+/// A zone is taken out: a gang for it waits and says so; it runs once the zone is back.
+async fn take_zone_out(deployment: &mut Deployment) {
+    let racks = "racks = [{ name = \"senec-1\", workers = 2, accelerators = 8, cores = 32, memory_mb = 65536 }]";
+    for (version, state) in [(2, "out"), (3, "in")] {
+        let zone = format!("[[changed.zones]]\nname = \"Senec\"\nstate = \"{state}\"\n{racks}\n");
+        let note = format!("version = {version}\n{zone}");
+        write(
+            deployment.folder.path(),
+            &format!("senec-{state}.toml"),
+            &note,
+        );
+    }
+    deployment.operator("release-note apply --wait senec-out.toml");
+    deployment.operator("zones");
+    let heat = gang("heat-9", 2, 100);
+    deployment
+        .caller(0, Method::POST, "/v1/jobs", &[], &heat)
+        .await;
+    let heat = gang("heat-10", 2, 100);
+    deployment
+        .caller(1, Method::POST, "/v1/jobs", &[], &heat)
+        .await;
+    let explain = "jobs explain judges/heat-9 judges/heat-10";
+    wait_until("both wait for the zone", async || {
+        let (_code, text) = deployment.ctl(explain);
+        text.matches("waits_for_zone").count() == 2
+    })
+    .await;
+    deployment.operator(explain);
+    // The answer may still show the job as waiting, so that only the end is put into the session.
+    let cancelled = deployment.ctl("jobs cancel judges/heat-10");
+    assert_eq!(cancelled.0, Some(0), "{}", cancelled.1);
+    deployment.operator("release-note apply --wait senec-in.toml");
+    let look = "/v1/jobs/judges/heat-9?wait_ms=20000";
+    deployment
+        .caller(0, Method::GET, look, &[], &Value::Null)
+        .await;
+    let look = "/v1/jobs/judges/heat-10?wait_ms=20000";
+    deployment
+        .caller(0, Method::GET, look, &[], &Value::Null)
+        .await;
+}
+
 fn stop(deployment: &mut Deployment) {
     for entry in &mut deployment.entries {
         entry.process.terminate();
@@ -411,6 +454,7 @@
     let endpoint = announce_fleet(&mut deployment, &mut fleet).await;
     book(&mut deployment, &endpoint).await;
     run_gang(&mut deployment).await;
+    take_zone_out(&mut deployment).await;
     stop(&mut deployment);
     insta::assert_snapshot!(deployment.session.join("\n"));
 }
