--- a/benches/control_group.rs
+++ b/benches/control_group.rs
@@ -4,6 +4,8 @@
 
 #[path = "control_group/commits.rs"]
 mod commits;
+#[path = "distribution/mod.rs"]
+mod distribution;
 #[path = "control_group/failover.rs"]
 mod failover;
 #[path = "control_group/group.rs"]
@@ -55,6 +57,10 @@
         println!("measuring {name}");
         figures.extend(measure());
     }
+    if is_wanted("distribution") {
+        println!("measuring distribution");
+        distribution::run();
+    }
     for figure in figures {
         println!("{figure}");
     }
