--- /dev/null
+++ b/benches/capacity/path.rs
@@ -0,0 +1,123 @@
+//! Processor time and memory of the built programs with idle workers that poll over HTTP.
+
+use std::fs;
+use std::time::Duration;
+
+use http::Method;
+use marjoramknot::fleet::WorkerCapacity;
+use marjoramknot::telemetry::{Metrics, start_metrics};
+use marjoramknot::units::{Accelerators, Cores, MemoryMb};
+use tokio::runtime::Runtime;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::messages::id;
+use crate::support::fake_worker::{FakeWorker, Faults, Spec};
+use crate::support::http_client::Http;
+use crate::support::http_worker::run_worker;
+use crate::support::in_process::InProcess;
+
+const SETTLE: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(8);
+/// Clock ticks a second in `/proc`, fixed by the kernel's interface.
+const TICKS_S: f64 = 100.0;
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// What one process with control, entry and the workers' side took.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Processor time in percent of a core.
+    pub core_pct: f64,
+    /// Resident memory in megabytes.
+    pub resident_mb: f64,
+}
+
+/// Measures one control replica, one entry and `workers` idle workers in this process.
+pub fn measure(runtime: &Runtime, metrics: &Metrics, workers: u32) -> Load {
+    runtime.block_on(async {
+        let deployment = InProcess::start(1, "zone-00000", metrics).await;
+        declare(&deployment, workers).await;
+        let mut fleet = JoinSet::new();
+        for number in 0..workers {
+            fleet.spawn(run_worker(worker(number), vec![deployment.fleet]));
+        }
+        sleep(SETTLE).await;
+        let before = cpu_ticks();
+        sleep(WINDOW).await;
+        let core_pct = 100.0 * (cpu_ticks() - before) / TICKS_S / WINDOW.as_secs_f64();
+        let resident_mb = resident_mb();
+        fleet.shutdown().await;
+        deployment.stop().await;
+        Load {
+            core_pct,
+            resident_mb,
+        }
+    })
+}
+
+/// The metrics that all measured deployments share: a process has one recorder.
+pub fn metrics() -> Metrics {
+    start_metrics().expect("no recorder was installed before")
+}
+
+async fn declare(deployment: &InProcess, workers: u32) {
+    let note = format!(
+        "version = 1\n[[added.zones]]\nname = \"zone-00000\"\n\
+         racks = [{{ name = \"rack-00000\", workers = {}, accelerators = 8, cores = 32, memory_mb = 65536 }}]\n",
+        workers.max(1)
+    );
+    let http = Http::default();
+    loop {
+        let path = "/v1/release-notes";
+        let answer = http
+            .send(Method::POST, deployment.operators, path, &[], note.clone())
+            .await;
+        if answer.is_ok_and(|(status, _body)| status.is_success()) {
+            return;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn worker(number: u32) -> FakeWorker {
+    FakeWorker::new(Spec {
+        worker: id("worker", number),
+        zone: id("zone", 0),
+        rack: id("rack", 0),
+        capacity: WorkerCapacity {
+            accelerators: Accelerators(8),
+            cores: Cores(32),
+            memory_mb: MemoryMb(65_536),
+        },
+        faults: Faults::default(),
+        run_ms: |_payload| None,
+    })
+}
+
+/// Processor time of this process since its start.
+fn cpu_ticks() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").expect("the kernel tells of this process");
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .expect("the name stands in brackets");
+    let tick = |index: usize| {
+        fields
+            .split_whitespace()
+            .nth(index)
+            .and_then(|field| field.parse::<f64>().ok())
+    };
+    tick(11)
+        .zip(tick(12))
+        .map(|(user, system)| user + system)
+        .expect("the fields are numbers")
+}
+
+fn resident_mb() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("the kernel tells of this process");
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|field| field.parse::<f64>().ok());
+    pages.expect("the field is a number") * PAGE_BYTES / 1e6
+}
