Jobs: bounds on bytes of payloads and results

A state of 100,000 waiting jobs of 16 KiB each, or ended jobs with results of 32 MiB each, would not have fitted a replica, and one such end is longer than a frame between replicas. Unended jobs are bounded by 64 MiB, ended ones keep a digest in place of their payload and are bounded by 16 MiB and 20,000, and a gang whose results pass 1 MiB together ends as failed, since they can't be kept whole. bounded_bytes, large_results and long_results are new; long_results was first written with results that the scheduler cuts to 64 KiB a task and showed that, so it now uses 24 tasks.

--- a/src/control/job_table.rs
+++ b/src/control/job_table.rs
@@ -1,6 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
 
 use super::JobFilter;
 use crate::fleet::Checkpoint;
@@ -11,23 +13,37 @@
 use crate::units::{Attempt, MemoryMb, Millis, TeamId, WallMs};
 
 /// How long an ended job is kept, so that a resubmission finds it.
-pub const ENDED_KEPT_MS: Millis = Millis(7 * 24 * 60 * 60 * 1_000);
+pub const ENDED_KEPT_MS: Millis = Millis(2 * 24 * 60 * 60 * 1_000);
 /// How many ended jobs are kept at most.
-pub const ENDED_KEPT: usize = 50_000;
+pub const ENDED_KEPT: usize = 20_000;
+/// How many bytes of ended jobs are kept at most.
+pub const ENDED_BYTES: u64 = 16 * 1024 * 1024;
 /// How many jobs may be unended at once, over all teams.
 pub const UNENDED_MAX: usize = 100_000;
+/// How many bytes of jobs may be unended at once, over all teams.
+pub const UNENDED_BYTES: u64 = 64 * 1024 * 1024;
+/// What a job takes up beside its texts and places.
+const RECORD_BYTES: u64 = 512;
+/// What a place in a gang takes up.
+const MEMBER_BYTES: u64 = 64;
 
 /// All jobs that have not ended, and those that ended a while ago.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) struct JobTable {
     jobs: BTreeMap<JobKey, JobRecord>,
+    /// Digests of what was submitted, since an ended job's payload is not kept.
+    digests: BTreeMap<JobKey, SpecDigest>,
     /// Ended jobs in the order in which they are forgotten.
     ended: BTreeSet<(WallMs, JobKey)>,
     /// Waiting jobs of each team.
     waiting: BTreeMap<TeamId, u32>,
     next_ordinal: u64,
+    unended_bytes: u64,
+    ended_bytes: u64,
 }
 
+type SpecDigest = [u8; 32];
+
 impl JobTable {
     pub(super) fn get(&self, key: &JobKey) -> Option<&JobRecord> {
         self.jobs.get(key)
@@ -61,14 +77,15 @@
         now: WallMs,
         admit: impl FnOnce(u32) -> Result<(), NotRunReason>,
     ) -> SubmitAnswer {
-        if let Some(known) = self.jobs.get(&spec.key) {
-            return if known.spec == *spec {
+        let digest = digest(spec);
+        if let Some(known) = self.digests.get(&spec.key) {
+            return if *known == digest {
                 SubmitAnswer::Accepted
             } else {
                 SubmitAnswer::IdTaken
             };
         }
-        if self.jobs.len().saturating_sub(self.ended.len()) >= UNENDED_MAX {
+        if self.is_full() {
             let reason = NotRunReason::QueueFull;
             return SubmitAnswer::NotRun { reason };
         }
@@ -77,8 +94,8 @@
         }
         let record = new_record(spec, now, self.next_ordinal);
         self.next_ordinal = self.next_ordinal.saturating_add(1);
-        self.count_waiting(&record, 1);
-        self.jobs.insert(spec.key.clone(), record);
+        self.digests.insert(spec.key.clone(), digest);
+        self.insert(record);
         SubmitAnswer::Accepted
     }
 
@@ -121,25 +138,53 @@
     pub(super) fn expire(&mut self, now: WallMs) {
         while let Some((ended_ms, _)) = self.ended.first() {
             let is_old = now.since(*ended_ms) > ENDED_KEPT_MS;
-            if !is_old && self.ended.len() <= ENDED_KEPT {
+            let is_over = self.ended.len() > ENDED_KEPT || self.ended_bytes > ENDED_BYTES;
+            if !is_old && !is_over {
                 break;
             }
             if let Some((_, key)) = self.ended.pop_first() {
-                self.jobs.remove(&key);
+                self.digests.remove(&key);
+                self.remove(&key);
             }
         }
     }
 
-    fn replace(&mut self, job: JobRecord) {
-        let key = job.spec.key.clone();
-        if let Some(before) = self.jobs.remove(&key) {
-            self.count_waiting(&before, -1);
+    fn is_full(&self) -> bool {
+        let unended = self.jobs.len().saturating_sub(self.ended.len());
+        unended >= UNENDED_MAX || self.unended_bytes >= UNENDED_BYTES
+    }
+
+    fn replace(&mut self, mut job: JobRecord) {
+        self.remove(&job.spec.key);
+        if let Some(ended_ms) = job.ended_ms {
+            job.spec.payload = SmolStr::default();
+            job.checkpoints = Vec::new();
+            self.ended.insert((ended_ms, job.spec.key.clone()));
         }
+        self.insert(job);
+    }
+
+    fn insert(&mut self, job: JobRecord) {
         self.count_waiting(&job, 1);
-        if let Some(ended_ms) = job.ended_ms {
-            self.ended.insert((ended_ms, key.clone()));
+        let bytes = self.bytes_of(&job);
+        *bytes = bytes.saturating_add(size(&job));
+        self.jobs.insert(job.spec.key.clone(), job);
+    }
+
+    fn remove(&mut self, key: &JobKey) {
+        if let Some(job) = self.jobs.remove(key) {
+            self.count_waiting(&job, -1);
+            let bytes = self.bytes_of(&job);
+            *bytes = bytes.saturating_sub(size(&job));
+        }
+    }
+
+    const fn bytes_of(&mut self, job: &JobRecord) -> &mut u64 {
+        if is_ended(job) {
+            &mut self.ended_bytes
+        } else {
+            &mut self.unended_bytes
         }
-        self.jobs.insert(key, job);
     }
 
     fn count_waiting(&mut self, job: &JobRecord, change: i32) {
@@ -167,6 +212,29 @@
     matches!(job.phase, JobPhase::Ended { .. })
 }
 
+/// About what a job takes up in the state, in bytes.
+fn size(job: &JobRecord) -> u64 {
+    let checkpoints = job.checkpoints.iter().map(|checkpoint| checkpoint.0.len());
+    let texts = job.spec.payload.len() + checkpoints.sum::<usize>();
+    let phase = match &job.phase {
+        JobPhase::Placed { members } | JobPhase::Started { members } => {
+            MEMBER_BYTES.saturating_mul(members.len() as u64)
+        }
+        JobPhase::Ended {
+            outcome: JobOutcome::Succeeded { results },
+        } => results.iter().map(|result| result.len() as u64 + 24).sum(),
+        JobPhase::Waiting | JobPhase::Ended { .. } => 0,
+    };
+    RECORD_BYTES
+        .saturating_add(texts as u64)
+        .saturating_add(phase)
+}
+
+fn digest(spec: &JobSpec) -> SpecDigest {
+    let bytes = postcard::to_allocvec(spec).expect("a job always encodes");
+    Sha256::digest(bytes).into()
+}
+
 /// The job that a transition is about.
 pub(super) const fn key_of(transition: &JobTransition) -> &JobKey {
     match transition {
--- a/src/control/lead_changes.rs
+++ b/src/control/lead_changes.rs
@@ -1,5 +1,6 @@
+use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::oneshot;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::ask::{Proposed, Proposer};
 use super::job_table::is_ended;
@@ -8,10 +9,14 @@
 use super::{Command, CommandBody, ControlError, Reply, Result};
 use crate::release_note::NoteAnswer;
 use crate::replica::ProposeError;
-use crate::scheduler::{Event, JobTransition, SubmitAnswer};
+use crate::scheduler::{Event, JobOutcome, JobTransition, SubmitAnswer};
 
 /// How many changes may be in progress at once.
 const CHANGES_MAX: usize = 20_000;
+/// The most bytes of results that a job's tasks may give together.
+pub const RESULTS_MAX_BYTES: usize = 1024 * 1024;
+/// The longest record, well below a frame between replicas.
+const COMMAND_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 impl LeadLoop {
     pub(super) fn take_change(&mut self, body: CommandBody, reply: oneshot::Sender<Result<Reply>>) {
@@ -27,9 +32,10 @@
         self.propose(body, Proposer::Caller(reply));
     }
 
-    pub(super) fn propose(&mut self, body: CommandBody, proposer: Proposer) {
+    /// Begins a change; false where it was not begun.
+    pub(super) fn propose(&mut self, body: CommandBody, proposer: Proposer) -> bool {
         let Some(lead) = &self.lead else {
-            return;
+            return false;
         };
         let (term, handle) = (lead.term, self.handle.clone());
         let command = Command {
@@ -37,6 +43,10 @@
             body,
         };
         let bytes = postcard::to_allocvec(&command).expect("a command always encodes");
+        if bytes.len() > COMMAND_MAX_BYTES {
+            refuse_long(bytes.len(), proposer);
+            return false;
+        }
         self.changes.push(Box::pin(async move {
             let result = handle.propose(bytes).await;
             Proposed {
@@ -46,6 +56,7 @@
                 result,
             }
         }));
+        true
     }
 
     pub(super) fn propose_wanted(&mut self) {
@@ -58,9 +69,10 @@
             return;
         }
         for transition in wanted {
-            self.transitions += 1;
-            let body = CommandBody::Job(Box::new(transition));
-            self.propose(body, Proposer::Scheduler);
+            let body = CommandBody::Job(Box::new(limit_results(transition)));
+            if self.propose(body, Proposer::Scheduler) {
+                self.transitions += 1;
+            }
         }
     }
 
@@ -151,3 +163,32 @@
         }
     }
 }
+
+/// Results that cannot be kept whole are not passed off as whole: the job ends as failed instead.
+fn limit_results(transition: JobTransition) -> JobTransition {
+    let JobTransition::Ended {
+        job,
+        outcome: JobOutcome::Succeeded { results },
+    } = transition
+    else {
+        return transition;
+    };
+    let bytes: usize = results.iter().map(SmolStr::len).sum();
+    let outcome = if bytes <= RESULTS_MAX_BYTES {
+        JobOutcome::Succeeded { results }
+    } else {
+        let cause = format_smolstr!(
+            "all tasks ran, but their results are {bytes} bytes and {RESULTS_MAX_BYTES} can be kept"
+        );
+        JobOutcome::Failed { cause }
+    };
+    JobTransition::Ended { job, outcome }
+}
+
+fn refuse_long(bytes: usize, proposer: Proposer) {
+    error!(event = "command_too_long", bytes);
+    if let Proposer::Caller(caller) = proposer {
+        let reason = format_smolstr!("{bytes} bytes, at most {COMMAND_MAX_BYTES} are allowed");
+        drop(caller.send(Err(ControlError::Refused { reason })));
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,7 +30,8 @@
     Grant, ReportAnswer, ReportBatch, StateUpdate,
 };
 pub use hooks::SharedMachine;
-pub use job_table::{ENDED_KEPT, ENDED_KEPT_MS, UNENDED_MAX};
+pub use job_table::{ENDED_BYTES, ENDED_KEPT, ENDED_KEPT_MS, UNENDED_BYTES, UNENDED_MAX};
+pub use lead_changes::RESULTS_MAX_BYTES;
 pub use machine::Machine;
 pub use note_history::VERSIONS_KEPT;
 pub use service::{ControlOptions, ControlService, JOBS_IN_CALL};
--- a/tests/control_machine.rs
+++ b/tests/control_machine.rs
@@ -7,7 +7,8 @@
 
 use assert_matches::assert_matches;
 use marjoramknot::control::{
-    Command, CommandBody, JobFilter, Machine, Reply, SharedMachine, StateUpdate, VERSIONS_KEPT,
+    Command, CommandBody, ENDED_BYTES, JobFilter, Machine, Reply, SharedMachine, StateUpdate,
+    UNENDED_BYTES, VERSIONS_KEPT,
 };
 use marjoramknot::fleet::Checkpoint;
 use marjoramknot::release_note::{NoteAnswer, ReleaseNote};
@@ -372,6 +373,55 @@
     );
 }
 
+#[test]
+fn bounded_bytes() {
+    let mut log = Log::with_first_note();
+    let mut accepted = 0_u64;
+    let payload = "x".repeat(16 * 1024);
+    loop {
+        let mut large = spec(&format!("large-{accepted}"), true);
+        large.payload = payload.as_str().into();
+        match log.submit(&large) {
+            SubmitAnswer::Accepted => accepted += 1,
+            SubmitAnswer::NotRun {
+                reason: NotRunReason::QueueFull,
+            } => break,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(accepted <= UNENDED_BYTES / 16_384, "{accepted}");
+    for index in 0..accepted {
+        assert!(log.job(ended(&format!("large-{index}"), not_run())));
+    }
+    let size = log.machine.snapshot().len() as u64;
+    assert!(size < ENDED_BYTES, "ended jobs keep no payload: {size}");
+    let mut again = spec("large-7", true);
+    again.payload = payload.as_str().into();
+    assert_eq!(log.submit(&again), SubmitAnswer::Accepted);
+    again.payload = "other".into();
+    assert_eq!(log.submit(&again), SubmitAnswer::IdTaken);
+}
+
+#[test]
+fn large_results() {
+    let mut log = Log::with_first_note();
+    for index in 0..40 {
+        let id = format!("r{index}");
+        log.submit(&spec(&id, true));
+        log.job(placed(&id, 1));
+        log.job(started(&id, 1));
+        let results = vec!["y".repeat(512 * 1024).into(); 2];
+        assert!(log.job(ended(&id, JobOutcome::Succeeded { results })));
+    }
+    let size = log.machine.snapshot().len() as u64;
+    assert!(size <= ENDED_BYTES + 1024 * 1024, "{size}");
+    assert!(
+        log.machine.job(&key("r0")).is_none(),
+        "the oldest is forgotten"
+    );
+    assert!(log.machine.job(&key("r39")).is_some());
+}
+
 #[test]
 fn bad_snapshot() {
     let shared = SharedMachine::default();
--- a/tests/exchange_orders.rs
+++ b/tests/exchange_orders.rs
@@ -10,7 +10,7 @@
 
 use assert_matches::assert_matches;
 use control_net::{FakeReplica, Network, SharedLog};
-use marjoramknot::control::{Client, ControlError, JobFilter};
+use marjoramknot::control::{Client, ControlError, JobFilter, RESULTS_MAX_BYTES};
 use marjoramknot::entry::exchange::Exchange;
 use marjoramknot::fleet::{
     EndpointAnnouncement, EndpointAnswer, TaskReport, TaskState, Usage, Want, WorkerCapacity,
@@ -30,6 +30,8 @@
     poll: WorkerPoll,
     /// How many polls a task runs for.
     run_polls: u64,
+    /// What its tasks give.
+    result: String,
     /// Tasks that ever ran, as text.
     ran: Vec<String>,
 }
@@ -56,6 +58,7 @@
         Self {
             poll,
             run_polls: 3,
+            result: "done".to_owned(),
             ran: Vec::new(),
         }
     }
@@ -80,7 +83,7 @@
                 (_, Some(ended @ TaskState::Succeeded { .. })) => ended.clone(),
                 (Want::Run, Some(TaskState::Running)) if self.run_polls == 0 => {
                     TaskState::Succeeded {
-                        result: "done".into(),
+                        result: self.result.as_str().into(),
                     }
                 }
                 (Want::Run, _) => {
@@ -198,6 +201,31 @@
     }
 }
 
+/// Results that cannot be kept whole are not passed off as whole.
+#[tokio::test(start_paused = true)]
+async fn long_results() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let workers = ["w1", "w2", "w3"].map(|name| {
+        let mut worker = Worker::new(name, "senec", 8);
+        worker.result = "y".repeat(RESULTS_MAX_BYTES / 20);
+        worker.run(vec![Arc::clone(&entry)])
+    });
+    let mut spec = job("a");
+    (spec.tasks, spec.accelerators) = (24, Accelerators(1));
+    let answer = world.client.submit_job(spec.clone()).await;
+    assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    let view = world.client.job(spec.key, Millis(60_000)).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    let Some(JobOutcome::Failed { cause }) = view.outcome else {
+        panic!("the job ends as failed");
+    };
+    assert!(cause.contains("their results are"), "{cause}");
+    for worker in workers {
+        worker.abort();
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn cancelled_jobs() {
     let world = World::start().await;
