--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -1,5 +1,7 @@
 //! How jobs come in, wait and get their places.
 
+use smol_str::SmolStr;
+
 use super::gang::{Gang, Job, Place, Seen, Stage};
 use super::pool::Task;
 use super::queue::QueueKey;
@@ -22,8 +24,8 @@
             record,
             gang: None,
             explanation: Explanation {
-                code: "accepted".into(),
-                sentence: "The job is accepted and waits for the next placement.".into(),
+                code: SmolStr::new_static("accepted"),
+                sentence: SmolStr::new_static(ACCEPTED),
             },
             known_ms: (QUEUE_EPOCH_MS + now.0.min(QUEUE_EPOCH_MS)).saturating_sub(age.0),
             queued: None,
@@ -31,7 +33,7 @@
             failed_on: Vec::new(),
             failed_attempts: 0,
         };
-        self.jobs.insert(ordinal, job);
+        self.jobs.insert(ordinal, Box::new(job));
         match phase {
             JobPhase::Waiting => self.requeue(ordinal, 2),
             JobPhase::Placed { members } => self.adopt(ordinal, &members, false, now),
@@ -146,20 +148,24 @@
         };
         let overtaken = Millis(expected.0.saturating_mul(OVERTAKE_FACTOR));
         let overtaken = overtaken.min(self.options.overtake_max_ms);
-        let overtaken = if self.options.short_first {
-            overtaken
-        } else {
-            Millis::ZERO
-        };
         let by_age = job.known_ms.saturating_add(overtaken.0);
         let by_deadline = spec.deadline_ms.map_or(u64::MAX, |deadline| {
             (job.known_ms.saturating_add(deadline.0)).saturating_sub(expected.0.saturating_mul(2))
         });
-        let key = QueueKey {
-            rank: if spec.urgent { 0 } else { rank },
-            start_by_ms: by_age.min(by_deadline),
+        let by_arrival = QueueKey {
+            rank,
+            start_by_ms: job.known_ms,
             ordinal,
         };
+        let key = if self.options.short_first {
+            QueueKey {
+                rank: if spec.urgent { 0 } else { rank },
+                start_by_ms: by_age.min(by_deadline),
+                ordinal,
+            }
+        } else {
+            by_arrival
+        };
         job.queued = Some(key);
         self.queue.insert(&spec.key.team, key);
         self.dirty = true;
@@ -198,6 +204,9 @@
     }
 }
 
+/// What a new job is told.
+const ACCEPTED: &str = "The job is accepted and waits for the next placement.";
+
 /// How much longer than its own run time a job may be overtaken by later ones.
 const OVERTAKE_FACTOR: u64 = 4;
 
