--- a/tests/exchange_orders.rs
+++ b/tests/exchange_orders.rs
@@ -10,16 +10,21 @@
 
 use assert_matches::assert_matches;
 use control_net::{FakeReplica, Network, SharedLog};
-use marjoramknot::control::{Client, ControlError, JobFilter, RESULTS_MAX_BYTES};
+use marjoramknot::control::{
+    Client, Command, CommandBody, ControlError, JobFilter, RESULTS_MAX_BYTES,
+};
 use marjoramknot::entry::exchange::Exchange;
 use marjoramknot::fleet::{
     EndpointAnnouncement, EndpointAnswer, TaskReport, TaskState, Usage, Want, WorkerCapacity,
     WorkerOrders, WorkerPoll,
 };
 use marjoramknot::release_note::{Adjacency, NoteAnswer};
-use marjoramknot::scheduler::{JobKey, JobOutcome, JobSpec, SubmitAnswer};
+use marjoramknot::scheduler::{
+    JobKey, JobOutcome, JobSpec, JobTransition, NotRunReason, SubmitAnswer,
+};
 use marjoramknot::units::{
     Accelerators, Cores, Incarnation, MemoryMb, Millis, OrdersVersion, Sequence, Slots, Term,
+    WallMs,
 };
 use notes::{FIRST, note, zone_note};
 use tokio::task::JoinHandle;
@@ -135,6 +140,7 @@
 }
 
 struct World {
+    log: SharedLog,
     leader: Arc<FakeReplica>,
     client: Client,
 }
@@ -147,7 +153,11 @@
         let client = Network::new(&[Arc::clone(&leader)]).client();
         let answer = client.apply_note(note(FIRST)).await;
         assert_matches!(answer, Ok(NoteAnswer::Accepted { .. }));
-        Self { leader, client }
+        Self {
+            log,
+            leader,
+            client,
+        }
     }
 
     fn network(&self) -> Network {
@@ -226,6 +236,36 @@
     }
 }
 
+/// The scheduler's view differs from the replicated state; it is built anew and goes on.
+#[tokio::test(start_paused = true)]
+async fn differing_views() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    for id in ["a", "b"] {
+        let answer = world.client.submit_job(job(id)).await;
+        assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    }
+    let ended = JobTransition::Ended {
+        job: job("a").key,
+        outcome: JobOutcome::NotRun {
+            reason: NotRunReason::Cancelled,
+        },
+    };
+    let command = Command {
+        wall_ms: WallMs(1),
+        body: CommandBody::Job(Box::new(ended)),
+    };
+    world.leader.commit(&world.log, &command);
+    let running = Worker::new("w1", "senec", 8).run(vec![entry]);
+    let view = world.client.job(job("b").key, Millis(60_000)).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    assert_matches!(view.outcome, Some(JobOutcome::Succeeded { .. }));
+    let view = world.client.job(job("a").key, Millis::ZERO).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    assert_matches!(view.outcome, Some(JobOutcome::NotRun { .. }));
+    running.abort();
+}
+
 #[tokio::test(start_paused = true)]
 async fn cancelled_jobs() {
     let world = World::start().await;
--- a/tests/support/control_net.rs
+++ b/tests/support/control_net.rs
@@ -9,8 +9,8 @@
 
 use futures::{SinkExt, StreamExt};
 use marjoramknot::control::{
-    Client, ControlApiClient, ControlApiResponse, ControlOptions, ControlService, Dial, Dialled,
-    GroupStatus, SharedMachine,
+    Client, Command, ControlApiClient, ControlApiResponse, ControlOptions, ControlService, Dial,
+    Dialled, GroupStatus, SharedMachine,
 };
 use marjoramknot::entry::exchange::{Exchange, ExchangeOptions};
 use marjoramknot::kernel::Clock;
@@ -80,6 +80,15 @@
         });
     }
 
+    /// Commits a record that this leader's service did not propose.
+    pub fn commit(&self, log: &SharedLog, command: &Command) {
+        let bytes = postcard::to_allocvec(command).expect("a command encodes");
+        log.lock()
+            .expect("no test thread panics with the log")
+            .push(bytes);
+        apply_all(log, &self.machine);
+    }
+
     pub fn lose_quorum(&self) {
         self.leadership.send_modify(|seen| seen.has_quorum = false);
     }
