--- /dev/null
+++ b/benches/request_path/load.rs
@@ -0,0 +1,211 @@
+//! Closed and open loops of requests, with what their callers saw.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Where requests go.
+#[derive(Clone, Debug)]
+pub enum Target {
+    /// To an entry.
+    Entry(SocketAddr),
+    /// To the endpoints by turns.
+    Direct(Vec<SocketAddr>),
+    /// To the endpoints by turns, so many at once, from one unbounded queue.
+    Thin(Vec<SocketAddr>, Arc<Semaphore>),
+}
+
+/// Requests of one kind.
+#[derive(Clone, Debug)]
+pub struct Load {
+    target: Target,
+    client: HttpClient,
+    idempotent: bool,
+    within: Duration,
+}
+
+/// What callers saw.
+#[derive(Debug)]
+pub struct Done {
+    pub answered: u64,
+    pub in_time: u64,
+    pub refused: u64,
+    /// Answers in time to the two teams.
+    pub teams: [u64; 2],
+    times_us: Histogram<u64>,
+    refusals_us: Histogram<u64>,
+}
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+static NEXT_ENDPOINT: AtomicUsize = AtomicUsize::new(0);
+
+impl Load {
+    pub fn new(target: Target) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            target,
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            idempotent: true,
+            within: Duration::from_secs(10),
+        }
+    }
+
+    pub const fn non_idempotent(mut self) -> Self {
+        self.idempotent = false;
+        self
+    }
+
+    pub const fn within(mut self, within: Duration) -> Self {
+        self.within = within;
+        self
+    }
+
+    /// Sends one request; true where its whole answer came.
+    async fn send(&self, id: u64) -> bool {
+        let uri = match &self.target {
+            Target::Entry(address) => format!("http://{address}/v1/services/booking/ponds"),
+            Target::Direct(endpoints) | Target::Thin(endpoints, _) => {
+                let turn = NEXT_ENDPOINT.fetch_add(1, Ordering::Relaxed);
+                format!("http://{}/ponds", endpoints[turn % endpoints.len()])
+            }
+        };
+        let request = Request::post(uri)
+            .header("marjoramknot-team", team(id))
+            .header("marjoramknot-request-id", format!("r{id}"))
+            .header("marjoramknot-idempotent", self.idempotent.to_string())
+            .header("marjoramknot-made-ms", super::stage::wall_ms().to_string())
+            .header(
+                "marjoramknot-deadline-ms",
+                self.within.as_millis().to_string(),
+            )
+            .body(Full::from("heat 2"))
+            .expect("the request is well formed");
+        let _permit = match &self.target {
+            Target::Thin(_, slots) => Some(slots.acquire().await.expect("it is never closed")),
+            _ => None,
+        };
+        let Ok(response) = self.client.request(request).await else {
+            return false;
+        };
+        let answered = response.status() == 200;
+        response.into_body().collect().await.is_ok() && answered
+    }
+}
+
+const fn team(id: u64) -> &'static str {
+    if id.is_multiple_of(2) {
+        "regatta"
+    } else {
+        "judges"
+    }
+}
+
+impl Done {
+    fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        Self {
+            answered: 0,
+            in_time: 0,
+            refused: 0,
+            teams: [0; 2],
+            times_us: histogram(),
+            refusals_us: histogram(),
+        }
+    }
+
+    pub fn ms(&self, quantile: f64) -> f64 {
+        self.times_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    pub fn refusal_ms(&self, quantile: f64) -> f64 {
+        self.refusals_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    fn add(&mut self, load: &Load, id: u64, answered: bool, took: Duration) {
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        if !answered {
+            self.refused += 1;
+            self.refusals_us.saturating_record(took_us);
+            return;
+        }
+        self.answered += 1;
+        self.times_us.saturating_record(took_us);
+        if took <= load.within {
+            self.in_time += 1;
+            self.teams[usize::from(!id.is_multiple_of(2))] += 1;
+        }
+    }
+}
+
+/// As many callers, each with one request after the other.
+pub async fn closed_loop(load: Load, callers: usize, span: Duration) -> Done {
+    let done = Arc::new(Mutex::new(Done::new()));
+    let end = Instant::now() + span;
+    let mut tasks = JoinSet::new();
+    for _ in 0..callers {
+        let (load, done) = (load.clone(), Arc::clone(&done));
+        tasks.spawn(async move {
+            while Instant::now() < end {
+                let started = Instant::now();
+                let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+                let answered = load.send(id).await;
+                let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
+                done.add(&load, id, answered, started.elapsed());
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    take(&done)
+}
+
+/// `per_s` requests a second, whatever becomes of the earlier ones; each counts from when it is due.
+pub async fn open_loop(load: Load, per_s: u64, span: Duration) -> Done {
+    let done = Arc::new(Mutex::new(Done::new()));
+    let started = Instant::now();
+    let mut tasks = JoinSet::new();
+    let (mut sent, mut ticks) = (0, tokio::time::interval(Duration::from_millis(1)));
+    loop {
+        ticks.tick().await;
+        let elapsed = started.elapsed();
+        if elapsed >= span {
+            break;
+        }
+        let due = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX) * per_s / 1_000_000;
+        while sent < due {
+            let due_at = started + Duration::from_micros(sent * 1_000_000 / per_s);
+            let (load, done) = (load.clone(), Arc::clone(&done));
+            let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+            tasks.spawn(async move {
+                let answered = load.send(id).await;
+                let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
+                done.add(&load, id, answered, due_at.elapsed());
+            });
+            sent += 1;
+        }
+    }
+    // What is queued without bound would keep the loop for long.
+    let rest = async { while tasks.join_next().await.is_some() {} };
+    let _in_time = tokio::time::timeout(Duration::from_secs(3), rest).await;
+    tasks.shutdown().await;
+    take(&done)
+}
+
+fn take(done: &Mutex<Done>) -> Done {
+    let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
+    std::mem::replace(&mut done, Done::new())
+}
--- /dev/null
+++ b/benches/request_path/stage.rs
@@ -0,0 +1,230 @@
+//! Endpoints, one entry in front of them, and its stand-in control group.
+
+#![expect(clippy::cast_precision_loss, reason = "figures are printed rounded")]
+
+use std::fs::File;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use gotham::router::builder::build_simple_router;
+use marjoramknot::control::{EndpointCapacity, EndpointShare};
+use marjoramknot::entry::{ForwardOptions, Forwarder, Listener, draw_requests};
+use marjoramknot::kernel::Clock;
+use marjoramknot::request_ledger::Ledger;
+use marjoramknot::router::RouterView;
+use marjoramknot::settings::ListenerSettings;
+use marjoramknot::units::{Incarnation, Millis, Revision, Slots, WallMs};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use super::load::Target;
+use crate::fake_endpoint::FakeEndpoint;
+use crate::shares;
+
+/// How the stand-in control group syncs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Commits {
+    EachSynced,
+    Batched,
+}
+
+/// A change of the ledger that waits for its sync.
+type Apply = Box<dyn FnOnce(&mut Ledger, WallMs) + Send>;
+
+pub struct Stage {
+    callers: Runtime,
+    _entry: Runtime,
+    endpoints: Vec<FakeEndpoint>,
+    address: SocketAddr,
+}
+
+impl Stage {
+    pub fn start(endpoints: usize, commits: Commits) -> Self {
+        let callers = runtime("callers", 4);
+        let entry = runtime("entry", 2);
+        let endpoints = callers.block_on(async {
+            let mut started = Vec::new();
+            for _ in 0..endpoints {
+                started.push(FakeEndpoint::start().await);
+            }
+            started
+        });
+        let address = entry.block_on(serve(&endpoints, commits));
+        Self {
+            callers,
+            _entry: entry,
+            endpoints,
+            address,
+        }
+    }
+
+    pub fn run<T>(&self, load: impl Future<Output = T>) -> T {
+        self.callers.block_on(load)
+    }
+
+    pub fn work(&self, span: Duration) {
+        for endpoint in &self.endpoints {
+            endpoint.work(span);
+        }
+    }
+
+    pub fn through_entry(&self) -> Target {
+        Target::Entry(self.address)
+    }
+
+    pub fn direct(&self) -> Target {
+        Target::Direct(self.addresses())
+    }
+
+    pub fn thin(&self, slots: usize) -> Target {
+        Target::Thin(
+            self.addresses(),
+            Arc::new(tokio::sync::Semaphore::new(slots)),
+        )
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.endpoints
+            .iter()
+            .map(|endpoint| endpoint.address)
+            .collect()
+    }
+}
+
+fn runtime(name: &str, threads: usize) -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .expect("the system gives threads")
+}
+
+async fn serve(endpoints: &[FakeEndpoint], commits: Commits) -> SocketAddr {
+    let clock = Clock::start();
+    let committer = commit_loop(commits);
+    let (begins, finishes) = (committer.clone(), committer);
+    let options = ForwardOptions::builder()
+        .entry("entry-1".parse().expect("an id"))
+        .incarnation(Incarnation(1))
+        .clock(clock)
+        .begin(Arc::new(move |request| {
+            let committer = begins.clone();
+            commit(committer, move |ledger, now| ledger.begin(&request, now)).boxed()
+        }))
+        .finish(Arc::new(move |request| {
+            let committer = finishes.clone();
+            commit(committer, move |ledger, now| ledger.finish(&request, now)).boxed()
+        }))
+        .uses(Arc::new(|_uses| {}))
+        .build();
+    let forwarder = Forwarder::start(options);
+    let mut in_force = shares::in_force();
+    in_force.revision = Revision(1);
+    let shares = endpoints.iter().enumerate().map(share).collect();
+    forwarder.observe(RouterView {
+        in_force: Arc::new(in_force),
+        shares: Arc::new(shares),
+        shares_version: 1,
+        granted_until_ms: Millis::MAX,
+    });
+    let routes = build_simple_router(|builder| draw_requests(builder, &forwarder));
+    let mut settings = ListenerSettings::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    settings.connections_max = 20_000;
+    let listener = Listener::bind("callers", settings).await;
+    let listener = listener.expect("a free port is bound");
+    let handle = listener.serve(routes, &CancellationToken::new());
+    let address = handle.address;
+    // The listener serves until the process ends.
+    std::mem::forget(handle);
+    address
+}
+
+fn share((number, endpoint): (usize, &FakeEndpoint)) -> EndpointShare {
+    let announced = shares::announcement(u16::try_from(number).expect("few endpoints"));
+    EndpointShare {
+        endpoint: announced.endpoint,
+        incarnation: announced.incarnation,
+        address: endpoint.address,
+        service: announced.service,
+        zone: announced.zone,
+        slots: Slots(8),
+        connections: Slots(64),
+        leaving: false,
+        abandoned_seen: EndpointCapacity::default(),
+    }
+}
+
+/// Applies changes in order, each answered only after a sync of the file that has it.
+fn commit_loop(commits: Commits) -> mpsc::UnboundedSender<Apply> {
+    let (sender, mut receiver) = mpsc::unbounded_channel::<Apply>();
+    std::thread::spawn(move || {
+        let mut file = tempfile::tempfile().expect("a temporary file can be made");
+        let mut ledger = Ledger::default();
+        while let Some(first) = receiver.blocking_recv() {
+            let mut batch = vec![first];
+            while commits == Commits::Batched
+                && let Ok(next) = receiver.try_recv()
+            {
+                batch.push(next);
+            }
+            sync(&mut file, batch.len());
+            for apply in batch {
+                apply(&mut ledger, WallMs(wall_ms()));
+            }
+        }
+    });
+    sender
+}
+
+fn sync(file: &mut File, records: usize) {
+    let record = vec![0; 256 * records];
+    file.write_all(&record).expect("the disk has room");
+    file.sync_data().expect("the disk works");
+}
+
+async fn commit<T: Send + 'static>(
+    committer: mpsc::UnboundedSender<Apply>,
+    change: impl FnOnce(&mut Ledger, WallMs) -> T + Send + 'static,
+) -> marjoramknot::control::Result<T> {
+    let (answer, answered) = oneshot::channel();
+    let apply: Apply = Box::new(move |ledger, now| {
+        // Where nobody waits any more, the change stands all the same.
+        let _told = answer.send(change(ledger, now));
+    });
+    committer.send(apply).expect("the commit loop never ends");
+    Ok(answered.await.expect("every change is answered"))
+}
+
+pub fn wall_ms() -> u64 {
+    static CLOCK: std::sync::OnceLock<Clock> = std::sync::OnceLock::new();
+    CLOCK.get_or_init(Clock::start).wall().0
+}
+
+/// Processor time of the threads of one name so far, in milliseconds.
+pub fn processor_ms(name: &str) -> f64 {
+    let tasks = std::fs::read_dir("/proc/self/task").expect("Linux lists threads");
+    let ticks: u64 = tasks
+        .flatten()
+        .filter_map(|task| {
+            std::fs::read_to_string(task.path().join("schedstat"))
+                .ok()
+                .zip(std::fs::read_to_string(task.path().join("comm")).ok())
+        })
+        .filter(|(_, comm)| comm.trim() == name)
+        .filter_map(|(stat, _)| stat.split(' ').next()?.parse::<u64>().ok())
+        .sum();
+    ticks as f64 / 1_000_000.0
+}
+
+/// Memory of this process in megabytes.
+pub fn rss_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("Linux tells");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.trim().split(' ').next()?.parse::<f64>().ok());
+    kb.expect("the status has the size") / 1_024.0
+}
