--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,39 @@
 //! The decisions are pure cores (`scheduler`, `router`, `replica`, `release_note`,
 //! `request_ledger`); thin shells round them do the network and the files. docs/DESIGN.md tells why.
 
+//!
+//! A release note is checked and applied as a whole:
+//!
+//! ```
+//! use marjoramknot::release_note::{InForce, ReleaseNote};
+//! use marjoramknot::units::{Accelerators, Revision};
+//!
+//! let note = ReleaseNote::parse(
+//!     r#"
+//!     version = 1
+//!
+//!     [[added.teams]]
+//!     name = "judges"
+//!
+//!     [[added.guarantees]]
+//!     team = "judges"
+//!     cells = [{ count = 2, accelerators = 8, adjacency = "rack" }]
+//!
+//!     [[added.zones]]
+//!     name = "Senec"
+//!     racks = [{ name = "senec-1", workers = 6, accelerators = 8, cores = 32, memory_mb = 65536 }]
+//!     "#,
+//! )
+//! .expect("the note has the right form");
+//! let mut in_force = InForce::default();
+//! assert!(in_force.validate(&note).is_empty());
+//! in_force.apply(&note, Revision(1));
+//! assert_eq!(in_force.guarantees["judges"].cells[0].accelerators, Accelerators(8));
+//! ```
+//!
+//! `cargo run --release --example quickstart` shows all roles at work; docs/INTERFACES.md has the
+//! routes and docs/OPERATORS.md what an operator does.
+
 #![deny(missing_docs, unsafe_code, unreachable_pub)]
 
 pub mod cli;
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -1,6 +1,6 @@
 use derive_more::{Display, FromStr};
 use tracing::Level;
-use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -39,6 +39,13 @@
     }
 }
 
+/// This program's events at its level; of the libraries' only errors, as theirs have no event name.
+fn own_events(level: LogLevel) -> Targets {
+    Targets::new()
+        .with_default(LevelFilter::ERROR)
+        .with_target(env!("CARGO_CRATE_NAME"), Level::from(level))
+}
+
 /// Writes one key=value line an event to standard error from now on.
 ///
 /// # Errors
@@ -50,7 +57,7 @@
         .layer()
         .with_writer(std::io::stderr);
     tracing_subscriber::registry()
-        .with(LevelFilter::from_level(level.into()))
+        .with(own_events(level))
         .with(lines)
         .try_init()
         .map_err(|_installed| TelemetryError::Twice { what: "the log" })
