Scheduler: work without accelerators stays out of guaranteed cells, bounded scans

Cause: in the cost bench an urgent job of a team with 12 unused guaranteed accelerators never started: the team's own tasks without accelerators were kept for good on its cells and held all 64 cores. Guarantees are of accelerators, so such tasks are now always reclaimable, or stand outside of all bound cells. A pass looks at 1,024 waiting jobs, shared by the teams.

--- a/benches/scheduler_cost.rs
+++ b/benches/scheduler_cost.rs
@@ -94,6 +94,7 @@
     let (tasks, accelerators) = match at % 8 {
         0 => (4, 1),
         1 => (1, 4),
+        3 => (2, 2),
         2 if left > 2_000 && at.is_multiple_of(200) => (512, 0),
         _ => (8, 0),
     };
@@ -174,6 +175,9 @@
             size.name,
             costs.len()
         );
+        if name == "tick" {
+            println!("{}_tick_p99_ms={p99:.3}", size.name);
+        }
         if name == "event" {
             event_p99_ms = p99;
         }
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -124,6 +124,8 @@
     pub(super) placed_ms: Millis,
     /// When the start was committed.
     pub(super) started_ms: Millis,
+    /// The run time that was expected at placement.
+    pub(super) expected_ms: Millis,
     /// What to do instead once a commit in flight is known.
     pub(super) abort: Option<Then>,
     /// Memory for each task of the next attempt, where a task passed its own.
--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -69,7 +69,8 @@
     }
 
     /// Enters a new gang's loads at its workers.
-    fn hold_places(&mut self, ordinal: u64, gang: Gang) {
+    fn hold_places(&mut self, ordinal: u64, mut gang: Gang) {
+        gang.expected_ms = self.expected_end(ordinal, Millis::ZERO);
         let job = self.jobs.get_mut(&ordinal).expect("the job is known");
         let task = Task {
             load: gang.load,
@@ -232,6 +233,7 @@
         started: false,
         placed_ms: now,
         started_ms: Millis::ZERO,
+        expected_ms: Millis::ZERO,
         abort: None,
         larger_memory_mb: None,
         cause: None,
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -10,8 +10,10 @@
 
 /// Searches for places in one pass, so that no event takes long.
 const SEARCHES_MAX: u32 = 48;
-/// Jobs of one team looked at in one pass.
-const SCAN_MAX: usize = 512;
+/// Waiting jobs looked at in one pass, shared by the teams.
+const SCAN_MAX: usize = 1_024;
+/// Bounds of one team's part of them.
+const SCAN_OF_TEAM: std::ops::RangeInclusive<usize> = 4..=128;
 /// Blocked gangs that keep cells at one time.
 const RESERVES_MAX: usize = 3;
 /// Guarantees bound afresh in one pass.
@@ -134,7 +136,7 @@
             let needed = self.jobs[&key.ordinal].accelerators();
             let claim = self.claims.by_job.get(&key.ordinal);
             let reclaims = claim.is_some_and(|claim| claim.kind == ClaimKind::Reclaim);
-            if needed > unused || reclaims {
+            if needed == 0 || needed > unused || reclaims {
                 continue;
             }
             let started = self.try_guaranteed(key.ordinal, now, searches)
@@ -147,10 +149,12 @@
     }
 
     fn keys_by_team(&self, with_guarantee: bool) -> BTreeMap<TeamId, Vec<QueueKey>> {
+        let teams = self.queue.teams().count().max(1);
+        let scan = (SCAN_MAX / teams).clamp(*SCAN_OF_TEAM.start(), *SCAN_OF_TEAM.end());
         self.queue
             .teams()
             .filter(|(team, _keys)| !with_guarantee || self.bindings.of_team(team).next().is_some())
-            .map(|(team, keys)| (team.clone(), keys.iter().copied().take(SCAN_MAX).collect()))
+            .map(|(team, keys)| (team.clone(), keys.iter().copied().take(scan).collect()))
             .collect()
     }
 
--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -190,8 +190,7 @@
         } else {
             Millis::ZERO
         };
-        let whole = self.expected_end(ordinal, Millis::ZERO);
-        let left = whole.since(ran).max(Millis(ran.0 / 2));
+        let left = gang.expected_ms.since(ran).max(Millis(ran.0 / 2));
         now.saturating_add(left)
     }
 }
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -1,5 +1,6 @@
 //! Places for one job: free cells of its guarantee, free cells of others, or reclaimed ones.
 
+use super::gang::Job;
 use super::load::Load;
 use super::placement::{Ask, find};
 use super::reclaim::{Claim, ClaimKind};
@@ -75,13 +76,7 @@
 
     /// Whether a job may start on a worker at all.
     pub(super) fn accepts(&self, ix: u32, worker: &Worker, ordinal: u64, now: Millis) -> bool {
-        let job = &self.jobs[&ordinal];
-        if job.failed_before_on(ix) || !worker.open || !worker.alive(now) {
-            return false;
-        }
-        let spec = &job.record.spec;
-        let single = spec.tasks == 1;
-        worker.health.is_up() || (spec.idempotent && worker.health.takes_probe(single, now))
+        accepts(&self.jobs[&ordinal], ix, worker, now)
     }
 
     /// Whether a job is fit to probe a doubtful worker: small, not urgent, and it may run again.
@@ -121,16 +116,18 @@
         } else {
             u64::MAX
         };
+        let load = ask.load;
+        let job = &*self.jobs[&ordinal];
         let room = |ix: u32, worker: &Worker| {
-            let accepted = self.accepts(ix, worker, ordinal, now);
-            accepted.then(|| {
-                let (free, limit) = room(worker);
-                match claims {
-                    ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms, movable)),
-                    ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
-                }
-                .min(limit.minus(self.claims.of_team_on(ix, ordinal, &team)))
-            })
+            let (free, limit) = room(worker);
+            if !load.fits_in(free) || !load.fits_in(limit) || !accepts(job, ix, worker, now) {
+                return None;
+            }
+            let free = match claims {
+                ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms, movable)),
+                ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
+            };
+            Some(free.min(limit.minus(self.claims.of_team_on(ix, ordinal, &team))))
         };
         let sure = |ix: u32, worker: &Worker| {
             let trusted = !worker.health.is_doubtful() && worker.health.is_up();
@@ -183,6 +180,7 @@
         let spec = &self.jobs[&ordinal].record.spec;
         let firm = !spec.idempotent;
         let team = spec.key.team.clone();
+        let load = self.jobs[&ordinal].task_load();
         let memo = firm.then(|| team.clone());
         let claims = ClaimsCounted::All;
         let found = self.search(ordinal, memo, now, searches, claims, |worker| {
@@ -190,7 +188,7 @@
             (
                 free,
                 if firm {
-                    worker.firm_room(&team)
+                    worker.firm_room(&team, load)
                 } else {
                     Load::MAX
                 },
@@ -249,3 +247,12 @@
         true
     }
 }
+
+fn accepts(job: &Job, ix: u32, worker: &Worker, now: Millis) -> bool {
+    if job.failed_before_on(ix) || !worker.open || !worker.alive(now) {
+        return false;
+    }
+    let spec = &job.record.spec;
+    let single = spec.tasks == 1;
+    worker.health.is_up() || (spec.idempotent && worker.health.takes_probe(single, now))
+}
--- a/src/scheduler/worker.rs
+++ b/src/scheduler/worker.rs
@@ -120,7 +120,13 @@
     }
 
     /// What a team may still start on this worker that can't be reclaimed.
-    pub(super) fn firm_room(&self, team: &TeamId) -> Load {
+    ///
+    /// Tasks without accelerators stay out of all bound cells, their own team's too: guarantees are
+    /// of accelerators, and those need their cores and memory.
+    pub(super) fn firm_room(&self, team: &TeamId, task: Load) -> Load {
+        if task.accelerators == 0 {
+            return self.slack();
+        }
         let own = self.holding(team);
         self.room_beside(team).minus(own.firm)
     }
@@ -128,13 +134,12 @@
     /// What a team may still start on the cells that are bound to its guarantee.
     pub(super) fn bound_room(&self, team: &TeamId, task: Load) -> Load {
         let own = self.holding(team);
-        let mut room = self.firm_room(team);
-        room.accelerators = room
-            .accelerators
-            .min(own.bound.saturating_sub(own.firm.accelerators));
-        if task.accelerators == 0 {
-            room = room.min(self.capacity.share_of(own.bound).minus(own.firm));
+        let unused = own.bound.saturating_sub(own.firm.accelerators);
+        if unused < task.accelerators || task.accelerators == 0 {
+            return Load::ZERO;
         }
+        let mut room = self.firm_room(team, task);
+        room.accelerators = room.accelerators.min(unused);
         room
     }
 
