--- a/src/scheduler/reserve.rs
+++ b/src/scheduler/reserve.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeMap;
 
-use super::Scheduler;
 use super::load::Load;
 use super::reclaim::{Claim, ClaimKind};
+use super::{EndCause, Scheduler};
 use crate::release_note::Adjacency;
 use crate::units::Millis;
 
 /// How long a gang is blocked before it keeps a cell.
 const RESERVE_AFTER_MS: Millis = Millis(10_000);
 
+/// The shortest time between two looks for a cell.
+const RESERVE_EVERY_MS: Millis = Millis(1_000);
+/// Others are moved at once where they use at most one part in this many of the gang.
+const MOVE_PART: u64 = 2;
+
 /// Room for one more task on a worker from a time on.
 type Opening = (Millis, u32);
 
@@ -21,9 +26,17 @@
         if now.since(job.blocked_ms.unwrap_or(now)) < RESERVE_AFTER_MS {
             return;
         }
+        if now.since(self.reserved_ms) < RESERVE_EVERY_MS {
+            return;
+        }
+        self.reserved_ms = now;
+        if self.options.moves && self.move_small_gangs(ordinal, now) {
+            return;
+        }
+        let job = &self.jobs[&ordinal];
         let tasks = job.record.spec.tasks as usize;
         let (load, adjacency) = (job.task_load(), job.record.spec.adjacency);
-        let domains = self.reserve_domains(adjacency);
+        let domains = self.reserve_domains(adjacency, load);
         let best = domains
             .iter()
             .filter_map(|domain| self.openings(domain, ordinal, load, tasks, now))
@@ -48,8 +61,54 @@
         self.explain_job(ordinal, "reserved", sentence);
     }
 
-    pub(super) fn reserve_domains(&self, adjacency: Adjacency) -> Vec<Vec<u32>> {
-        let racks = || self.pool.open_zones().flat_map(|zone| &zone.racks);
+    /// Moves gangs that are far smaller out of the cell that is cheapest to clear.
+    fn move_small_gangs(&mut self, ordinal: u64, now: Millis) -> bool {
+        let job = &self.jobs[&ordinal];
+        if !job.record.spec.idempotent {
+            return false;
+        }
+        let limit = job.accelerators() / MOVE_PART;
+        let (load, team) = (job.task_load(), job.record.spec.key.team.clone());
+        let cost = |s: &Self, ix: u32| {
+            let free = s.pool.worker(ix).free().accelerators;
+            let full = free >= s.pool.worker(ix).capacity.accelerators;
+            if full { 0 } else { s.cost_of_clearing(ix) }
+        };
+        let choices = self.cheapest_places(ordinal, now, cost);
+        let Some((cost, places)) = choices.into_iter().min() else {
+            return false;
+        };
+        if cost > limit || !self.clear_places(ordinal, &places, load, &EndCause::Moved, now) {
+            return false;
+        }
+        let claim = Claim {
+            team,
+            places,
+            load,
+            kind: ClaimKind::Move,
+            since_ms: now,
+        };
+        self.claims.insert(ordinal, claim, &mut self.pool);
+        self.dirty = true;
+        self.explain_job(
+            ordinal,
+            "moving",
+            "Small gangs are moved so that the gang fits.",
+        );
+        true
+    }
+
+    pub(super) fn reserve_domains(&self, adjacency: Adjacency, load: Load) -> Vec<Vec<u32>> {
+        let fitting = |rack: &&u32| {
+            let declared = self.pool.racks[**rack as usize].declared;
+            declared.is_some_and(|declared| load.fits_in(declared))
+        };
+        let racks = || {
+            self.pool
+                .open_zones()
+                .flat_map(|zone| &zone.racks)
+                .filter(fitting)
+        };
         let workers = |rack: &u32| self.pool.racks[*rack as usize].workers.clone();
         match adjacency {
             Adjacency::Worker => racks().flat_map(workers).map(|ix| vec![ix]).collect(),
@@ -57,7 +116,13 @@
             Adjacency::Zone => self
                 .pool
                 .open_zones()
-                .map(|zone| zone.racks.iter().flat_map(workers).collect())
+                .map(|zone| {
+                    zone.racks
+                        .iter()
+                        .filter(fitting)
+                        .flat_map(workers)
+                        .collect()
+                })
                 .collect(),
             Adjacency::Any => vec![racks().flat_map(workers).collect()],
         }
@@ -94,7 +159,7 @@
         if !spec.idempotent {
             limit = limit.min(worker.room_beside(&spec.key.team));
         }
-        let claimed = self.claims.on(ix, ordinal, Millis::MAX);
+        let claimed = self.claims.on(ix, ordinal, Millis::MAX, u64::MAX);
         let mut room = limit.minus(worker.used).minus(claimed);
         let mut ends: BTreeMap<(Millis, u64), Load> = BTreeMap::new();
         for (member, _index) in &worker.members {
@@ -125,8 +190,7 @@
         } else {
             Millis::ZERO
         };
-        let whole = self.expected_end(ordinal, Millis::ZERO);
-        let left = whole.since(ran).max(Millis(ran.0 / 2));
+        let left = gang.expected_ms.since(ran).max(Millis(ran.0 / 2));
         now.saturating_add(left)
     }
 }
--- a/src/scheduler/search.rs
+++ b/src/scheduler/search.rs
@@ -1,5 +1,6 @@
 //! Places for one job: free cells of its guarantee, free cells of others, or reclaimed ones.
 
+use super::gang::Job;
 use super::load::Load;
 use super::placement::{Ask, find};
 use super::reclaim::{Claim, ClaimKind};
@@ -59,6 +60,7 @@
             load: job.task_load(),
             adjacency: job.record.spec.adjacency,
             best_fit: self.options.best_fit,
+            free_only: true,
         }
     }
 
@@ -74,13 +76,7 @@
 
     /// Whether a job may start on a worker at all.
     pub(super) fn accepts(&self, ix: u32, worker: &Worker, ordinal: u64, now: Millis) -> bool {
-        let job = &self.jobs[&ordinal];
-        if job.failed_before_on(ix) || !worker.open || !worker.alive(now) {
-            return false;
-        }
-        let spec = &job.record.spec;
-        let single = spec.tasks == 1;
-        worker.health.is_up() || (spec.idempotent && worker.health.takes_probe(single, now))
+        accepts(&self.jobs[&ordinal], ix, worker, now)
     }
 
     /// Whether a job is fit to probe a doubtful worker: small, not urgent, and it may run again.
@@ -115,16 +111,23 @@
         }
         *searches += 1;
         let end_ms = shape.end_ms;
+        let movable = if self.options.moves && self.jobs[&ordinal].record.spec.idempotent {
+            self.jobs[&ordinal].accelerators().max(1)
+        } else {
+            u64::MAX
+        };
+        let load = ask.load;
+        let job = &*self.jobs[&ordinal];
         let room = |ix: u32, worker: &Worker| {
-            let accepted = self.accepts(ix, worker, ordinal, now);
-            accepted.then(|| {
-                let (free, limit) = room(worker);
-                match claims {
-                    ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms)),
-                    ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
-                }
-                .min(limit.minus(self.claims.of_team_on(ix, ordinal, &team)))
-            })
+            let (free, limit) = room(worker);
+            if !load.fits_in(free) || !load.fits_in(limit) || !accepts(job, ix, worker, now) {
+                return None;
+            }
+            let free = match claims {
+                ClaimsCounted::All => free.minus(self.claims.on(ix, ordinal, end_ms, movable)),
+                ClaimsCounted::Reclaims => free.minus(self.claims.reclaims_on(ix, ordinal)),
+            };
+            Some(free.min(limit.minus(self.claims.of_team_on(ix, ordinal, &team))))
         };
         let sure = |ix: u32, worker: &Worker| {
             let trusted = !worker.health.is_doubtful() && worker.health.is_up();
@@ -140,7 +143,8 @@
         let probes = self.probe_wanted && self.may_probe(ordinal);
         let found = probes.then(|| find(&self.pool, &ask, probe)).flatten();
         let found = found.or_else(|| find(&self.pool, &ask, sure));
-        let found = found.or_else(|| find(&self.pool, &ask, room));
+        let again = found.is_none() && self.doubts;
+        let found = found.or_else(|| again.then(|| find(&self.pool, &ask, room)).flatten());
         if let Some(places) = found {
             return Some(places);
         }
@@ -176,6 +180,7 @@
         let spec = &self.jobs[&ordinal].record.spec;
         let firm = !spec.idempotent;
         let team = spec.key.team.clone();
+        let load = self.jobs[&ordinal].task_load();
         let memo = firm.then(|| team.clone());
         let claims = ClaimsCounted::All;
         let found = self.search(ordinal, memo, now, searches, claims, |worker| {
@@ -183,7 +188,7 @@
             (
                 free,
                 if firm {
-                    worker.firm_room(&team)
+                    worker.firm_room(&team, load)
                 } else {
                     Load::MAX
                 },
@@ -204,7 +209,12 @@
             return false;
         }
         let team = self.jobs[&ordinal].record.spec.key.team.clone();
-        let ask = self.ask(ordinal);
+        if self.options.rebind && self.rebinds_left > 0 {
+            self.rebinds_left -= 1;
+            self.rebind_cheaply(ordinal, now);
+        }
+        let mut ask = self.ask(ordinal);
+        ask.free_only = false;
         let racks = self.bindings.racks_of(&team, &self.pool);
         *searches += 1;
         let places = find(&self.pool, &ask, |ix, worker| {
@@ -237,3 +247,12 @@
         true
     }
 }
+
+fn accepts(job: &Job, ix: u32, worker: &Worker, now: Millis) -> bool {
+    if job.failed_before_on(ix) || !worker.open || !worker.alive(now) {
+        return false;
+    }
+    let spec = &job.record.spec;
+    let single = spec.tasks == 1;
+    worker.health.is_up() || (spec.idempotent && worker.health.takes_probe(single, now))
+}
