--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -34,6 +34,29 @@
     }
 }
 
+/// Kills the leader at each step between a proposal and its commit everywhere, and starts it again.
+#[test]
+fn killed_while_accepting() {
+    let mut acknowledged = 0;
+    for steps in 0..16 {
+        for seed in 0..10 {
+            let (mut world, leader) = with_leader(3, seed);
+            world.faults.max_delay_ms = 80;
+            world.faults.max_sync_ms = 80;
+            world.faults.double_percent = 30;
+            assert!(world.propose(leader));
+            (0..steps).for_each(|_| world.step());
+            acknowledged += world.acknowledged.len();
+            world.crash(leader);
+            world.run(500);
+            world.start(leader);
+            world.check_end();
+        }
+    }
+    assert!(acknowledged > 20, "some are killed after the answer");
+    assert!(acknowledged < 140, "some are killed before the answer");
+}
+
 #[rstest]
 fn isolated_leader(#[values(1, 2, 3)] seed: u64, #[values(2_000, 60_000)] cut_ms: u64) {
     let (mut world, leader) = with_leader(3, seed);
