Exchange: an own pace for shares that are not taken over yet, and a test of the stop

An exchange names the version of the shares that the router obeys; until the router takes a new version over the leader has no reason to hold the exchange, and the entry asked again each 20 ms with all shares in the answer. It now waits 200 ms there.

stopped_service: a service that stops has begun changes committed and answered, the rest refused.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,7 +11,7 @@
 use super::grant::{EntryState, GrantHolder, Taken};
 use super::held_polls::{HeldPolls, Released};
 use super::reports::{Report, Reporter};
-use crate::control::{Client, ControlError, ExchangeAnswer, ExchangeRequest, Result};
+use crate::control::{Client, ControlError, ExchangeAnswer, ExchangeRequest, Result, StateUpdate};
 use crate::fleet::{EndpointAnnouncement, EndpointAnswer, POLL_HOLD_MS, WorkerOrders, WorkerPoll};
 use crate::kernel::Clock;
 use crate::router::UsesReport;
@@ -21,8 +21,9 @@
 const PACE: Duration = Duration::from_millis(20);
 /// The pause after an exchange that failed.
 const PAUSE: Duration = Duration::from_millis(50);
-/// The pause between exchanges of an entry that is leaving.
-const LEAVING_PACE: Duration = Duration::from_millis(200);
+/// The pause between exchanges that the leader has no reason to hold: those of an entry that is
+/// leaving, or whose router has not yet taken its shares over.
+const SLOW_PACE: Duration = Duration::from_millis(200);
 /// How long a planned stop waits until the leader knows of it.
 const LEAVE_WAIT: Duration = Duration::from_secs(2);
 /// Reports that wait to be passed on.
@@ -261,6 +262,12 @@
         }
     }
 
+    /// Whether the answer only repeats shares that are here already.
+    fn knows_shares(&self, answer: &ExchangeAnswer) -> bool {
+        let is_repeated = answer.shares_version == self.holder().state().shares_version;
+        answer.shares.is_some() && is_repeated && answer.update == StateUpdate::Current
+    }
+
     fn take(&self, request: &ExchangeRequest, answer: ExchangeAnswer) {
         let state = {
             let mut holder = self.holder();
@@ -294,15 +301,16 @@
         };
         let pause = match answer {
             Ok(answer) => {
+                let is_known = shared.knows_shares(&answer);
                 shared.take(&request, answer);
-                PACE
+                if is_known { SLOW_PACE } else { PACE }
             }
             Err(cause) => {
                 debug!(event = "exchange_failed", %cause);
                 PAUSE
             }
         };
-        let pause = if request.leaving { LEAVING_PACE } else { pause };
+        let pause = if request.leaving { SLOW_PACE } else { pause };
         tokio::select! {
             () = sleep(pause) => {}
             () = shared.leave.notified() => {}
--- a/tests/exchange_cuts.rs
+++ b/tests/exchange_cuts.rs
@@ -9,13 +9,14 @@
 use std::sync::atomic::Ordering;
 
 use assert_matches::assert_matches;
-use control_net::{FakeReplica, Network, SharedLog};
+use control_net::{FakeReplica, Network, SharedLog, slow_service};
 use marjoramknot::control::{Client, ControlError, Status};
 use marjoramknot::entry::exchange::Exchange;
 use marjoramknot::release_note::NoteAnswer;
 use marjoramknot::units::{Millis, Revision};
 use notes::{FIRST, deadline_note, note, zone_note};
 use rstest::rstest;
+use tarpc::context;
 use tokio::time::{Duration, Instant, sleep};
 
 const STEP: Duration = Duration::from_millis(10);
@@ -357,3 +358,42 @@
     sleep(Duration::from_secs(10)).await;
     assert!(!entry.may_start() && other.may_start());
 }
+
+/// A service that stops finishes what it has begun and refuses what it has not; nobody who gets an
+/// answer is left in doubt.
+#[tokio::test(start_paused = true)]
+async fn stopped_service() {
+    let (mut done, mut refused) = (0, 0);
+    for turns in 1..16 {
+        let (service, client) = slow_service(Duration::from_millis(5)).await;
+        let first = tokio::spawn({
+            let client = client.clone();
+            async move { client.apply_note(context::current(), note(FIRST)).await }
+        });
+        sleep(Duration::from_millis(2)).await;
+        let calls: Vec<_> = (2..60)
+            .map(|version| {
+                let client = client.clone();
+                tokio::spawn(async move {
+                    let note = deadline_note(version, version);
+                    client.apply_note(context::current(), note).await
+                })
+            })
+            .collect();
+        for _turn in 0..turns {
+            tokio::task::yield_now().await;
+        }
+        service.stop().await;
+        let first = first.await.expect("the task ends").expect("an answer");
+        assert_matches!(first, Ok(NoteAnswer::Accepted { .. }));
+        for call in calls {
+            match call.await.expect("the task ends") {
+                Ok(Ok(NoteAnswer::Accepted { .. } | NoteAnswer::Stale { .. })) => done += 1,
+                Ok(Err(ControlError::NotLeader { .. })) => refused += 1,
+                Ok(other) => panic!("neither done nor refused: {other:?}"),
+                Err(_closed) => {}
+            }
+        }
+    }
+    assert!(done > 0 && refused > 0, "{done} done, {refused} refused");
+}
--- a/tests/support/control_net.rs
+++ b/tests/support/control_net.rs
@@ -270,3 +270,44 @@
 fn is_exchange(message: &Response<ControlApiResponse>) -> bool {
     matches!(message.message, Ok(ControlApiResponse::Exchange(_)))
 }
+
+/// A service whose proposals are committed after a while, and a client without retries.
+pub async fn slow_service(commit_after: std::time::Duration) -> (ControlService, ControlApiClient) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a loopback port is free");
+    let machine = SharedMachine::default();
+    let (proposals, mut taken) = mpsc::channel::<Proposal>(64);
+    let leadership = watch::Sender::new(Leadership {
+        term: Term(1),
+        leader: None,
+        leader_address: None,
+        leads: true,
+        has_quorum: true,
+    });
+    let status = watch::Sender::new(GroupStatus {
+        term: Term(1),
+        leader: None,
+        committed: LogIndex::ZERO,
+        replicas: Vec::new(),
+    });
+    let handle = Handle::new(proposals, leadership.subscribe(), status.subscribe());
+    let applies = machine.clone();
+    tokio::spawn(async move {
+        let _kept = (leadership, status);
+        let mut index = LogIndex::ZERO;
+        while let Some(proposal) = taken.recv().await {
+            tokio::time::sleep(commit_after).await;
+            index = index.next();
+            let reply = (applies.hooks().apply)(index, &proposal.command);
+            drop(proposal.reply.send(Ok(Applied { index, reply })));
+        }
+    });
+    let options = ControlOptions::builder().build();
+    let service = ControlService::start(options, handle, machine, listener)
+        .expect("a bound listener has an address");
+    let (near, far) = transport::channel::unbounded();
+    service.attach(far);
+    let client = ControlApiClient::new(client::Config::default(), near).spawn();
+    (service, client)
+}
