--- /dev/null
+++ b/benches/distribution/check.rs
@@ -0,0 +1,47 @@
+use std::fmt::Write as _;
+use std::time::Instant;
+
+use marjoramknot::release_note::{InForce, ReleaseNote};
+use marjoramknot::units::Revision;
+
+use super::state;
+
+/// How long checking a note takes: the whole state of the size aimed for, a small change to it, a
+/// changed guarantee, and guarantees that no search can bind.
+pub(super) fn run() {
+    let first = state::first_note();
+    print("note_check_first_us", &InForce::default(), &first);
+    let mut in_force = InForce::default();
+    in_force.apply(&first, Revision(1));
+    print("note_check_small_us", &in_force, &state::change(2));
+    let guarantee = "version = 2\n[[changed.guarantees]]\nteam = \"team-7\"\n\
+                     cells = [{ count = 4, accelerators = 2, adjacency = \"rack\" }]\n";
+    print("note_check_guarantee_us", &in_force, &parse(guarantee));
+    print("note_check_unbound_us", &in_force, &unbound());
+}
+
+/// Two groups for each team that fill most of a rack, more of them than there are racks.
+fn unbound() -> ReleaseNote {
+    let mut text = String::from("version = 2\n");
+    for team in 0..300 {
+        let _ = write!(
+            text,
+            "[[changed.guarantees]]\nteam = \"team-{team}\"\ncells = [\n\
+             {{ count = 5, accelerators = 2, adjacency = \"rack\" }},\n\
+             {{ count = 5, accelerators = 2, adjacency = \"rack\" }}]\n"
+        );
+    }
+    parse(&text)
+}
+
+fn parse(text: &str) -> ReleaseNote {
+    ReleaseNote::parse(text).expect("the note is well formed")
+}
+
+fn print(key: &str, in_force: &InForce, note: &ReleaseNote) {
+    let started = Instant::now();
+    let faults = in_force.validate(note);
+    let took_us = started.elapsed().as_micros();
+    println!("{key}={took_us}");
+    println!("{}_faults={}", key.trim_end_matches("_us"), faults.len());
+}
--- a/benches/distribution/mod.rs
+++ b/benches/distribution/mod.rs
@@ -6,6 +6,7 @@
 //! the whole state each 30 s, since a lost event is not noticed otherwise. All see the same changes
 //! and the same silent connections.
 
+mod check;
 mod figures;
 mod messages;
 mod state;
@@ -20,6 +21,7 @@
 
 /// Runs all ways at both rates and prints one `key=value` line a figure.
 pub fn run() {
+    check::run();
     for (suffix, factor, span_s) in [("", 1, 3_600), ("_x100", 100, 1_200)] {
         let every_us = DAY_US / (CHANGES_A_DAY * factor);
         for way in [Way::Pull, Way::Ask, Way::Full, Way::Push] {
