Tests: lost members within a lease, one refusal, stale reports, attempts apart

Cause: removing mechanisms one at a time showed holes in the tests. Unnoticed were: a silent worker that does not stop its gang, a start with one member prepared, a stop counted without the orders version, accelerators freed before the lease ran out.

--- a/tests/gang_life.rs
+++ b/tests/gang_life.rs
@@ -5,6 +5,8 @@
 
 use gang_driver::{Driver, ONE_LEASE_MS, add_team, in_force, job};
 use marjoramknot::release_note::{Adjacency, InForce};
+use marjoramknot::scheduler::Event;
+use marjoramknot::units::OrdersVersion;
 use rstest::rstest;
 
 fn small_fleet() -> InForce {
@@ -148,3 +150,79 @@
         strike_at(fault, moment, idempotent);
     }
 }
+
+/// The others end within one lease of the member that was lost, at any phase of its polls.
+#[rstest]
+fn lost_member(#[values(true, false)] dead: bool) {
+    for phase in (0..1_200).step_by(100) {
+        let mut driver = Driver::ready(small_fleet(), phase);
+        let key = driver.submit(job("guests", "long", 4, 8, 30_000));
+        driver.run_for(2_000 + phase);
+        let at = driver.runners(&key)[0];
+        if dead {
+            driver.kill(at);
+        } else {
+            driver.slots[at].cut = true;
+        }
+        driver.run_for(8_000);
+        driver.check_history(ONE_LEASE_MS);
+        assert!(
+            driver.run_until(60_000, |d| d.succeeded(&key)),
+            "{}",
+            driver.log_of(&key)
+        );
+        driver.check_history(ONE_LEASE_MS);
+    }
+}
+
+/// A refusal by one member leaves the whole gang unstarted.
+#[test]
+fn one_refusal() {
+    let mut driver = Driver::ready(small_fleet(), 9);
+    driver.network.delay_max_ms = 400;
+    for at in [1, 5] {
+        driver.slots[at].worker.spec.faults.refuses = true;
+    }
+    let mut spec = job("guests", "once", 4, 8, 5_000);
+    spec.idempotent = false;
+    spec.adjacency = Adjacency::Rack;
+    let key = driver.submit(spec);
+    driver.run_for(60_000);
+    assert!(!driver.truly_ran(&key), "{}", driver.log_of(&key));
+    assert!(
+        !driver.started_ms.contains_key(&key),
+        "{}",
+        driver.log_of(&key)
+    );
+}
+
+/// Only a worker that holds the order to stop can acknowledge it.
+#[test]
+fn stale_report_frees_nothing() {
+    let mut driver = Driver::ready(small_fleet(), 10);
+    let key = driver.submit(job("guests", "long", 1, 8, 60_000));
+    driver.run_for(2_000);
+    let at = driver.runners(&key)[0];
+    driver.slots[at].cut = true;
+    driver.cancel(&key);
+    driver.run_for(500);
+    let used = |d: &Driver| {
+        let workers = d.scheduler.workers();
+        workers
+            .iter()
+            .map(|worker| worker.accelerators_used.0)
+            .sum::<u32>()
+    };
+    let mut poll = driver.slots[at].worker.poll(driver.now);
+    poll.tasks.clear();
+    driver.give(Event::Polled { poll: poll.clone() });
+    assert_eq!(
+        used(&driver),
+        8,
+        "a report from before the order proves nothing"
+    );
+    poll.sequence = poll.sequence.next();
+    poll.orders_version = OrdersVersion(poll.orders_version.0 + 1_000);
+    driver.give(Event::Polled { poll });
+    assert_eq!(used(&driver), 0);
+}
--- a/tests/support/gang_driver.rs
+++ b/tests/support/gang_driver.rs
@@ -632,6 +632,7 @@
     /// Checks what truly ran: whole gangs, at most once where asked, nothing in closed zones.
     pub fn check_history(&self, partial_max_ms: Millis) {
         self.check_whole(partial_max_ms);
+        self.check_attempts_apart();
         self.check_once();
         self.check_closures();
     }
@@ -685,6 +686,31 @@
         }
     }
 
+    /// An attempt begins only when nothing of an earlier one can run any more.
+    fn check_attempts_apart(&self) {
+        let mut spans: BTreeMap<&JobKey, BTreeMap<Attempt, (Millis, Millis)>> = BTreeMap::new();
+        for ran in self.slots.iter().flat_map(|slot| &slot.worker.history) {
+            let to_ms = ran.to_ms.unwrap_or(self.now);
+            let attempts = spans.entry(&ran.task.job).or_default();
+            let span = attempts
+                .entry(ran.task.attempt)
+                .or_insert((ran.from_ms, to_ms));
+            *span = (span.0.min(ran.from_ms), span.1.max(to_ms));
+        }
+        for (key, attempts) in spans {
+            let mut last_end = Millis::ZERO;
+            for (attempt, (from_ms, to_ms)) in attempts {
+                let log = || self.log_of(key);
+                assert!(
+                    from_ms >= last_end,
+                    "{key} attempt {attempt} overlaps: {}",
+                    log()
+                );
+                last_end = last_end.max(to_ms);
+            }
+        }
+    }
+
     /// What was decided about a job, and what happened to all.
     pub fn log_of(&self, key: &JobKey) -> String {
         let name = format!("{key} ");
