--- a/benches/scheduler_cost.rs
+++ b/benches/scheduler_cost.rs
@@ -31,10 +31,10 @@
         unsafe { System.alloc(layout) }
     }
 
-    unsafe fn dealloc(&self, block: *mut u8, layout: Layout) {
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
         ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
         // SAFETY: the block came from `alloc` with this layout.
-        unsafe { System.dealloc(block, layout) }
+        unsafe { System.dealloc(ptr, layout) }
     }
 }
 
@@ -271,16 +271,16 @@
         tasks: 38_000,
         queued: 7_000,
     };
-    let (small_ms, small_mb, _) = measure(&today);
+    let (today_p99_ms, today_state_mb, _urgent_s) = measure(&today);
     let (event_p99_ms, state_mb, urgent_start_s) = measure(&letter);
     let workers = 4_608.0 - 48.0;
     println!(
         "slope_event_us_per_worker={:.4}",
-        (event_p99_ms - small_ms) * 1_000.0 / workers
+        (event_p99_ms - today_p99_ms) * 1_000.0 / workers
     );
     println!(
         "slope_state_kb_per_worker={:.3}",
-        (state_mb - small_mb) * 1_000.0 / workers
+        (state_mb - today_state_mb) * 1_000.0 / workers
     );
     println!("event_p99_ms={event_p99_ms:.3}");
     println!("state_mb={state_mb:.3}");
--- a/benches/scheduler_replay.rs
+++ b/benches/scheduler_replay.rs
@@ -121,9 +121,9 @@
     (driver.step_ms, driver.hold_ms) = (Millis(STEP_MS), Millis(2_000));
     let first = usize::try_from(seed % 48).expect("a small number");
     let broken = [first, (first + 17) % 48, (first + 34) % 48];
-    broken
-        .iter()
-        .for_each(|at| driver.slots[*at].worker.spec.faults.fails_all = true);
+    for at in broken {
+        driver.slots[at].worker.spec.faults.fails_all = true;
+    }
     let zone = driver.slots[first].worker.spec.zone.clone();
     driver.run_for(9_000);
     let (start_ms, mut cancelled) = (driver.now.0, BTreeSet::new());
@@ -143,7 +143,9 @@
                 .iter()
                 .filter(|k| !driver.ended_ms.contains_key(k))
                 .collect();
-            wave.into_iter().for_each(|key| driver.cancel(key));
+            for key in wave {
+                driver.cancel(key);
+            }
         }
         for (turn_ms, state) in [(OUT_MS, ZoneState::Out), (OUT_MS + HOUR_MS, ZoneState::In)] {
             if (turn_ms..turn_ms + STEP_MS).contains(&at) {
