Overload: attempts past their deadline keep their slot until their answer, and are avoided

Now the attempt is waited for behind its caller, and what waits is sent only while it can still be in time.

--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -29,6 +29,10 @@
 fn main() {
     let base_mb = rss_mb();
     let stage = Stage::start(ENDPOINTS, Commits::EachSynced);
+    if std::env::args().any(|a| a == "--overload") {
+        println!("{}", overload());
+        return;
+    }
     let full = full_speed(&stage);
     added_time(&stage, full / 2);
     let idle_pct = idle(&stage);
@@ -149,6 +153,10 @@
     };
     let thin = run(stage.thin(40));
     let entry = run(stage.through_entry());
+    println!(
+        "overload_answered={} causes={:?}",
+        entry.answered, entry.causes
+    );
     let possible = capacity_s as f64 * SPAN.as_secs_f64();
     println!(
         "overload_goodput_ratio_unbounded_fifo={:.3}",
--- a/benches/request_path/load.rs
+++ b/benches/request_path/load.rs
@@ -1,5 +1,6 @@
 //! Closed and open loops of requests, with what their callers saw.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -44,6 +45,8 @@
     pub answered: u64,
     pub in_time: u64,
     pub refused: u64,
+    /// Refusals by status and outcome.
+    pub causes: BTreeMap<String, u64>,
     /// Answers in time to the two teams.
     pub teams: [u64; 2],
     times_us: Histogram<u64>,
@@ -75,8 +78,8 @@
         self
     }
 
-    /// Sends one request; true where its whole answer came.
-    async fn send(&self, id: u64) -> bool {
+    /// Sends one request; the error is the status and outcome where no whole answer came.
+    async fn send(&self, id: u64) -> Result<(), String> {
         let uri = match &self.target {
             Target::Entry(address) => format!("http://{address}/v1/services/booking/ponds"),
             Target::Direct(endpoints) | Target::Thin(endpoints, _) => {
@@ -99,11 +102,17 @@
             Target::Thin(_, slots) => Some(slots.acquire().await.expect("it is never closed")),
             _ => None,
         };
-        let Ok(response) = self.client.request(request).await else {
-            return false;
-        };
-        let answered = response.status() == 200;
-        response.into_body().collect().await.is_ok() && answered
+        let response = self.client.request(request).await;
+        let response = response.map_err(|_failed| "no answer".to_owned())?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await;
+        let body = body.map_err(|_early| "broken answer".to_owned())?;
+        if head.status == 200 {
+            return Ok(());
+        }
+        let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        let code = body.split('"').nth(3).unwrap_or_default();
+        Err(format!("{} {code}", head.status.as_u16()))
     }
 }
 
@@ -117,11 +126,13 @@
 
 impl Done {
     fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        let bounds = || Histogram::new_with_bounds(1, 60_000_000, 3);
+        let histogram = || bounds().expect("the bounds are allowed");
         Self {
             answered: 0,
             in_time: 0,
             refused: 0,
+            causes: BTreeMap::new(),
             teams: [0; 2],
             times_us: histogram(),
             refusals_us: histogram(),
@@ -136,10 +147,11 @@
         self.refusals_us.value_at_quantile(quantile) as f64 / 1_000.0
     }
 
-    fn add(&mut self, load: &Load, id: u64, answered: bool, took: Duration) {
+    fn add(&mut self, load: &Load, id: u64, answered: Result<(), String>, took: Duration) {
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        if !answered {
+        if let Err(cause) = answered {
             self.refused += 1;
+            *self.causes.entry(cause).or_default() += 1;
             self.refusals_us.saturating_record(took_us);
             return;
         }
--- a/src/entry/forward_idempotent.rs
+++ b/src/entry/forward_idempotent.rs
@@ -8,74 +8,98 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use super::endpoint_link::{Answered, Sender, relayed_headers, says_not_run};
+use super::endpoint_link::{Answered, relayed_headers, says_not_run};
 use super::forward::{Directive, Forwarder};
 use super::forward_request::{CallerRequest, ForwardAnswer};
+use super::open_attempt::OpenAttempt;
 use super::relay_body::{RelayBody, Relayed};
 use crate::router::{AttemptEnd, SendOrder};
+use crate::units::Millis;
 
 /// Answers up to this size are read whole before they are relayed, so that a broken one is retried.
 pub(super) const WHOLE_BYTES_MAX: usize = 32 * 1_024;
 
+/// How long after its caller was told an attempt is still waited for.
+pub(super) const LATE_ANSWER_MS: Millis = Millis(30_000);
+
 /// The caller's side of a request.
 pub(super) type AnswerSender = oneshot::Sender<ForwardAnswer>;
 
 impl Forwarder {
     /// Sends a request to one endpoint after the other until one answers or the router refuses.
+    ///
+    /// Where the deadline passes or the caller goes away, the attempt in progress is waited for
+    /// behind it: the endpoint's slot is free when its answer comes, and no sooner.
     pub(super) async fn run_idempotent(
         self: Arc<Self>,
         request: CallerRequest,
-        mut caller: AnswerSender,
+        caller: AnswerSender,
     ) {
+        let mut caller = Some(caller);
         let (ticket, mut directives) = self.enqueue(&request);
-        let answer = tokio::select! {
-            answer = self.attempt_until_answered(&request, &mut directives) => Some(answer),
-            () = caller.closed() => None,
-        };
-        self.leave(ticket, directives);
-        if let Some(answer) = answer {
-            // A caller that has gone away needs no answer.
-            let _told = caller.send(answer);
+        while let Some(directive) = next_directive(&mut directives, &mut caller).await {
+            let told = match directive {
+                Directive::Refuse(refusal) => Some(ForwardAnswer::refused(&refusal)),
+                Directive::Send(order) => self.follow_order(&request, order, &mut caller).await,
+            };
+            if let Some(answer) = told {
+                tell(&mut caller, answer);
+            }
+            if caller.is_none() {
+                break;
+            }
         }
+        self.leave(ticket, directives);
     }
 
-    async fn attempt_until_answered(
+    /// Makes one attempt; gives the answer where the caller can be told.
+    async fn follow_order(
         self: &Arc<Self>,
         request: &CallerRequest,
-        directives: &mut mpsc::UnboundedReceiver<Directive>,
-    ) -> ForwardAnswer {
-        while let Some(directive) = directives.recv().await {
-            let order = match directive {
-                Directive::Refuse(refusal) => return ForwardAnswer::refused(&refusal),
-                Directive::Send(order) => order,
-            };
-            let mut attempt = OpenAttempt::new(self, order);
-            let left_ms = request.deadline_ms.since(self.now());
-            match timeout(left_ms.duration(), self.attempt(request, &mut attempt)).await {
-                Ok(Ok(answer)) => return answer,
-                Ok(Err(end)) => attempt.end(end),
-                Err(_elapsed) if attempt.sent => {
-                    attempt.end(AttemptEnd::GivenUp);
-                    return ForwardAnswer::late();
-                }
-                Err(_elapsed) => attempt.end(AttemptEnd::NotSent),
+        order: SendOrder,
+        caller: &mut Option<AnswerSender>,
+    ) -> Option<ForwardAnswer> {
+        let attempt = OpenAttempt::new(self, order);
+        let work = self.attempt(request, &attempt);
+        tokio::pin!(work);
+        let left_ms = request.deadline_ms.since(self.now());
+        let in_time = tokio::select! {
+            ended = timeout(left_ms.duration(), &mut work) => ended.ok(),
+            () = closed(caller) => None,
+        };
+        match in_time {
+            Some(Ok(answer)) => return Some(answer),
+            Some(Err(end)) => {
+                attempt.end(end);
+                return None;
             }
+            None => {}
+        }
+        if !attempt.is_sent() {
+            attempt.end(AttemptEnd::NotSent);
+            return Some(ForwardAnswer::not_sent_in_time());
+        }
+        tell(caller, ForwardAnswer::late());
+        // A late answer has no caller; a streamed one ends its attempt when it is dropped here.
+        let late = timeout(LATE_ANSWER_MS.duration(), &mut work).await;
+        if let Ok(Err(end)) = late {
+            attempt.end(end);
         }
-        ForwardAnswer::lost()
+        None
     }
 
     /// One attempt: the answer, or how the attempt ended without one.
     async fn attempt(
         self: &Arc<Self>,
         request: &CallerRequest,
-        attempt: &mut OpenAttempt,
+        attempt: &OpenAttempt,
     ) -> Result<ForwardAnswer, AttemptEnd> {
         let order = attempt.order.clone();
         let sender = self.connect(&order).await?;
         if !self.may_send(&order.run) {
             return Err(AttemptEnd::NotSent);
         }
-        attempt.sent = true;
+        attempt.set_sent();
         let within = order.answer_within_ms;
         let sequence = self.next_sequence();
         let answered = self
@@ -98,7 +122,7 @@
     /// Relays an answer: a small one whole, a large one as it comes.
     async fn relay(
         self: &Arc<Self>,
-        attempt: &mut OpenAttempt,
+        attempt: &OpenAttempt,
         answered: Answered,
     ) -> Result<ForwardAnswer, AttemptEnd> {
         let Answered { response, sender } = answered;
@@ -106,77 +130,15 @@
         let headers = relayed_headers(&head.headers);
         let (body, first) = match read_whole(body, WHOLE_BYTES_MAX).await {
             Ok(whole) => {
-                self.answered(attempt, sender);
+                attempt.end_answered(sender);
                 return Ok(answered_with(head.status, headers, whole_body(whole)));
             }
             Err(PartOfBody::Broken) => return Err(AttemptEnd::Broken),
             Err(PartOfBody::Larger { first, rest }) => (*rest, first),
         };
-        let rest = RelayBody::new(first, body, Relayed::new(attempt.take(), sender));
+        let rest = RelayBody::new(first, body, Relayed::new(attempt.hand_over(), sender));
         Ok(answered_with(head.status, headers, Body::new(rest)))
     }
-
-    /// Ends an attempt whose whole answer has come.
-    fn answered(self: &Arc<Self>, attempt: &mut OpenAttempt, sender: Sender) {
-        let reusable = self.keep_connection(attempt.order.connection, sender);
-        attempt.end(AttemptEnd::Answered { reusable });
-    }
-}
-
-/// An attempt whose slot is given back on every way out, also when its caller goes away.
-#[derive(Debug)]
-pub(super) struct OpenAttempt {
-    forwarder: Arc<Forwarder>,
-    pub(super) order: SendOrder,
-    /// Whether a byte may have gone out.
-    pub(super) sent: bool,
-    open: bool,
-}
-
-impl OpenAttempt {
-    pub(super) fn new(forwarder: &Arc<Forwarder>, order: SendOrder) -> Self {
-        Self {
-            forwarder: Arc::clone(forwarder),
-            order,
-            sent: false,
-            open: true,
-        }
-    }
-
-    pub(super) fn end(&mut self, end: AttemptEnd) {
-        if self.open {
-            self.open = false;
-            self.forwarder.end_attempt(&self.order, end);
-        }
-    }
-
-    /// Ends the attempt with its whole answer and keeps its connection where it still serves.
-    pub(super) fn end_answered(&mut self, sender: Sender) {
-        let forwarder = Arc::clone(&self.forwarder);
-        forwarder.answered(self, sender);
-    }
-
-    /// Moves the duty to end the attempt.
-    fn take(&mut self) -> Self {
-        self.open = false;
-        Self {
-            forwarder: Arc::clone(&self.forwarder),
-            order: self.order.clone(),
-            sent: true,
-            open: true,
-        }
-    }
-}
-
-impl Drop for OpenAttempt {
-    fn drop(&mut self) {
-        let end = if self.sent {
-            AttemptEnd::GivenUp
-        } else {
-            AttemptEnd::NotSent
-        };
-        self.end(end);
-    }
 }
 
 /// A body that was not read whole.
@@ -255,3 +217,29 @@
     *response.headers_mut() = headers;
     response
 }
+
+/// The next directive; none once the caller has gone away.
+async fn next_directive(
+    directives: &mut mpsc::UnboundedReceiver<Directive>,
+    caller: &mut Option<AnswerSender>,
+) -> Option<Directive> {
+    tokio::select! {
+        directive = directives.recv() => directive,
+        () = closed(caller) => None,
+    }
+}
+
+async fn closed(caller: &mut Option<AnswerSender>) {
+    match caller {
+        Some(caller) => caller.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Tells the caller, once.
+pub(super) fn tell(caller: &mut Option<AnswerSender>, answer: ForwardAnswer) {
+    if let Some(caller) = caller.take() {
+        // A caller that has gone away needs no answer, or asks again with the same id.
+        let _told = caller.send(answer);
+    }
+}
--- a/src/entry/forward_recorded.rs
+++ b/src/entry/forward_recorded.rs
@@ -6,15 +6,14 @@
 
 use super::endpoint_link::{Answered, Sender, says_not_run};
 use super::forward::{Directive, Forwarder};
-use super::forward_idempotent::{AnswerSender, OpenAttempt, read_whole};
+use super::forward_idempotent::{AnswerSender, LATE_ANSWER_MS, read_whole, tell};
 use super::forward_request::{CallerRequest, ForwardAnswer};
+use super::open_attempt::OpenAttempt;
 use super::record_keeper::{Begin, Recorded};
 use crate::request_ledger::{ANSWER_BYTES_MAX, RecordState, StoredAnswer};
 use crate::router::{AttemptEnd, RouterEvent, SendOrder, Ticket};
 use crate::units::{Millis, Sequence};
 
-/// How long after its caller was told an attempt is still waited for, so that its answer is kept.
-const LATE_ANSWER_MS: Millis = Millis(30_000);
 /// First pause before a request in progress elsewhere is asked for again.
 const ASK_AGAIN_MIN_MS: Millis = Millis(50);
 /// Longest such pause.
@@ -70,7 +69,7 @@
         caller: &mut Option<AnswerSender>,
         pause_ms: &mut Millis,
     ) -> Step {
-        let mut attempt = OpenAttempt::new(self, order);
+        let attempt = OpenAttempt::new(self, order);
         let sender = match self.connect(&attempt.order).await {
             Ok(sender) => sender,
             Err(end) => {
@@ -82,26 +81,26 @@
         match self.begin(request, &attempt.order.run, sequence).await {
             Begin::Begun => {}
             Begin::InProgress => {
-                self.give_back(&mut attempt, sender);
+                self.give_back(&attempt, sender);
                 self.ask_again(ticket, pause_ms);
                 return Step::GoOn;
             }
             Begin::Settled(answer) => {
-                self.give_back(&mut attempt, sender);
+                self.give_back(&attempt, sender);
                 return Step::Told(answer);
             }
         }
         let in_time = self.now() < request.deadline_ms;
         if !in_time || !self.may_send(&attempt.order.run) {
             self.finish(request, sequence, RecordState::NotSent).await;
-            self.give_back(&mut attempt, sender);
+            self.give_back(&attempt, sender);
             self.handle(RouterEvent::Again {
                 ticket,
                 not_before_ms: self.now(),
             });
             return Step::GoOn;
         }
-        self.send_begun(request, &mut attempt, sequence, sender, caller)
+        self.send_begun(request, &attempt, sequence, sender, caller)
             .await
     }
 
@@ -109,12 +108,12 @@
     async fn send_begun(
         self: &Arc<Self>,
         request: &CallerRequest,
-        attempt: &mut OpenAttempt,
+        attempt: &OpenAttempt,
         sequence: Sequence,
         sender: Sender,
         caller: &mut Option<AnswerSender>,
     ) -> Step {
-        attempt.sent = true;
+        attempt.set_sent();
         let order = attempt.order.clone();
         let work = self.whole_answer(request, &order, sequence, sender);
         tokio::pin!(work);
@@ -209,7 +208,7 @@
     }
 
     /// Gives an attempt's slot back with nothing sent; its connection stays of use.
-    fn give_back(&self, attempt: &mut OpenAttempt, sender: Sender) {
+    fn give_back(&self, attempt: &OpenAttempt, sender: Sender) {
         let reusable = self.keep_connection(attempt.order.connection, sender);
         attempt.end(AttemptEnd::Unused { reusable });
     }
@@ -225,13 +224,6 @@
     }
 }
 
-fn tell(caller: &mut Option<AnswerSender>, answer: ForwardAnswer) {
-    if let Some(caller) = caller.take() {
-        // A caller that has gone away asks again with the same id.
-        let _told = caller.send(answer);
-    }
-}
-
 /// Waits a little longer each time, up to `max`.
 pub(super) async fn back_off(pause: &mut Duration, max: Duration) {
     sleep(*pause).await;
--- a/src/entry/forward_request.rs
+++ b/src/entry/forward_request.rs
@@ -158,6 +158,16 @@
         Self::not_run(status, code, message, retry_after_ms)
     }
 
+    /// The answer where the deadline passed while a connection was opened.
+    pub(super) fn not_sent_in_time() -> Self {
+        Self::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "deadline_passed",
+            "the deadline passed before anything was sent; the work did not run",
+            Some(Millis(1_000)),
+        )
+    }
+
     /// The answer where the deadline passed while an endpoint had the request.
     pub(super) fn late() -> Self {
         Self::unknown(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod job_check;
 mod jobs;
 mod listener;
+mod open_attempt;
 mod operators;
 mod record_keeper;
 mod relay_body;
--- /dev/null
+++ b/src/entry/open_attempt.rs
@@ -0,0 +1,72 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::endpoint_link::Sender;
+use super::forward::Forwarder;
+use crate::router::{AttemptEnd, SendOrder};
+
+/// An attempt whose slot is given back on every way out.
+#[derive(Debug)]
+pub(super) struct OpenAttempt {
+    forwarder: Arc<Forwarder>,
+    pub(super) order: SendOrder,
+    sent: AtomicBool,
+    open: AtomicBool,
+}
+
+impl OpenAttempt {
+    pub(super) fn new(forwarder: &Arc<Forwarder>, order: SendOrder) -> Self {
+        Self {
+            forwarder: Arc::clone(forwarder),
+            order,
+            sent: AtomicBool::new(false),
+            open: AtomicBool::new(true),
+        }
+    }
+
+    /// Notes that a byte may go out from now on.
+    pub(super) fn set_sent(&self) {
+        self.sent.store(true, Ordering::Release);
+    }
+
+    /// Whether a byte may have gone out.
+    pub(super) fn is_sent(&self) -> bool {
+        self.sent.load(Ordering::Acquire)
+    }
+
+    /// Ends the attempt, once.
+    pub(super) fn end(&self, end: AttemptEnd) {
+        if self.open.swap(false, Ordering::AcqRel) {
+            self.forwarder.end_attempt(&self.order, end);
+        }
+    }
+
+    /// Ends the attempt with its whole answer and keeps its connection where it still serves.
+    pub(super) fn end_answered(&self, sender: Sender) {
+        let reusable = self
+            .forwarder
+            .keep_connection(self.order.connection, sender);
+        self.end(AttemptEnd::Answered { reusable });
+    }
+
+    /// Moves the duty to end the attempt.
+    pub(super) fn hand_over(&self) -> Self {
+        Self {
+            forwarder: Arc::clone(&self.forwarder),
+            order: self.order.clone(),
+            sent: AtomicBool::new(self.is_sent()),
+            open: AtomicBool::new(self.open.swap(false, Ordering::AcqRel)),
+        }
+    }
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        let end = if self.is_sent() {
+            AttemptEnd::GivenUp
+        } else {
+            AttemptEnd::NotSent
+        };
+        self.end(end);
+    }
+}
--- a/src/entry/relay_body.rs
+++ b/src/entry/relay_body.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::endpoint_link::Sender;
-use super::forward_idempotent::OpenAttempt;
+use super::open_attempt::OpenAttempt;
 use crate::router::AttemptEnd;
 
 /// How long an endpoint may pause within a streamed answer.
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -356,7 +356,7 @@
         let mut late = Vec::new();
         for service in self.services.values_mut() {
             // An endpoint could not answer these in time any more.
-            let by_ms = now.saturating_add(service.fastest());
+            let by_ms = now.saturating_add(service.needed());
             late.append(&mut service.queue.take_late(by_ms));
         }
         for ticket in late {
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -61,8 +61,10 @@
         let in_force = &self.view.in_force;
         let requests = &self.requests;
         let mut chosen = None;
+        let needed_ms = service.needed();
         let ticket = service.queue.pop(
             now,
+            needed_ms,
             |team| weight(in_force, team),
             |ticket| {
                 let state = requests.get(&ticket);
--- a/src/router/fair_queue.rs
+++ b/src/router/fair_queue.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::Ticket;
 use crate::units::{Millis, TeamId};
@@ -67,36 +67,37 @@
         queue
     }
 
-    /// Takes the next request that may be tried and that `fits`.
+    /// Takes the next request that may be tried, can still be in time and `fits`.
     pub(super) fn pop(
         &mut self,
         now_ms: Millis,
+        takes_ms: Millis,
         weight: impl Fn(&TeamId) -> u64,
         mut fits: impl FnMut(Ticket) -> bool,
     ) -> Option<Ticket> {
-        let mut order: Vec<(u64, TeamId)> = self
-            .teams
-            .iter()
-            .map(|(team, queue)| (queue.next, team.clone()))
-            .collect();
-        order.sort();
-        for (next, team) in order {
-            let queue = self.teams.get_mut(&team)?;
-            let found = queue
-                .waiters
-                .iter()
-                .position(|waiter| waiter.not_before_ms <= now_ms && fits(waiter.ticket));
-            let Some(position) = found else {
+        let by_ms = now_ms.saturating_add(takes_ms);
+        let mut passed = BTreeSet::new();
+        loop {
+            let (team, queue) = self
+                .teams
+                .iter_mut()
+                .filter(|(team, queue)| !queue.waiters.is_empty() && !passed.contains(*team))
+                .min_by_key(|(_, queue)| queue.next)?;
+            let found = queue.waiters.iter().position(|waiter| {
+                let may_try = waiter.not_before_ms <= now_ms && waiter.deadline_ms > by_ms;
+                may_try && fits(waiter.ticket)
+            });
+            let team = team.clone();
+            let Some(waiter) = found.and_then(|position| queue.waiters.remove(position)) else {
+                passed.insert(team);
                 continue;
             };
-            let waiter = queue.waiters.remove(position)?;
+            self.now = self.now.max(queue.next);
             queue.next += VIRTUAL_REQUEST / weight(&team).max(1);
-            self.now = self.now.max(next);
             self.len -= 1;
             self.drop_if_empty(&team);
             return Some(waiter.ticket);
         }
-        None
     }
 
     /// Removes a request.
--- a/src/router/service_state.rs
+++ b/src/router/service_state.rs
@@ -12,6 +12,9 @@
 /// Rise of the shortest time with each answer: a 64th.
 const FLOOR_SHIFT: u32 = 6;
 
+/// Answers take about equally long where their mean is at most this many times the fastest.
+const ALIKE: u64 = 4;
+
 /// What a router knows of one service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceState {
@@ -40,9 +43,22 @@
         })
     }
 
-    /// No answer of late came faster than this.
-    pub(super) const fn fastest(&self) -> Millis {
-        Millis(self.floor_us / 1_000)
+    /// Time that a request needs at an endpoint, as far as it can be told; zero while no others wait.
+    ///
+    /// Where answers take about equally long it is their mean with a quarter added. Where they
+    /// differ much the fastest of late counts, so that nothing is refused that could be in time.
+    pub(super) fn needed(&self) -> Millis {
+        if self.queue.len() <= 1 {
+            return Millis::ZERO;
+        }
+        let mean_us = self.mean_us.unwrap_or_default();
+        let alike = mean_us <= self.floor_us.saturating_mul(ALIKE);
+        let needed_us = if alike {
+            mean_us + mean_us / 4
+        } else {
+            self.floor_us
+        };
+        Millis(needed_us / 1_000)
     }
 
     /// How long a further request of `team` would take, where others wait for one of `slots`.
--- a/tests/request_answers.rs
+++ b/tests/request_answers.rs
@@ -206,13 +206,27 @@
         entry.send(entry.request("r1", LONG)),
     );
     given_up.await.expect_err("the endpoint hangs");
+    // It runs still, so its slot is not given to another request before its answer comes.
+    assert_eq!(slots_used(&entry), 1);
+    assert_eq!(endpoints[0].ran("r1"), 1);
+    endpoints[0].release();
+    until("the slot is free", || slots_used(&entry) == 0).await;
     until("the request is forgotten", || {
         entry.forwarder.requests() == 0
     })
     .await;
-    // It runs still, so its slot is not given to another request.
+}
+
+#[tokio::test]
+async fn deadline_while_running() {
+    let (entry, endpoints) = entry_with(1).await;
+    endpoints[0].always(Fault::Hang);
+    let short = Duration::from_millis(100);
+    let told = entry.send(entry.request("r1", short)).await;
+    assert_eq!(told, Told::Refused(Outcome::Unknown, "deadline_passed"));
     assert_eq!(slots_used(&entry), 1);
-    assert_eq!(endpoints[0].ran("r1"), 1);
+    endpoints[0].release();
+    until("the slot is free", || slots_used(&entry) == 0).await;
 }
 
 #[tokio::test]
--- a/tests/request_http.rs
+++ b/tests/request_http.rs
@@ -124,40 +124,56 @@
 
 #[tokio::test]
 async fn refusals() {
-    let server = server().await;
+    let first = server().await;
+    // An endpoint that failed rests for a while, so what follows has one of its own.
+    let second = server().await;
+    second.endpoint.next(&[Fault::CloseAfter]);
     let mut session = String::new();
-    let mut see = async |title: &str, call: Call| {
+    let mut server = &first;
+    let mut see = async |server: &Server, title: &str, call: Call| {
         let seen = server.seen(&call).await;
         writeln!(session, "# {title}\n{seen}").expect("a text can be written");
     };
-    see("answered", call(&["marjoramknot-request-id: r1"])).await;
-    see("id missing", call(&[])).await;
+    see(server, "answered", call(&["marjoramknot-request-id: r1"])).await;
+    see(server, "id missing", call(&[])).await;
     let mut other = call(&["marjoramknot-request-id: r2"]);
     other.headers.remove(0);
-    see("team missing", other).await;
+    see(server, "team missing", other).await;
     let twice = ["marjoramknot-request-id: r2", "marjoramknot-team: judges"];
-    see("team twice", call(&twice)).await;
-    see("id malformed", call(&["marjoramknot-request-id: r 2"])).await;
+    see(server, "team twice", call(&twice)).await;
+    see(
+        server,
+        "id malformed",
+        call(&["marjoramknot-request-id: r 2"]),
+    )
+    .await;
     let mut other = call(&["marjoramknot-request-id: r2"]);
     other.headers[1] = "marjoramknot-idempotent: maybe".to_owned();
-    see("idempotent malformed", other).await;
+    see(server, "idempotent malformed", other).await;
     let mut other = call(&["marjoramknot-request-id: r2"]);
     other.headers.remove(1);
-    see("made-ms missing", other).await;
+    see(server, "made-ms missing", other).await;
     let mut other = call(&["marjoramknot-request-id: r2"]);
     other.path = "/v1/services/maps/4";
-    see("no such service", other).await;
+    see(server, "no such service", other).await;
     let mut other = call(&["marjoramknot-request-id: r2"]);
     other.headers[0] = "marjoramknot-team: nobody".to_owned();
-    see("no such team", other).await;
+    see(server, "no such team", other).await;
     server.endpoint.next(&[Fault::Hang]);
     see(
+        server,
         "deadline while running",
         call(&["marjoramknot-request-id: r3"]),
     )
     .await;
     server.endpoint.always(Fault::CloseAfter);
-    see("no whole answer", call(&["marjoramknot-request-id: r4"])).await;
+    see(
+        server,
+        "no whole answer",
+        call(&["marjoramknot-request-id: r4"]),
+    )
+    .await;
+    server = &second;
     let recorded = |id: &str, made_ms: u64| {
         let mut call = call(&[]);
         call.headers[1] = "marjoramknot-idempotent: false".to_owned();
@@ -167,16 +183,16 @@
         call
     };
     let made_ms = wall().0;
-    see("outcome unknown", recorded("r5", made_ms)).await;
-    see("resent", recorded("r5", made_ms)).await;
-    see("id used again", recorded("r5", made_ms + 1)).await;
-    see("too old", recorded("r6", 0)).await;
-    see("made ahead", recorded("r6", made_ms + 3_600_000)).await;
+    see(server, "outcome unknown", recorded("r5", made_ms)).await;
+    see(server, "resent", recorded("r5", made_ms)).await;
+    see(server, "id used again", recorded("r5", made_ms + 1)).await;
+    see(server, "too old", recorded("r6", 0)).await;
+    see(server, "made ahead", recorded("r6", made_ms + 3_600_000)).await;
     server
         .control
         .unreachable
         .store(true, std::sync::atomic::Ordering::Release);
-    see("ledger out of reach", recorded("r7", made_ms)).await;
+    see(server, "ledger out of reach", recorded("r7", made_ms)).await;
     insta::assert_snapshot!(session);
 }
 
