Router: cost of a request no longer grows with endpoints and teams

Each event looked at every endpoint and summed every team's weight. Now a request looks at eight endpoints that can take it, a free slot is offered to what waits without another look, an arrival behind others that found no endpoint looks at none, and the weights are summed when the note changes. Bounded besides: services that callers name before the first note.

--- a/src/router/admission.rs
+++ b/src/router/admission.rs
@@ -1,4 +1,5 @@
 use super::core::Router;
+use super::limits::REQUESTS_MAX;
 use super::service_state::ServiceState;
 use super::{QueuedRequest, RefusalKind};
 use crate::units::{Millis, Revision};
@@ -27,9 +28,12 @@
         if request.deadline_ms <= now {
             return Some(RefusalKind::DeadlinePassed("".into()));
         }
+        if self.requests.len() >= REQUESTS_MAX {
+            return Some(RefusalKind::QueueFull);
+        }
         let service = self.services.get(&request.service)?;
         let waiting = service.queue.team_len(&request.team);
-        if waiting >= ServiceState::team_max(&request.team, in_force) as usize {
+        if waiting >= ServiceState::team_max(&request.team, in_force, self.weights) as usize {
             return Some(RefusalKind::QueueFull);
         }
         let left_ms = request.deadline_ms.since(now).get();
@@ -40,11 +44,9 @@
 
     pub(super) fn expected_time(&self, service: &ServiceState, request: &QueuedRequest) -> Millis {
         let slots = self
-            .endpoints
-            .values()
-            .filter(|state| state.listed && state.share.service == request.service)
-            .map(|state| state.share.slots.get())
-            .sum();
+            .by_service
+            .get(&request.service)
+            .map_or(0, |of| of.slots);
         service.expected_time(&request.team, slots, &self.view.in_force)
     }
 
--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use super::admission::RETRY_AFTER_MIN_MS;
+use super::dispatch::{Chance, ServiceEndpoints};
 use super::endpoint_state::EndpointState;
 use super::fair_queue::Waiter;
 use super::limits::{ATTEMPTS_MAX, IDLE_MAX_MS};
@@ -46,6 +47,10 @@
     last_silence: Option<(EndpointRun, Millis)>,
     /// Whether the shares of the view were dropped with the grant that they came under.
     dropped: bool,
+    /// The endpoints that take new work, by service.
+    pub(super) by_service: BTreeMap<ServiceName, ServiceEndpoints>,
+    /// The sum of all teams' weights.
+    pub(super) weights: u64,
     /// Where the choice among equal endpoints starts.
     pub(super) rotation: usize,
 }
@@ -60,6 +65,7 @@
     /// Takes an event and gives what is to be done.
     pub fn handle(&mut self, event: RouterEvent, now: Millis) -> Vec<RouterAction> {
         let mut actions = Vec::new();
+        let chance = chance_of(&event);
         match event {
             RouterEvent::View(view) => self.take_view(view, now, &mut actions),
             RouterEvent::Arrived { ticket, request } => {
@@ -86,7 +92,7 @@
             }
             RouterEvent::Tick => self.tick(now, &mut actions),
         }
-        self.send_waiting(now, &mut actions);
+        self.send_waiting(&chance, now, &mut actions);
         actions
     }
 
@@ -177,7 +183,11 @@
                 state.list();
             }
         }
+        let declared = &view.in_force.services;
+        self.services
+            .retain(|name, service| service.queue.len() > 0 || declared.contains_key(name));
         self.view = view;
+        self.index_services();
         self.close_stale(now, actions);
     }
 
@@ -390,3 +400,20 @@
     };
     RouterAction::Refuse { ticket, refusal }
 }
+
+/// What an event may make possible for requests that wait.
+fn chance_of(event: &RouterEvent) -> Chance {
+    match event {
+        RouterEvent::Arrived { request, .. } => Chance::Request(request.service.clone()),
+        RouterEvent::Ended {
+            run,
+            end: AttemptEnd::Answered { .. },
+            ..
+        } => Chance::Slot(run.clone()),
+        RouterEvent::Gone { .. } | RouterEvent::ConnectionClosed { .. } => Chance::None,
+        RouterEvent::View(_)
+        | RouterEvent::Again { .. }
+        | RouterEvent::Ended { .. }
+        | RouterEvent::Tick => Chance::All,
+    }
+}
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,6 +1,6 @@
 use super::core::{RequestState, Router};
 use super::endpoint_state::{EndpointState, Pick};
-use super::service_state::weight;
+use super::service_state::{ServiceState, weight};
 use super::{ConnectionId, EndpointRun, RouterAction, SendOrder, Ticket};
 use crate::units::{Millis, ServiceName};
 
@@ -15,37 +15,136 @@
     fresh: Option<Pick>,
 }
 
+/// Endpoints that are looked at for one request: among so many the least loaded is close to the
+/// least loaded of all, and the cost does not grow with their number.
+const SAMPLE_MAX: usize = 8;
+
+/// The endpoints of one service that take new work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceEndpoints {
+    pub(super) runs: Vec<EndpointRun>,
+    /// The slots of all their shares.
+    pub(super) slots: u32,
+}
+
+/// What may have become possible.
+#[derive(Clone, Debug)]
+pub(super) enum Chance {
+    /// Nothing.
+    None,
+    /// A request has come for a service.
+    Request(ServiceName),
+    /// A slot of this endpoint is free.
+    Slot(EndpointRun),
+    /// Anything.
+    All,
+}
+
 impl Router {
     /// Hands requests that wait to endpoints with a free slot, team by team.
-    pub(super) fn send_waiting(&mut self, now: Millis, actions: &mut Vec<RouterAction>) {
+    pub(super) fn send_waiting(
+        &mut self,
+        chance: &Chance,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) {
         if !self.may_start(now) {
             return;
         }
-        let waits = |name: &ServiceName, router: &Self| router.services[name].queue.len() > 0;
-        let mut names: Vec<ServiceName> = self.services.keys().cloned().collect();
-        names.retain(|name| waits(name, self));
-        for name in names {
-            let mut candidates = self.candidates(&name, now);
-            while let Some(order) = self.next_order(&name, &mut candidates, now) {
-                actions.push(RouterAction::Send(order));
+        match chance {
+            Chance::None => {}
+            Chance::Request(name) => {
+                // Where others have found no endpoint, this one finds none either.
+                let behind = |service: &ServiceState| service.starved && service.queue.len() > 1;
+                if !self.services.get(name).is_none_or(behind) {
+                    self.send_all(name, now, actions);
+                }
+            }
+            Chance::Slot(run) => self.send_to(run, now, actions),
+            Chance::All => {
+                let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+                for name in names {
+                    self.send_all(&name, now, actions);
+                }
+            }
+        }
+    }
+
+    /// Sends what waits for a service until nothing waits or no endpoint can take it.
+    fn send_all(&mut self, name: &ServiceName, now: Millis, actions: &mut Vec<RouterAction>) {
+        if self.services[name].queue.len() == 0 {
+            return;
+        }
+        loop {
+            let mut candidates = self.candidates(name, now);
+            let starved = candidates.is_empty();
+            let sent = self.send_some(name, &mut candidates, now, actions);
+            let service = self.services.entry(name.clone()).or_default();
+            service.starved = starved;
+            if sent == 0 || service.queue.len() == 0 {
+                break;
             }
-            self.make_room(&name, actions, now);
         }
+        self.make_room(name, actions, now);
     }
 
-    /// Endpoints that could take a request, the least loaded first.
+    /// Sends what waits to one endpoint.
+    fn send_to(&mut self, run: &EndpointRun, now: Millis, actions: &mut Vec<RouterAction>) {
+        let Some(state) = self.endpoints.get(run) else {
+            return;
+        };
+        let name = state.share.service.clone();
+        let waits = self.services.get(&name).map_or(0, |s| s.queue.len()) > 0;
+        if let Some(candidate) = Candidate::of(run, state, now).filter(|_| waits) {
+            self.send_some(&name, &mut vec![candidate], now, actions);
+        }
+    }
+
+    fn send_some(
+        &mut self,
+        name: &ServiceName,
+        candidates: &mut Vec<Candidate>,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) -> usize {
+        let before = actions.len();
+        while let Some(order) = self.next_order(name, candidates, now) {
+            actions.push(RouterAction::Send(order));
+        }
+        actions.len() - before
+    }
+
+    /// Some endpoints that could take a request, from a place that moves on each time.
     fn candidates(&mut self, name: &ServiceName, now: Millis) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> = self
-            .endpoints
-            .iter()
-            .filter(|(_, state)| state.share.service == *name)
-            .filter_map(|(run, state)| Candidate::of(run, state, now))
-            .collect();
-        if !candidates.is_empty() {
-            self.rotation = self.rotation.wrapping_add(1) % candidates.len();
-            candidates.rotate_left(self.rotation);
+        let Some(ServiceEndpoints { runs, .. }) = self.by_service.get(name) else {
+            return Vec::new();
+        };
+        let count = runs.len();
+        self.rotation = self.rotation.wrapping_add(1);
+        let places = (0..count).map(|offset| (self.rotation + offset) % count);
+        places
+            .filter_map(|place| {
+                let run = &runs[place];
+                Candidate::of(run, self.endpoints.get(run)?, now)
+            })
+            .take(SAMPLE_MAX)
+            .collect()
+    }
+
+    /// Notes which endpoints take new work, after the view has changed.
+    pub(super) fn index_services(&mut self) {
+        self.by_service.clear();
+        for (run, state) in self.endpoints.iter().filter(|(_, state)| state.listed) {
+            let of_service = self.by_service.entry(state.share.service.clone());
+            let of_service = of_service.or_default();
+            of_service.runs.push(run.clone());
+            let slots = state.share.slots.get();
+            of_service.slots = of_service.slots.saturating_add(slots);
         }
-        candidates
+        let teams = self.view.in_force.teams.values();
+        self.weights = teams
+            .map(|team| u64::from(team.request_weight.max(1)))
+            .sum();
     }
 
     fn next_order(
--- a/src/router/limits.rs
+++ b/src/router/limits.rs
@@ -4,6 +4,8 @@
 
 /// Most requests that wait for one service at one entry, over all teams.
 pub const QUEUE_MAX: u32 = 1_024;
+/// Most requests that one entry knows at once, waiting or in progress, over all services.
+pub const REQUESTS_MAX: usize = 8_192;
 /// Every team may have this many requests waiting, however many teams there are.
 pub const TEAM_QUEUE_MIN: u32 = 8;
 /// How long an idle connection is kept: shorter than what forgets connections on the way.
--- a/src/router/service_state.rs
+++ b/src/router/service_state.rs
@@ -20,6 +20,8 @@
 pub(super) struct ServiceState {
     pub(super) queue: FairQueue,
     pub(super) budget: RetryBudget,
+    /// Whether the last look found no endpoint for what waits.
+    pub(super) starved: bool,
     /// The running mean of the time that an attempt holds its slot, in microseconds.
     mean_us: Option<u64>,
     /// The shortest of late: each answer raises it by a part, a faster one lowers it at once.
@@ -87,13 +89,8 @@
     }
 
     /// How many requests of a team may wait: its weight's part of the whole queue.
-    pub(super) fn team_max(team: &TeamId, in_force: &InForce) -> u32 {
-        let all: u64 = in_force
-            .teams
-            .keys()
-            .map(|other| weight(in_force, other))
-            .sum();
-        let part = u64::from(QUEUE_MAX).saturating_mul(weight(in_force, team)) / all.max(1);
+    pub(super) fn team_max(team: &TeamId, in_force: &InForce, weights: u64) -> u32 {
+        let part = u64::from(QUEUE_MAX).saturating_mul(weight(in_force, team)) / weights.max(1);
         u32::try_from(part).unwrap_or(QUEUE_MAX).max(TEAM_QUEUE_MIN)
     }
 }
