Whole path: killed leader, and a lost disk followed by a second loss

The real programs: a gang and two slow requests go on over a killed leader, one attempt and one run each; a follower restarts on an empty disk, and after its repair the leader is lost and the other two still hold the note and take the next.

--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -89,6 +89,12 @@
         kill_process(pid, Signal::TERM).expect("our own child can be signalled");
     }
 
+    /// Takes its life, as a failing VM does.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("our own child can be killed");
+        let _signalled = self.wait();
+    }
+
     /// Waits for its end and gives the exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let since = Instant::now();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,28 +1,19 @@
 //! The real programs as separate processes: a note, a gang and a request from end to end.
 
-use std::net::SocketAddr;
-use std::path::Path;
-use std::process::Command;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
 
 use http::{Method, StatusCode};
-use marjoramknot::fleet::WorkerCapacity;
 use marjoramknot::kernel::Clock;
-use marjoramknot::units::{Accelerators, Cores, MemoryMb, Millis};
 use serde_json::{Value, json};
-use tempfile::TempDir;
 use tokio::task::JoinSet;
 
-use support::fake_worker::{FakeWorker, Faults, Spec};
-use support::http_client::Http;
+use support::deployment::{Deployment, announce_fleet, apply_notes, gang, wait_until};
 use support::http_endpoint::HttpEndpoint;
-use support::http_worker::run_worker;
-use support::ports::{ReplicaPorts, replica_ports};
-use support::processes::{BOUND, PAUSE, Process, control_settings, entry_settings, write};
+use support::processes::write;
 
 mod support {
+    #[path = "../support/deployment.rs"]
+    pub mod deployment;
     #[expect(dead_code, reason = "other tests use the rest")]
     #[path = "../support/fake_worker.rs"]
     pub mod fake_worker;
@@ -38,307 +29,6 @@
     pub mod processes;
 }
 
-const CONTROL: &str = env!("CARGO_BIN_EXE_marjoramknot-control");
-const ENTRY: &str = env!("CARGO_BIN_EXE_marjoramknot-entry");
-const CTL: &str = env!("CARGO_BIN_EXE_marjoramctl");
-
-const NOTE: &str = r#"
-version = 1
-
-[[added.teams]]
-name = "judges"
-
-[[added.teams]]
-name = "secretaries"
-
-[[added.guarantees]]
-team = "judges"
-cells = [{ count = 2, accelerators = 8, adjacency = "rack" }]
-
-[[added.zones]]
-name = "Senec"
-racks = [{ name = "senec-1", workers = 2, accelerators = 8, cores = 32, memory_mb = 65536 }]
-
-[[added.zones]]
-name = "Trnava"
-racks = [{ name = "trnava-1", workers = 1, accelerators = 8, cores = 32, memory_mb = 65536 }]
-
-[[added.services]]
-name = "booking"
-
-[[added.endpoints]]
-name = "booking-runners"
-prefix = "booking-"
-service = "booking"
-slots_max = 8
-connections_max = 64
-"#;
-
-/// Workers by name, zone and rack.
-const WORKERS: [(&str, &str, &str); 3] = [
-    ("senec-a", "Senec", "senec-1"),
-    ("senec-b", "Senec", "senec-1"),
-    ("trnava-a", "Trnava", "trnava-1"),
-];
-
-/// Fields of JSON that differ from run to run.
-const VOLATILE: [&str; 6] = [
-    "address",
-    "age_ms",
-    "digest",
-    "explanation",
-    "revision",
-    "term",
-];
-
-/// One entry's process and where it listens.
-struct Entry {
-    process: Process,
-    callers: SocketAddr,
-    fleet: SocketAddr,
-    operators: SocketAddr,
-}
-
-/// All processes of a small deployment.
-struct Deployment {
-    folder: TempDir,
-    control: Vec<Process>,
-    entries: Vec<Entry>,
-    http: Http,
-    /// What everybody said and heard.
-    session: Vec<String>,
-}
-
-impl Deployment {
-    fn start() -> Self {
-        let folder = tempfile::tempdir().expect("a folder can be made");
-        let ports = replica_ports(3);
-        let zones = ["Senec", "Trnava", "Senec"];
-        let control = (1..=3).map(|index| {
-            let settings = control_settings(folder.path(), index, zones[index - 1], &ports);
-            Process::start(CONTROL, &format!("control-{index}"), &settings)
-        });
-        let control = control.collect();
-        let entries = (1..=2).map(|index| start_entry(folder.path(), index, &ports));
-        Self {
-            control,
-            entries: entries.collect(),
-            folder,
-            http: Http::default(),
-            session: Vec::new(),
-        }
-    }
-
-    /// Runs `marjoramctl` against both entries.
-    fn ctl(&self, line: &str) -> (Option<i32>, String) {
-        let mut command = Command::new(CTL);
-        for entry in &self.entries {
-            command.arg("--entry").arg(entry.operators.to_string());
-        }
-        let output = command
-            .args(["--timeout-ms", "30000"])
-            .args(line.split_whitespace())
-            .current_dir(self.folder.path())
-            .output()
-            .expect("marjoramctl runs");
-        let text = [output.stdout, output.stderr].concat();
-        let text = String::from_utf8(text).expect("marjoramctl prints text");
-        (output.status.code(), text)
-    }
-
-    /// Runs `marjoramctl` and puts it into the session.
-    fn operator(&mut self, line: &str) -> String {
-        let (code, text) = self.ctl(line);
-        let shown = masked_text(&text);
-        let code = code.map_or_else(|| "killed".to_owned(), |code| code.to_string());
-        self.session.push(format!(
-            "operator$ marjoramctl {line}\n{shown}exit {code}\n"
-        ));
-        text
-    }
-
-    /// Sends a caller's request to one entry and puts it into the session.
-    async fn caller(
-        &mut self,
-        entry: usize,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &Value,
-    ) -> (StatusCode, Value) {
-        let address = self.entries[entry].callers;
-        let shown_headers: Vec<_> = headers
-            .iter()
-            .filter(|(name, _value)| *name != "marjoramknot-made-ms")
-            .map(|(name, value)| format!("{name}: {value}\n"))
-            .collect();
-        let sent = if body.is_null() {
-            String::new()
-        } else {
-            body.to_string()
-        };
-        let answer = self
-            .http
-            .send(method.clone(), address, path, headers, sent.clone());
-        let (status, text) = answer.await.expect("the entry answers");
-        let answer = serde_json::from_str(&text).unwrap_or(Value::String(text));
-        let shown = masked(&answer);
-        let name = &self.entries[entry].process.name;
-        let headers = shown_headers.concat();
-        let request = format!("{method} {path}\n{headers}{sent}");
-        let request = request.trim_end();
-        self.session
-            .push(format!("caller to {name}: {request}\n{status} {shown}\n"));
-        (status, answer)
-    }
-
-    /// Who leads the control group, as the entries know.
-    fn leader(&self) -> String {
-        let (_code, text) = self.ctl("--json status");
-        let status: Value = serde_json::from_str(&text).expect("the status is JSON");
-        let leader = status["group"]["leader"].as_str();
-        leader.expect("a leader gave the status").to_owned()
-    }
-
-    /// Waits until both entries hold a grant.
-    async fn wait_ready(&self) {
-        for entry in &self.entries {
-            let ready = async || self.health(entry).await == Some(StatusCode::OK);
-            wait_until("an entry is ready", ready).await;
-        }
-    }
-
-    async fn health(&self, entry: &Entry) -> Option<StatusCode> {
-        let answer = self
-            .http
-            .send(Method::GET, entry.callers, "/health/ready", &[], "");
-        answer.await.ok().map(|(status, _body)| status)
-    }
-}
-
-fn start_entry(folder: &Path, index: usize, ports: &[ReplicaPorts]) -> Entry {
-    let zone = ["Senec", "Trnava"][index - 1];
-    let settings = entry_settings(folder, index, zone, ports);
-    let mut process = Process::start(ENTRY, &format!("entry-{index}"), &settings);
-    Entry {
-        callers: process.address("callers"),
-        fleet: process.address("fleet"),
-        operators: process.address("operators"),
-        process,
-    }
-}
-
-async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let since = Instant::now();
-    while !holds().await {
-        assert!(since.elapsed() < BOUND, "not in time: {what}");
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-/// Replaces revisions and spans of time, and evens out the columns that they stand in.
-fn masked_text(text: &str) -> String {
-    text.lines().map(|line| masked_line(line) + "\n").collect()
-}
-
-fn masked_line(line: &str) -> String {
-    let mut masked = String::new();
-    let mut last = "";
-    for word in line.split_inclusive(' ') {
-        let bare = word.trim_end_matches([' ', ',']);
-        let number = bare.strip_suffix("ms").unwrap_or(bare);
-        let is_number = !number.is_empty() && number.bytes().all(|byte| byte.is_ascii_digit());
-        let volatile = is_number && (bare.ends_with("ms") || last == "revision");
-        if volatile {
-            masked.push_str(&word.replacen(bare, "#", 1));
-        } else if !(bare.is_empty() && masked.ends_with("  ")) {
-            masked.push_str(word);
-        }
-        last = bare;
-    }
-    masked.trim_end().to_owned()
-}
-
-/// Replaces the values of volatile fields.
-fn masked(value: &Value) -> Value {
-    match value {
-        Value::Object(fields) => {
-            let fields = fields.iter().map(|(name, value)| {
-                let volatile = VOLATILE.contains(&name.as_str());
-                let value = if volatile { json!("#") } else { masked(value) };
-                (name.clone(), value)
-            });
-            Value::Object(fields.collect())
-        }
-        Value::Array(items) => items.iter().map(masked).collect(),
-        other => other.clone(),
-    }
-}
-
-fn worker(name: &str, zone: &str, rack: &str) -> FakeWorker {
-    FakeWorker::new(Spec {
-        worker: name.parse().expect("the name is an id"),
-        zone: zone.parse().expect("the name is an id"),
-        rack: rack.parse().expect("the name is an id"),
-        capacity: WorkerCapacity {
-            accelerators: Accelerators(8),
-            cores: Cores(32),
-            memory_mb: MemoryMb(65_536),
-        },
-        faults: Faults::default(),
-        run_ms: |payload| payload.parse().ok().map(Millis),
-    })
-}
-
-fn gang(id: &str, tasks: u32, run_ms: u32) -> Value {
-    json!({
-        "key": { "team": "judges", "id": id },
-        "class": "re-score",
-        "tasks": tasks,
-        "accelerators": 8,
-        "cores": 16,
-        "memory_mb": 32_768,
-        "adjacency": "rack",
-        "idempotent": true,
-        "declared_run_ms": run_ms,
-        "payload": run_ms.to_string(),
-    })
-}
-
-/// An operator applies a note, sends it again, races with another one and makes mistakes.
-async fn apply_notes(deployment: &mut Deployment) {
-    deployment.wait_ready().await;
-    let folder = deployment.folder.path();
-    write(folder, "note.toml", NOTE);
-    write(folder, "other.toml", "version = 1\n");
-    let faulty = "version = 2\ncolour = 1\n[[added.teams]]\nname = \"a b\"\n";
-    write(folder, "faulty.toml", faulty);
-    deployment.operator("release-note apply --wait note.toml");
-    deployment.operator("release-note apply note.toml");
-    deployment.operator("release-note apply other.toml");
-    deployment.operator("release-note apply faulty.toml");
-    deployment.operator("zones");
-}
-
-/// Workers and an endpoint announce themselves.
-async fn announce_fleet(deployment: &mut Deployment, fleet: &mut JoinSet<()>) -> Arc<HttpEndpoint> {
-    let entries: Vec<_> = deployment.entries.iter().map(|entry| entry.fleet).collect();
-    for (name, zone, rack) in WORKERS {
-        fleet.spawn(run_worker(worker(name, zone, rack), entries.clone()));
-    }
-    let endpoint = Arc::new(HttpEndpoint::start("booking-a").await);
-    let announced = Arc::clone(&endpoint);
-    fleet.spawn(async move { announced.announce("booking", "Senec", entries).await });
-    wait_until("the fleet is known", async || {
-        let (_code, workers) = deployment.ctl("workers");
-        let (_code, endpoints) = deployment.ctl("endpoints");
-        workers.matches(" up ").count() == WORKERS.len() && endpoints.contains("booking-a")
-    })
-    .await;
-    deployment.operator("workers");
-    endpoint
-}
-
 /// A request that may run again, and one that may not, sent twice at different entries.
 async fn book(deployment: &mut Deployment, endpoint: &HttpEndpoint) {
     let booking = json!({ "pond": "Piešťany", "hour": 9 });
@@ -503,14 +193,10 @@
         deployment.health(entry).await == red
     })
     .await;
-    let leader = deployment.leader();
-    let control = deployment
-        .control
-        .iter_mut()
-        .find(|control| control.name == leader);
-    let control = control.expect("the leader is one of the replicas");
-    control.terminate();
-    assert_eq!(control.wait(), Some(0));
+    let leading = deployment.leading();
+    let leader = leading.name.clone();
+    leading.terminate();
+    assert_eq!(leading.wait(), Some(0));
     wait_until("another replica leads", async || {
         let (code, _text) = deployment.ctl("status");
         code == Some(0) && deployment.leader() != leader
@@ -527,3 +213,104 @@
     assert_eq!(deployment.entries[0].process.wait(), Some(0));
     assert_eq!(ran(), 6);
 }
+
+/// Folders of the replicas that vote and hold everything that is committed.
+fn whole_voters(status: &Value) -> usize {
+    let committed = status["group"]["committed"].as_u64();
+    let replicas = status["group"]["replicas"].as_array();
+    let whole = |replica: &&Value| {
+        replica["voter"] == true
+            && replica["silent_ms"].as_u64() < Some(1_000)
+            && replica["matched"].as_u64() >= committed
+    };
+    replicas.map_or(0, |replicas| replicas.iter().filter(whole).count())
+}
+
+/// The data folder under which a replica votes.
+fn folder_of(status: &Value, name: &str) -> Option<String> {
+    let replicas = status["group"]["replicas"].as_array()?;
+    let is_voter = |replica: &&Value| replica["replica"] == name && replica["voter"] == true;
+    let voter = replicas.iter().find(is_voter)?;
+    voter["folder"].as_str().map(str::to_owned)
+}
+
+/// The leader is killed while a gang runs and a booking that may run once is in progress.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn killed_leader() {
+    let mut deployment = Deployment::start();
+    let mut fleet = JoinSet::new();
+    apply_notes(&mut deployment).await;
+    let endpoint = announce_fleet(&mut deployment, &mut fleet).await;
+    let heat = gang("heat-1", 2, 3_000);
+    deployment
+        .caller(0, Method::POST, "/v1/jobs", &[], &heat)
+        .await;
+    wait_until("the gang runs", async || {
+        let (_code, text) = deployment.ctl("jobs list");
+        text.contains(" running ")
+    })
+    .await;
+    let mut requests = send_slow(&deployment, 0..2);
+    let ran = || endpoint.ran.load(Ordering::Relaxed);
+    wait_until("two requests are in progress", async || ran() == 2).await;
+
+    deployment.leading().kill();
+    endpoint.gate.add_permits(2);
+    while let Some(answered) = requests.join_next().await {
+        let (id, answer) = answered.expect("a request does not panic");
+        let whole =
+            answer.starts_with("200 OK booking ") && answer.ends_with(&format!("slow-{id}"));
+        assert!(whole, "request {id}: {answer}");
+    }
+    let look = "/v1/jobs/judges/heat-1?wait_ms=20000";
+    let (_status, view) = deployment
+        .caller(1, Method::GET, look, &[], &Value::Null)
+        .await;
+    let results = view["outcome"]["succeeded"]["results"].as_array();
+    assert_eq!(results.map(Vec::len), Some(2), "{view}");
+    assert_eq!(
+        (&view["attempt"], ran()),
+        (&json!(1), 2),
+        "nothing ran twice"
+    );
+    let (code, text) = deployment.ctl("release-note apply note.toml");
+    assert!(text.contains("already accepted"), "{text}");
+    assert_eq!(code, Some(0));
+}
+
+/// A replica comes back with an empty disk, and a second one is lost right after the repair.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_disk() {
+    let mut deployment = Deployment::start();
+    apply_notes(&mut deployment).await;
+    let leader = deployment.leader();
+    let names = ["control-1", "control-2", "control-3"];
+    let followers: Vec<_> = names.into_iter().filter(|name| *name != leader).collect();
+    let lost = folder_of(&deployment.status(), followers[0]);
+    deployment.restart(followers[0], true);
+    wait_until("three voters hold everything", async || {
+        let status = deployment.status();
+        let replicas = status["group"]["replicas"].as_array().map(Vec::len);
+        let renewed = folder_of(&status, followers[0]) != lost;
+        renewed && replicas == Some(3) && whole_voters(&status) == 3
+    })
+    .await;
+    deployment.leading().kill();
+    wait_until("the other two go on", async || {
+        let (code, text) = deployment.ctl("release-note apply note.toml");
+        code == Some(0) && text.contains("already accepted")
+    })
+    .await;
+    write(
+        deployment.folder.path(),
+        "next.toml",
+        "version = 2\n[[added.teams]]\nname = \"maps\"\n",
+    );
+    let (code, text) = deployment.ctl("release-note apply --wait next.toml");
+    assert_eq!(code, Some(0), "{text}");
+    deployment.restart(&leader, false);
+    wait_until("three voters hold everything again", async || {
+        whole_voters(&deployment.status()) == 3
+    })
+    .await;
+}
