--- a/src/replica/core/progress.rs
+++ b/src/replica/core/progress.rs
@@ -10,6 +10,19 @@
     pub(super) snapshot: Arc<Snapshot>,
     pub(super) offset: u64,
     pub(super) sent_ms: Millis,
+    /// Whether the last piece was empty, as the follower had not been heard.
+    pub(super) is_probe: bool,
+}
+
+impl SnapshotSend {
+    pub(super) const fn new(snapshot: Arc<Snapshot>) -> Self {
+        Self {
+            snapshot,
+            offset: 0,
+            sent_ms: Millis::ZERO,
+            is_probe: false,
+        }
+    }
 }
 
 /// What the leader knows of one follower or learner.
--- a/src/replica/core/replication.rs
+++ b/src/replica/core/replication.rs
@@ -149,11 +149,7 @@
             }
             AppendOutcome::NeedsSnapshot => {
                 if progress.snapshot.is_none() {
-                    progress.snapshot = snapshot.map(|snapshot| SnapshotSend {
-                        snapshot,
-                        offset: 0,
-                        sent_ms: Millis::ZERO,
-                    });
+                    progress.snapshot = snapshot.map(SnapshotSend::new);
                 }
             }
         }
--- a/src/replica/core/snapshot.rs
+++ b/src/replica/core/snapshot.rs
@@ -64,11 +64,7 @@
             return;
         };
         if progress.next < first && progress.snapshot.is_none() {
-            progress.snapshot = Some(SnapshotSend {
-                snapshot,
-                offset: 0,
-                sent_ms: Millis::ZERO,
-            });
+            progress.snapshot = Some(SnapshotSend::new(snapshot));
         }
     }
 
@@ -76,6 +72,7 @@
     pub(super) fn send_chunk(&mut self, node: &Node, now: Millis) -> bool {
         let chunk_bytes = usize::try_from(self.config.chunk_bytes.get()).unwrap_or(usize::MAX);
         let heartbeat = self.config.heartbeat_ms;
+        let alive_ms = self.config.election_min_ms;
         let Role::Leader(state) = &mut self.role else {
             return false;
         };
@@ -90,12 +87,16 @@
             return true;
         }
         sending.sent_ms = now.max(Millis(1));
+        // A follower that is not heard gets empty pieces, as they may all be lost.
+        let heard = progress.acked_ms;
+        sending.is_probe = heard.is_none_or(|at| now >= at.saturating_add(alive_ms));
         progress.last_sent_ms = Some(now);
         let data = &sending.snapshot.data;
         let start = usize::try_from(sending.offset)
             .unwrap_or(usize::MAX)
             .min(data.len());
-        let end = start.saturating_add(chunk_bytes).min(data.len());
+        let bytes = if sending.is_probe { 0 } else { chunk_bytes };
+        let end = start.saturating_add(bytes).min(data.len());
         let body = Body::Chunk {
             meta: sending.snapshot.meta.clone(),
             total: data.len() as u64,
@@ -126,7 +127,8 @@
         let Some(sending) = &mut progress.snapshot else {
             return;
         };
-        if sending.snapshot.meta.index == index && offset != sending.offset {
+        let goes_on = offset != sending.offset || sending.is_probe;
+        if sending.snapshot.meta.index == index && goes_on {
             sending.offset = offset;
             sending.sent_ms = Millis::ZERO;
         }
--- a/src/replica/peer/link.rs
+++ b/src/replica/peer/link.rs
@@ -99,10 +99,13 @@
 impl Link {
     async fn run(mut self) {
         while let Some(first) = self.messages.recv().await {
-            match self.dial().await {
-                Some(connection) => self.use_connection(connection, first).await,
-                None => tokio::time::sleep(REDIAL_DELAY).await,
+            if let Some(connection) = self.dial().await {
+                self.use_connection(connection, first).await;
+                continue;
             }
+            tokio::time::sleep(REDIAL_DELAY).await;
+            // Old messages are of no use once the peer is there, but fill the memory.
+            while self.messages.try_recv().is_ok() {}
         }
     }
 
--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -101,6 +101,24 @@
     world.check_end();
 }
 
+/// A follower that is gone costs no pieces of a snapshot that nobody takes.
+#[test]
+fn lost_follower() {
+    let (mut world, leader) = with_leader(3, 7);
+    let follower = (leader + 1) % 3;
+    world.crash(follower);
+    for _ in 0..40 {
+        commit(&mut world);
+    }
+    world.run(2_000);
+    let before = world.chunk_bytes;
+    world.run(60_000);
+    assert_eq!(world.chunk_bytes, before);
+    world.start(follower);
+    world.run_until(5_000, "a whole group", World::is_whole);
+    world.check_end();
+}
+
 /// Which messages a silent cut swallows.
 #[derive(Clone, Copy, Debug)]
 enum Cut {
--- a/tests/replica_core/world.rs
+++ b/tests/replica_core/world.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use marjoramknot::replica::core::{Action, Core, CoreConfig, Event, Recovered, Save};
-use marjoramknot::replica::{Entry, Message, Node, Payload};
+use marjoramknot::replica::{Body, Entry, Message, Node, Payload};
 use marjoramknot::units::{LogIndex, Millis, Term};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -59,7 +59,7 @@
     pub committed: BTreeMap<LogIndex, Arc<Entry>>,
     pub acknowledged: Vec<Vec<u8>>,
     pub refused: Vec<Vec<u8>>,
-    pub sent: u64,
+    pub chunk_bytes: usize,
     rng: StdRng,
     pub seed: u64,
     flying: BTreeMap<(u64, u64), Message>,
@@ -94,7 +94,7 @@
             committed: BTreeMap::new(),
             acknowledged: Vec::new(),
             refused: Vec::new(),
-            sent: 0,
+            chunk_bytes: 0,
             rng,
             seed,
             flying: BTreeMap::new(),
@@ -369,7 +369,9 @@
     }
 
     fn send(&mut self, from: usize, message: &Message) {
-        self.sent += 1;
+        if let Body::Chunk { data, .. } = &message.body {
+            self.chunk_bytes += data.len();
+        }
         let to = position_of(message);
         if self.cuts.contains(&(from, to)) || self.chance(self.faults.drop_percent) {
             return;
