Scheduler: work inside a guarantee takes free cells as movable work first

Cause: gangs placed as lasting use of their guarantee can't be moved, so large gangs waited beside 56 to 109 free accelerators. They now start on free cells without using the guarantee up, and use it when nothing is free.

--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -139,8 +139,8 @@
             if needed == 0 || needed > unused || reclaims {
                 continue;
             }
-            let started = self.try_guaranteed(key.ordinal, now, searches)
-                || self.try_borrowed(key.ordinal, now, searches)
+            let started = self.try_borrowed(key.ordinal, now, searches)
+                || self.try_guaranteed(key.ordinal, now, searches)
                 || self.try_reclaim(key.ordinal, now, searches);
             if !started && !self.options.backfill {
                 return;
