--- a/tests/support/fake_endpoint.rs
+++ b/tests/support/fake_endpoint.rs
@@ -333,7 +333,9 @@
     }
     let _running = Running::begin(&shared, &echo.id);
     let work_ms = shared.work_ms.load(Ordering::Relaxed);
-    tokio::time::sleep(Duration::from_millis(work_ms.into())).await;
+    if work_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(work_ms.into())).await;
+    }
     let text = Bytes::from(format!("{path} {}", String::from_utf8_lossy(&body)));
     match fault {
         Fault::CloseAfter => return Err(io::ErrorKind::ConnectionAborted.into()),
