--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -10,10 +10,16 @@
 
 /// Searches for places in one pass, so that no event takes long.
 const SEARCHES_MAX: u32 = 48;
-/// Jobs of one team looked at in one pass.
-const SCAN_MAX: usize = 512;
+/// Waiting jobs looked at in one pass, shared by the teams.
+const SCAN_MAX: usize = 1_024;
+/// Bounds of one team's part of them.
+const SCAN_OF_TEAM: std::ops::RangeInclusive<usize> = 4..=128;
 /// Blocked gangs that keep cells at one time.
 const RESERVES_MAX: usize = 3;
+/// Guarantees bound afresh in one pass.
+const REBINDS_MAX: u32 = 4;
+/// How often the cell that frees first is looked for again.
+const REVIEW_EVERY_MS: Millis = Millis(30_000);
 /// A share of the guarantee in use counts in steps of a half up to this many.
 const SHARE_LEVELS: u64 = 8;
 
@@ -24,10 +30,14 @@
             return;
         }
         self.dirty = false;
+        self.rebinds_left = REBINDS_MAX;
+        self.pool.refresh_racks();
         self.bindings.refresh(&mut self.pool, now);
         let mut searches = 0;
         self.serve_claims(now, &mut searches);
-        self.serve_guaranteed(now, &mut searches);
+        if self.options.guarantees {
+            self.serve_guaranteed(now, &mut searches);
+        }
         self.serve_borrowed(now, &mut searches);
         if searches >= SEARCHES_MAX {
             self.dirty = true;
@@ -73,6 +83,10 @@
             self.dirty = true;
             return;
         }
+        if claim.kind != ClaimKind::Move && now.since(claim.since_ms) >= REVIEW_EVERY_MS {
+            self.claims.drop_claim(ordinal, &mut self.pool);
+            self.reserve(ordinal, now);
+        }
         let blocked_ms = self.jobs.get(&ordinal).and_then(|job| job.blocked_ms);
         let blocked_for = now.since(blocked_ms.unwrap_or(now));
         if !self.options.moves || blocked_for < self.options.move_after_ms {
@@ -83,8 +97,10 @@
         if !(stale || fresh) || now.since(claim.since_ms) < Millis(1_000) {
             return;
         }
+        let Some(mut claim) = self.claims.by_job.get(&ordinal).cloned() else {
+            return;
+        };
         if self.clear_places(ordinal, &claim.places, claim.load, &EndCause::Moved, now) {
-            let mut claim = claim.clone();
             claim.kind = ClaimKind::Move;
             claim.since_ms = now;
             self.claims.insert(ordinal, claim, &mut self.pool);
@@ -120,7 +136,7 @@
             let needed = self.jobs[&key.ordinal].accelerators();
             let claim = self.claims.by_job.get(&key.ordinal);
             let reclaims = claim.is_some_and(|claim| claim.kind == ClaimKind::Reclaim);
-            if needed > unused || reclaims {
+            if needed == 0 || needed > unused || reclaims {
                 continue;
             }
             let started = self.try_guaranteed(key.ordinal, now, searches)
@@ -133,10 +149,12 @@
     }
 
     fn keys_by_team(&self, with_guarantee: bool) -> BTreeMap<TeamId, Vec<QueueKey>> {
+        let teams = self.queue.teams().count().max(1);
+        let scan = (SCAN_MAX / teams).clamp(*SCAN_OF_TEAM.start(), *SCAN_OF_TEAM.end());
         self.queue
             .teams()
             .filter(|(team, _keys)| !with_guarantee || self.bindings.of_team(team).next().is_some())
-            .map(|(team, keys)| (team.clone(), keys.iter().copied().take(SCAN_MAX).collect()))
+            .map(|(team, keys)| (team.clone(), keys.iter().copied().take(scan).collect()))
             .collect()
     }
 
--- a/tests/exchange_orders.rs
+++ b/tests/exchange_orders.rs
@@ -10,16 +10,21 @@
 
 use assert_matches::assert_matches;
 use control_net::{FakeReplica, Network, SharedLog};
-use marjoramknot::control::{Client, ControlError, JobFilter};
+use marjoramknot::control::{
+    Client, Command, CommandBody, ControlError, JobFilter, RESULTS_MAX_BYTES,
+};
 use marjoramknot::entry::exchange::Exchange;
 use marjoramknot::fleet::{
     EndpointAnnouncement, EndpointAnswer, TaskReport, TaskState, Usage, Want, WorkerCapacity,
     WorkerOrders, WorkerPoll,
 };
 use marjoramknot::release_note::{Adjacency, NoteAnswer};
-use marjoramknot::scheduler::{JobKey, JobOutcome, JobSpec, SubmitAnswer};
+use marjoramknot::scheduler::{
+    JobKey, JobOutcome, JobSpec, JobTransition, NotRunReason, SubmitAnswer,
+};
 use marjoramknot::units::{
     Accelerators, Cores, Incarnation, MemoryMb, Millis, OrdersVersion, Sequence, Slots, Term,
+    WallMs,
 };
 use notes::{FIRST, note, zone_note};
 use tokio::task::JoinHandle;
@@ -30,6 +35,8 @@
     poll: WorkerPoll,
     /// How many polls a task runs for.
     run_polls: u64,
+    /// What its tasks give.
+    result: String,
     /// Tasks that ever ran, as text.
     ran: Vec<String>,
 }
@@ -56,6 +63,7 @@
         Self {
             poll,
             run_polls: 3,
+            result: "done".to_owned(),
             ran: Vec::new(),
         }
     }
@@ -80,7 +88,7 @@
                 (_, Some(ended @ TaskState::Succeeded { .. })) => ended.clone(),
                 (Want::Run, Some(TaskState::Running)) if self.run_polls == 0 => {
                     TaskState::Succeeded {
-                        result: "done".into(),
+                        result: self.result.as_str().into(),
                     }
                 }
                 (Want::Run, _) => {
@@ -132,6 +140,7 @@
 }
 
 struct World {
+    log: SharedLog,
     leader: Arc<FakeReplica>,
     client: Client,
 }
@@ -144,7 +153,11 @@
         let client = Network::new(&[Arc::clone(&leader)]).client();
         let answer = client.apply_note(note(FIRST)).await;
         assert_matches!(answer, Ok(NoteAnswer::Accepted { .. }));
-        Self { leader, client }
+        Self {
+            log,
+            leader,
+            client,
+        }
     }
 
     fn network(&self) -> Network {
@@ -198,6 +211,61 @@
     }
 }
 
+/// Results that cannot be kept whole are not passed off as whole.
+#[tokio::test(start_paused = true)]
+async fn long_results() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    let workers = ["w1", "w2", "w3"].map(|name| {
+        let mut worker = Worker::new(name, "senec", 8);
+        worker.result = "y".repeat(RESULTS_MAX_BYTES / 20);
+        worker.run(vec![Arc::clone(&entry)])
+    });
+    let mut spec = job("a");
+    (spec.tasks, spec.accelerators) = (24, Accelerators(1));
+    let answer = world.client.submit_job(spec.clone()).await;
+    assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    let view = world.client.job(spec.key, Millis(60_000)).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    let Some(JobOutcome::Failed { cause }) = view.outcome else {
+        panic!("the job ends as failed");
+    };
+    assert!(cause.contains("their results are"), "{cause}");
+    for worker in workers {
+        worker.abort();
+    }
+}
+
+/// The scheduler's view differs from the replicated state; it is built anew and goes on.
+#[tokio::test(start_paused = true)]
+async fn differing_views() {
+    let world = World::start().await;
+    let entry = world.entry(&world.network(), "e1").await;
+    for id in ["a", "b"] {
+        let answer = world.client.submit_job(job(id)).await;
+        assert_eq!(answer, Ok(SubmitAnswer::Accepted));
+    }
+    let ended = JobTransition::Ended {
+        job: job("a").key,
+        outcome: JobOutcome::NotRun {
+            reason: NotRunReason::Cancelled,
+        },
+    };
+    let command = Command {
+        wall_ms: WallMs(1),
+        body: CommandBody::Job(Box::new(ended)),
+    };
+    world.leader.commit(&world.log, &command);
+    let running = Worker::new("w1", "senec", 8).run(vec![entry]);
+    let view = world.client.job(job("b").key, Millis(60_000)).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    assert_matches!(view.outcome, Some(JobOutcome::Succeeded { .. }));
+    let view = world.client.job(job("a").key, Millis::ZERO).await;
+    let view = view.expect("the leader answers").expect("the job is known");
+    assert_matches!(view.outcome, Some(JobOutcome::NotRun { .. }));
+    running.abort();
+}
+
 #[tokio::test(start_paused = true)]
 async fn cancelled_jobs() {
     let world = World::start().await;
@@ -232,6 +300,8 @@
         sleep(Duration::from_millis(10)).await;
     }
     for _poll in 0..5 {
+        // A worker that has lost its orders is given them anew at once, not only when the hold ends.
+        worker.poll.orders_version = OrdersVersion::ZERO;
         let answer = entry.poll_worker(worker.next_poll()).await;
         assert_eq!(answer, Err(ControlError::Unreachable));
     }
