--- a/src/router/core.rs
+++ b/src/router/core.rs
@@ -2,33 +2,18 @@
 use std::sync::Arc;
 
 use super::admission::RETRY_AFTER_MIN_MS;
-use super::dispatch::{Chance, ServiceEndpoints};
+use super::dispatch::{ServiceEndpoints, chance_of};
 use super::endpoint_state::EndpointState;
 use super::fair_queue::Waiter;
 use super::limits::{ATTEMPTS_MAX, IDLE_MAX_MS};
+use super::request_state::{RequestState, refuse, waiter};
 use super::service_state::ServiceState;
 use super::{
     AttemptEnd, ConnectionId, EndpointRun, QueuedRequest, RefusalKind, RouterAction, RouterEvent,
-    RouterRefusal, RouterView, Ticket, UsesReport, may_start_work,
+    RouterView, Ticket, UsesReport, may_start_work,
 };
 use crate::units::{Millis, ServiceName, TeamId};
 
-/// A request that waits or has an attempt in progress.
-#[derive(Clone, Debug)]
-pub(super) struct RequestState {
-    pub(super) request: QueuedRequest,
-    /// Endpoints that failed it; others are preferred.
-    pub(super) tried: Vec<EndpointRun>,
-    /// Attempts that may have run.
-    attempts: u32,
-    /// Whether a silent connection has cost it time, so that it gets a new one.
-    pub(super) needs_fresh: bool,
-    /// The attempt in progress.
-    pub(super) sent_ms: Option<Millis>,
-    /// Whether its caller was told.
-    gone: bool,
-}
-
 /// Sends requests to endpoints within the entry's shares: a pure core.
 ///
 /// It knows nothing of HTTP and of records: its shell makes the attempts, commits what must be
@@ -378,42 +363,3 @@
         self.close_stale(now, actions);
     }
 }
-
-fn waiter(ticket: Ticket, request: &QueuedRequest) -> Waiter {
-    Waiter {
-        ticket,
-        deadline_ms: request.deadline_ms,
-        not_before_ms: Millis::ZERO,
-    }
-}
-
-const fn refuse(
-    ticket: Ticket,
-    kind: RefusalKind,
-    may_have_run: bool,
-    retry_after_ms: Millis,
-) -> RouterAction {
-    let refusal = RouterRefusal {
-        kind,
-        may_have_run,
-        retry_after_ms,
-    };
-    RouterAction::Refuse { ticket, refusal }
-}
-
-/// What an event may make possible for requests that wait.
-fn chance_of(event: &RouterEvent) -> Chance {
-    match event {
-        RouterEvent::Arrived { request, .. } => Chance::Request(request.service.clone()),
-        RouterEvent::Ended {
-            run,
-            end: AttemptEnd::Answered { .. },
-            ..
-        } => Chance::Slot(run.clone()),
-        RouterEvent::Gone { .. } | RouterEvent::ConnectionClosed { .. } => Chance::None,
-        RouterEvent::View(_)
-        | RouterEvent::Again { .. }
-        | RouterEvent::Ended { .. }
-        | RouterEvent::Tick => Chance::All,
-    }
-}
--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,7 +1,8 @@
-use super::core::{RequestState, Router};
+use super::core::Router;
 use super::endpoint_state::{EndpointState, Pick};
+use super::request_state::RequestState;
 use super::service_state::{ServiceState, weight};
-use super::{ConnectionId, EndpointRun, RouterAction, SendOrder, Ticket};
+use super::{AttemptEnd, ConnectionId, EndpointRun, RouterAction, RouterEvent, SendOrder, Ticket};
 use crate::units::{Millis, ServiceName};
 
 /// An endpoint that could take a request now.
@@ -276,3 +277,20 @@
         .min_by_key(|(order, _, _)| *order)
         .map(|(_, index, pick)| (index, pick))
 }
+
+/// What an event may make possible for requests that wait.
+pub(super) fn chance_of(event: &RouterEvent) -> Chance {
+    match event {
+        RouterEvent::Arrived { request, .. } => Chance::Request(request.service.clone()),
+        RouterEvent::Ended {
+            run,
+            end: AttemptEnd::Answered { .. },
+            ..
+        } => Chance::Slot(run.clone()),
+        RouterEvent::Gone { .. } | RouterEvent::ConnectionClosed { .. } => Chance::None,
+        RouterEvent::View(_)
+        | RouterEvent::Again { .. }
+        | RouterEvent::Ended { .. }
+        | RouterEvent::Tick => Chance::All,
+    }
+}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,9 +12,11 @@
 mod event;
 mod fair_queue;
 pub mod limits;
+mod request_state;
 mod retry_budget;
 mod service_state;
 mod share_book;
+mod share_list;
 mod shared_endpoint;
 
 pub use self::core::Router;
--- a/src/router/share_book.rs
+++ b/src/router/share_book.rs
@@ -3,11 +3,12 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use super::acceptance::accept;
+use super::share_list::{EntryRecord, Listed, is_newer, share_of};
 use super::shared_endpoint::{ANNOUNCEMENT_DELAY_MS, Holder, SharedEndpoint};
-use crate::control::{EndpointCapacity, EndpointShare, EndpointUse, ExchangeRequest, GRANT_MS};
+use crate::control::{EndpointShare, EndpointUse, ExchangeRequest, GRANT_MS};
 use crate::fleet::{ANNOUNCEMENT_MS, EndpointAnnouncement, EndpointAnswer};
 use crate::release_note::InForce;
-use crate::units::{EndpointId, EntryId, Incarnation, Millis, Sequence, ServiceName, Slots};
+use crate::units::{EndpointId, EntryId, Incarnation, Millis, Sequence, ServiceName};
 
 /// How often an endpoint announces itself when nothing waits for its word.
 const RENEW_MS: Millis = Millis(2_000);
@@ -18,18 +19,6 @@
 /// Most endpoints known at once.
 const ENDPOINTS_MAX: usize = 4_096;
 
-/// One run of an entry's process, as the leader knows it.
-#[derive(Clone, Debug)]
-struct EntryRecord {
-    sequence: Sequence,
-    /// The version of the shares that it is given.
-    version: u64,
-    leaving: bool,
-    uses: Vec<EndpointUse>,
-    /// Whether it keeps the shares of the leader before, until their endpoints are known here.
-    frozen: bool,
-}
-
 /// Divides the slots and connections of announced endpoints among entries.
 ///
 /// For each endpoint the most that all entries may use, and what lost ones may still use, never
@@ -48,13 +37,6 @@
     listed: BTreeMap<EndpointId, Listed>,
 }
 
-/// What entries are told of an endpoint besides its share.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Listed {
-    incarnation: Incarnation,
-    address: std::net::SocketAddr,
-}
-
 impl ShareBook {
     /// A book for a leader that has just been elected.
     #[must_use]
@@ -395,34 +377,3 @@
         }
     }
 }
-
-impl Listed {
-    fn of(endpoint: &SharedEndpoint) -> Self {
-        Self {
-            incarnation: endpoint.announcement.incarnation,
-            address: endpoint.announcement.address,
-        }
-    }
-}
-
-fn is_newer(announcement: &EndpointAnnouncement, known: &EndpointAnnouncement) -> bool {
-    (announcement.incarnation, announcement.sequence) > (known.incarnation, known.sequence)
-}
-
-fn share_of(endpoint: &SharedEndpoint, holder: &Holder) -> EndpointShare {
-    let announced = &endpoint.announcement;
-    let holding = endpoint.holdings.get(holder);
-    let slots = holding.map_or(0, |holding| holding.told);
-    let connections = slots.saturating_mul(endpoint.connections_per_slot());
-    EndpointShare {
-        endpoint: announced.endpoint.clone(),
-        incarnation: announced.incarnation,
-        address: announced.address,
-        service: announced.service.clone(),
-        zone: announced.zone.clone(),
-        slots: Slots(slots),
-        connections: Slots(connections),
-        leaving: announced.leaving,
-        abandoned_seen: holding.map_or_else(EndpointCapacity::default, |h| h.abandoned_seen),
-    }
-}
--- /dev/null
+++ b/src/router/share_list.rs
@@ -0,0 +1,56 @@
+use std::net::SocketAddr;
+
+use super::shared_endpoint::{Holder, SharedEndpoint};
+use crate::control::{EndpointCapacity, EndpointShare, EndpointUse};
+use crate::fleet::EndpointAnnouncement;
+use crate::units::{Incarnation, Sequence, Slots};
+
+/// One run of an entry's process, as the leader knows it.
+#[derive(Clone, Debug)]
+pub(super) struct EntryRecord {
+    pub(super) sequence: Sequence,
+    /// The version of the shares that it is given.
+    pub(super) version: u64,
+    pub(super) leaving: bool,
+    pub(super) uses: Vec<EndpointUse>,
+    /// Whether it keeps the shares of the leader before, until their endpoints are known here.
+    pub(super) frozen: bool,
+}
+
+/// What entries are told of an endpoint besides its share.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Listed {
+    pub(super) incarnation: Incarnation,
+    pub(super) address: SocketAddr,
+}
+
+impl Listed {
+    pub(super) fn of(endpoint: &SharedEndpoint) -> Self {
+        Self {
+            incarnation: endpoint.announcement.incarnation,
+            address: endpoint.announcement.address,
+        }
+    }
+}
+
+pub(super) fn is_newer(announcement: &EndpointAnnouncement, known: &EndpointAnnouncement) -> bool {
+    (announcement.incarnation, announcement.sequence) > (known.incarnation, known.sequence)
+}
+
+pub(super) fn share_of(endpoint: &SharedEndpoint, holder: &Holder) -> EndpointShare {
+    let announced = &endpoint.announcement;
+    let holding = endpoint.holdings.get(holder);
+    let slots = holding.map_or(0, |holding| holding.told);
+    let connections = slots.saturating_mul(endpoint.connections_per_slot());
+    EndpointShare {
+        endpoint: announced.endpoint.clone(),
+        incarnation: announced.incarnation,
+        address: announced.address,
+        service: announced.service.clone(),
+        zone: announced.zone.clone(),
+        slots: Slots(slots),
+        connections: Slots(connections),
+        leaving: announced.leaving,
+        abandoned_seen: holding.map_or_else(EndpointCapacity::default, |h| h.abandoned_seen),
+    }
+}
