--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -9,7 +9,7 @@
 
 use support::deployment::{Deployment, announce_fleet, apply_notes, gang, wait_until};
 use support::http_endpoint::HttpEndpoint;
-use support::processes::write;
+use support::processes::{Process, write};
 
 mod support {
     #[path = "../support/deployment.rs"]
@@ -314,3 +314,55 @@
     })
     .await;
 }
+
+/// The leader, and then an entry, fall silent with their connections open, and come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_processes() {
+    let mut deployment = Deployment::start();
+    apply_notes(&mut deployment).await;
+    let note = |version, name| format!("version = {version}\n[[added.teams]]\nname = \"{name}\"\n");
+    write(deployment.folder.path(), "second.toml", &note(2, "maps"));
+    write(deployment.folder.path(), "third.toml", &note(3, "clerks"));
+
+    deployment.leading().freeze();
+    let (code, text) = deployment.ctl("release-note apply --wait second.toml");
+    assert_eq!(code, Some(0), "{text}");
+    let term = deployment.status()["group"]["term"].clone();
+    deployment.control.iter().for_each(Process::thaw);
+    wait_until("the old leader follows", async || {
+        whole_voters(&deployment.status()) == 3
+    })
+    .await;
+    assert_eq!(
+        deployment.status()["group"]["term"],
+        term,
+        "its return causes no election"
+    );
+
+    deployment.entries[1].process.freeze();
+    let (code, text) = deployment.ctl("release-note apply --wait third.toml");
+    assert_eq!(code, Some(0), "{text}");
+    let status = deployment.status();
+    let listed = |deployment: &Deployment| {
+        let (_code, text) = deployment.ctl("--json entries");
+        let listed: Value = serde_json::from_str(&text).unwrap_or_default();
+        listed.as_array().cloned().unwrap_or_default()
+    };
+    let is_new = |entry: &Value| entry["revision"] == status["revision"];
+    let lacking = listed(&deployment)
+        .into_iter()
+        .filter(|entry| !is_new(entry));
+    for entry in lacking {
+        assert_eq!(
+            entry["grant_ms"],
+            Value::Null,
+            "{entry} could start work under old state"
+        );
+    }
+    deployment.entries[1].process.thaw();
+    wait_until("the entry is back with the new state", async || {
+        let listed = listed(&deployment);
+        listed.len() == 2 && listed.iter().all(is_new)
+    })
+    .await;
+}
