--- a/benches/control_group.rs
+++ b/benches/control_group.rs
@@ -4,10 +4,14 @@
 
 #[path = "control_group/commits.rs"]
 mod commits;
+#[path = "distribution/mod.rs"]
+mod distribution;
 #[path = "control_group/failover.rs"]
 mod failover;
 #[path = "control_group/group.rs"]
 mod group;
+#[path = "control_group/idle.rs"]
+mod idle;
 #[path = "control_group/memory.rs"]
 mod memory;
 #[path = "control_group/restart.rs"]
@@ -40,11 +44,12 @@
 /// A part with its name. Memory comes first, before other parts leave pages behind.
 type Part = (&'static str, fn() -> Vec<Figure>);
 
-const PARTS: [Part; 4] = [
+const PARTS: [Part; 5] = [
     ("memory", memory::measure),
     ("commits", commits::measure),
     ("restart", restart::measure),
     ("failover", failover::measure),
+    ("idle", idle::measure),
 ];
 
 fn main() {
@@ -55,6 +60,10 @@
         println!("measuring {name}");
         figures.extend(measure());
     }
+    if is_wanted("distribution") {
+        println!("measuring distribution");
+        distribution::run();
+    }
     for figure in figures {
         println!("{figure}");
     }
--- a/tests/replica_core/failures.rs
+++ b/tests/replica_core/failures.rs
@@ -34,6 +34,29 @@
     }
 }
 
+/// Kills the leader at each step between a proposal and its commit everywhere, and starts it again.
+#[test]
+fn killed_while_accepting() {
+    let mut acknowledged = 0;
+    for steps in 0..16 {
+        for seed in 0..10 {
+            let (mut world, leader) = with_leader(3, seed);
+            world.faults.max_delay_ms = 80;
+            world.faults.max_sync_ms = 80;
+            world.faults.double_percent = 30;
+            assert!(world.propose(leader));
+            (0..steps).for_each(|_| world.step());
+            acknowledged += world.acknowledged.len();
+            world.crash(leader);
+            world.run(500);
+            world.start(leader);
+            world.check_end();
+        }
+    }
+    assert!(acknowledged > 20, "some are killed after the answer");
+    assert!(acknowledged < 140, "some are killed before the answer");
+}
+
 #[rstest]
 fn isolated_leader(#[values(1, 2, 3)] seed: u64, #[values(2_000, 60_000)] cut_ms: u64) {
     let (mut world, leader) = with_leader(3, seed);
@@ -85,6 +108,7 @@
     LeaderDeaf,
     FollowerMute,
     FollowerDeaf,
+    OneWay,
     Halves,
 }
 
@@ -95,6 +119,7 @@
         Cut::LeaderDeaf,
         Cut::FollowerMute,
         Cut::FollowerDeaf,
+        Cut::OneWay,
         Cut::Halves
     )]
     cut: Cut,
@@ -110,6 +135,7 @@
             Cut::LeaderDeaf => vec![(other, leader)],
             Cut::FollowerMute => vec![(follower, other)],
             Cut::FollowerDeaf => vec![(other, follower)],
+            Cut::OneWay => vec![(leader, follower)],
             // The leader and its next neighbours are the smaller half.
             Cut::Halves => {
                 let minority = |p: usize| (p + count - leader) % count < count / 2;
@@ -122,13 +148,16 @@
     world.run(4_000);
     world.run_until(1_000, "a leader beside the cut", |w| w.leader().is_some());
     commit(&mut world);
-    if matches!(cut, Cut::FollowerMute | Cut::FollowerDeaf) {
-        let present = world.leader().expect("the group has a leader");
+    if matches!(cut, Cut::FollowerMute | Cut::FollowerDeaf | Cut::OneWay) {
         assert_eq!(
-            world.core(present).term(),
+            world.core(leader).term(),
             term,
             "a cut follower deposes nobody"
         );
+        world.cuts.clear();
+        world.run(3_000);
+        assert_eq!(world.leader(), Some(leader));
+        assert_eq!(world.core(leader).term(), term, "its return deposes nobody");
     }
     world.check_end();
 }
@@ -188,6 +217,22 @@
     }
 }
 
+/// A replica whose identity was damaged does not know its group, but knows that there was one.
+#[rstest]
+fn damage_forms_nothing(#[values(0, 1, 2)] damaged: usize) {
+    let mut world = World::new(3, 9);
+    world.replicas[damaged].disk.after_damage = true;
+    for position in 0..3 {
+        world.start(position);
+    }
+    world.run(20_000);
+    let formed = (0..3).any(|p| world.core(p).group().is_some());
+    assert!(
+        !formed,
+        "the others may only be blank because they were lost as well"
+    );
+}
+
 /// The replica that formed the group loses its disk before all the others heard of the group.
 #[test]
 fn lost_founder() {
