Scheduler: bind all guarantees afresh where the rounds left some missing

Cause: the round of groups that are looked at ends with an empty part, in which nothing is missed; the check for a fresh binding asked for both at once, so it was never reached and a first binding that took a cell of a rack which must stay whole was kept for good.

Ruled out: an accepted note that does not fit; the same state binds wholly in another order.

Conclusion: the fresh binding is made once after each change, when all groups were looked at.

--- a/src/scheduler/binding.rs
+++ b/src/scheduler/binding.rs
@@ -93,11 +93,11 @@
         let round = missing.iter().filter(|at| **at >= self.next);
         let round: Vec<usize> = round.copied().take(GROUPS_A_PASS).collect();
         self.next = round.last().map_or(0, |last| last + 1);
-        let mut bound_all = true;
         for at in round {
-            bound_all &= bind(&mut self.groups[at], pool, now);
+            bind(&mut self.groups[at], pool, now);
         }
-        if !bound_all && self.next == 0 && !self.repacked {
+        let looked_at_all = self.next == 0;
+        if looked_at_all && !self.repacked && self.accelerators_missing() > 0 {
             self.repacked = true;
             self.repack(pool, now);
         }
--- /dev/null
+++ b/tests/guarantee_fit.rs
@@ -0,0 +1,161 @@
+//! What the check of a note accepts, the scheduler binds wholly once all declared workers polled.
+
+#[path = "support/gang_driver.rs"]
+mod gang_driver;
+#[path = "support/notes.rs"]
+mod notes;
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use gang_driver::id;
+use marjoramknot::fleet::{Usage, WorkerCapacity, WorkerPoll};
+use marjoramknot::release_note::{InForce, RackSpec};
+use marjoramknot::scheduler::{Event, Scheduler, SchedulerOptions};
+use marjoramknot::units::{Incarnation, Millis, OrdersVersion, Revision, Sequence, Term, ZoneId};
+
+/// Workers, accelerators of each, cores of each.
+type Rack = (u32, u32, u32);
+/// Count, accelerators, adjacency.
+type Cells = (u32, u32, &'static str);
+/// The team's number and what one of its guarantees asks for.
+type Wish = (usize, Cells);
+
+const TEAMS: usize = 4;
+/// Within this all workers poll again and again, and no leader takes longer for its first pass.
+const SETTLED_MS: u64 = 6_000;
+
+fn note_of(zones: &[Vec<Rack>], wishes: &[Wish]) -> String {
+    let mut text = String::from("version = 1\n");
+    for (zone, racks) in zones.iter().enumerate() {
+        let racks = racks
+            .iter()
+            .enumerate()
+            .map(|(at, (workers, size, cores))| {
+                format!(
+                    "{{ name = \"r{at}\", workers = {workers}, accelerators = {size}, \
+                 cores = {cores}, memory_mb = 65536 }}"
+                )
+            });
+        let racks: Vec<String> = racks.collect();
+        write!(
+            text,
+            "[[added.zones]]\nname = \"z{zone}\"\nracks = [{}]\n",
+            racks.join(", ")
+        )
+        .expect("a text takes all");
+    }
+    for team in 0..TEAMS {
+        write!(text, "[[added.teams]]\nname = \"t{team}\"\n").expect("a text takes all");
+        let own = wishes.iter().filter(|(holder, _cells)| *holder == team);
+        let own = own.map(|(_holder, (count, size, adjacency))| {
+            format!("{{ count = {count}, accelerators = {size}, adjacency = \"{adjacency}\" }}")
+        });
+        let own: Vec<String> = own.collect();
+        if !own.is_empty() {
+            write!(
+                text,
+                "[[added.guarantees]]\nteam = \"t{team}\"\ncells = [{}]\n",
+                own.join(", ")
+            )
+            .expect("a text takes all");
+        }
+    }
+    text
+}
+
+/// The state with as many of the wishes, in their order, as the check accepts together.
+fn accepted(zones: &[Vec<Rack>], wishes: &[Wish]) -> InForce {
+    let mut kept = Vec::new();
+    let mut state = InForce::default();
+    for wish in wishes {
+        kept.push(*wish);
+        let note = notes::note(&note_of(zones, &kept));
+        if InForce::default().validate(&note).is_empty() {
+            state = InForce::default();
+            state.apply(&note, Revision(1));
+        } else {
+            kept.pop();
+        }
+    }
+    state
+}
+
+fn poll(zone: &ZoneId, rack: &RackSpec, at: u32, sequence: u64) -> WorkerPoll {
+    WorkerPoll {
+        worker: id(&format!("{zone}-{}-{at}", rack.name)),
+        zone: zone.clone(),
+        rack: rack.name.clone(),
+        incarnation: Incarnation(1),
+        sequence: Sequence(sequence),
+        capacity: WorkerCapacity {
+            accelerators: rack.accelerators,
+            cores: rack.cores,
+            memory_mb: rack.memory_mb,
+        },
+        usage: Usage::default(),
+        tasks: Vec::new(),
+        orders_version: OrdersVersion::ZERO,
+        term: Term::ZERO,
+    }
+}
+
+/// One poll of each declared worker, in an order that the seed gives.
+fn polls(state: &InForce, sequence: u64, seed: u64) -> Vec<WorkerPoll> {
+    let zones = state.zones.values();
+    let racks = zones.flat_map(|zone| zone.racks.iter().map(|rack| (&zone.name, rack)));
+    let workers = racks.flat_map(|(zone, rack)| (0..rack.workers).map(move |at| (zone, rack, at)));
+    let polls = workers.map(|(zone, rack, at)| poll(zone, rack, at, sequence));
+    let spread = (seed | 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let scatter = |at: u64| (at + 1).wrapping_mul(spread);
+    let mut order: Vec<(u64, WorkerPoll)> = (0..).map(scatter).zip(polls).collect();
+    order.sort_by_key(|(place, _poll)| *place);
+    order.into_iter().map(|(_place, poll)| poll).collect()
+}
+
+/// A leader of an idle fleet after all workers polled for a while.
+fn settled(state: &InForce, seed: u64) -> Scheduler {
+    let mut scheduler = Scheduler::new(SchedulerOptions::default());
+    let elected = Event::Elected {
+        term: Term(1),
+        in_force: Arc::new(state.clone()),
+        jobs: Vec::new(),
+    };
+    scheduler.handle(elected, Millis(1_000));
+    for step in 1..=SETTLED_MS / 500 {
+        let now = Millis(1_000 + step * 500);
+        for poll in polls(state, step, seed) {
+            scheduler.handle(Event::Polled { poll }, now);
+            scheduler.handle(Event::Tick, now);
+        }
+        scheduler
+            .check_invariants()
+            .expect("the scheduler's books hold");
+    }
+    scheduler
+}
+
+fn at_risk(scheduler: &Scheduler) -> Vec<String> {
+    let teams = scheduler.teams().into_iter();
+    let at_risk = teams.filter(|team| team.at_risk.get() > 0);
+    at_risk
+        .map(|team| format!("{} {} {:?}", team.team, team.at_risk, team.risk_cause))
+        .collect()
+}
+
+/// One rack must stay whole for the large group, whichever workers are heard of first.
+#[test]
+fn whole_rack() {
+    let zones = vec![vec![(1, 8, 8)], vec![(4, 8, 8)]];
+    let wishes = vec![
+        (0, (1, 1, "any")),
+        (1, (1, 1, "worker")),
+        (1, (8, 4, "rack")),
+    ];
+    let state = accepted(&zones, &wishes);
+    assert_eq!(state.guarantees.len(), 2);
+    for seed in 0..16 {
+        let scheduler = settled(&state, seed);
+        assert_eq!(at_risk(&scheduler), Vec::<String>::new(), "seed {seed}");
+    }
+}
