Scheduler: an idle whole fleet is bound as the check of the note found it

Cause: the check of a note searches for a binding, the scheduler's fresh binding is greedy only. A guarantee that fits only by the search was accepted and then stood at risk for good.

A second search in the scheduler would be the same logic twice, so the check now gives its places (packing) and both use them.

Conclusion: the checked binding is taken only where the greedy one misses cells, all declared workers are usable and nothing that may stay runs in a bound cell; otherwise the better of greedy and present binding stays.

--- a/src/release_note/fit.rs
+++ b/src/release_note/fit.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
 use super::{Adjacency, GuaranteeSpec, InForce, RackSpec};
-use crate::units::TeamId;
+use crate::units::{RackId, TeamId, ZoneId};
 
 /// The largest number of accelerators of one worker.
 const WORKER_MAX: usize = 8;
@@ -12,9 +12,17 @@
 
 /// A group of cells of one guarantee, by its place in the guarantee.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) struct GroupAt {
-    pub(super) team: TeamId,
-    pub(super) index: usize,
+pub(crate) struct GroupAt {
+    pub(crate) team: TeamId,
+    pub(crate) index: usize,
+}
+
+/// Cells of one group in one rack.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Share {
+    pub(crate) zone: ZoneId,
+    pub(crate) rack: RackId,
+    pub(crate) cells: u64,
 }
 
 /// The groups that could not be bound into the declared racks beside all others; empty where all
@@ -26,21 +34,45 @@
 pub(super) fn unbound(in_force: &InForce) -> Vec<GroupAt> {
     let fleet = Fleet::new(in_force);
     let groups = sorted_groups(in_force);
-    let mut missed = Vec::new();
+    place_all(&fleet, &groups).err().unwrap_or_default()
+}
+
+/// The binding of all guarantees by which [`unbound`] found nothing missing: the racks of each
+/// group, in the order in which the groups are to be bound; none where some group was missed.
+///
+/// In each rack the cells stand on the workers with the least room that still holds one.
+pub(crate) fn packing(in_force: &InForce) -> Option<Vec<(GroupAt, Vec<Share>)>> {
+    let mut fleet = Fleet::new(in_force);
+    let groups = sorted_groups(in_force);
+    let places = place_all(&fleet, &groups).ok()?;
+    let mut packing = Vec::with_capacity(groups.len());
+    for (place, group) in places.into_iter().zip(groups) {
+        let taken = fleet.bind(place, &group);
+        let shares = taken.into_iter().map(|part| part.share(in_force));
+        packing.push((group.at, shares.collect::<Option<_>>()?));
+    }
+    Some(packing)
+}
+
+/// A place for each group, else the groups that the greedy binding missed.
+fn place_all(fleet: &Fleet, groups: &[Group]) -> Result<Vec<Place>, Vec<GroupAt>> {
     let mut greedy = fleet.clone();
-    for group in &groups {
-        match greedy.places(group).first() {
-            Some(place) => greedy.bind(*place, group),
-            None => missed.push(group.at.clone()),
+    let (mut places, mut missed) = (Vec::new(), Vec::new());
+    for group in groups {
+        if let Some(place) = greedy.places(group).first() {
+            greedy.bind(*place, group);
+            places.push(*place);
+        } else {
+            missed.push(group.at.clone());
         }
     }
-    if missed.is_empty() || !fleet.could_hold_all(&groups) {
-        return missed;
+    if missed.is_empty() {
+        return Ok(places);
     }
-    if search(&fleet, &groups) {
-        return Vec::new();
+    if !fleet.could_hold_all(groups) {
+        return Err(missed);
     }
-    missed
+    search(fleet, groups).ok_or(missed)
 }
 
 #[derive(Clone, Debug)]
@@ -80,21 +112,22 @@
 }
 
 /// Depth first with the tightest place first, so that its first path is the greedy one.
-fn search(fleet: &Fleet, groups: &[Group]) -> bool {
+fn search(fleet: &Fleet, groups: &[Group]) -> Option<Vec<Place>> {
     let mut open = Vec::new();
+    let mut path = Vec::new();
     push_places(&mut open, fleet.clone(), groups, 0);
     for _step in 0..SEARCH_STEPS {
-        let Some((depth, before, place)) = open.pop() else {
-            return false;
-        };
+        let (depth, before, place) = open.pop()?;
         let mut fleet = Fleet::clone(&before);
         fleet.bind(place, &groups[depth]);
+        path.truncate(depth);
+        path.push(place);
         if depth + 1 == groups.len() {
-            return true;
+            return Some(path);
         }
         push_places(&mut open, fleet, groups, depth + 1);
     }
-    false
+    None
 }
 
 type Branch = (usize, Rc<Fleet>, Place);
@@ -114,6 +147,25 @@
     Any,
 }
 
+/// How many cells were taken from one rack.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    zone: usize,
+    rack: usize,
+    cells: u64,
+}
+
+impl Part {
+    fn share(self, in_force: &InForce) -> Option<Share> {
+        let zone = in_force.zones.values().nth(self.zone)?;
+        Some(Share {
+            zone: zone.name.clone(),
+            rack: zone.racks.get(self.rack)?.name.clone(),
+            cells: self.cells,
+        })
+    }
+}
+
 /// Free accelerators, as the number of workers for each count of free accelerators.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rack {
@@ -200,9 +252,9 @@
             Adjacency::Worker | Adjacency::Rack => self.racks_for(group),
             Adjacency::Zone => self.zones_for(group),
             Adjacency::Any => {
-                let mut racks: Vec<Rack> = self.zones.iter().flatten().copied().collect();
-                let fits = take_from_racks(racks.iter_mut(), group);
-                fits.then_some(Place::Any).into_iter().collect()
+                let mut trial = self.clone();
+                let fits = take_from_racks(trial.racks_mut(None), group);
+                fits.map(|_parts| Place::Any).into_iter().collect()
             }
         }
     }
@@ -229,7 +281,9 @@
         let mut found: Vec<(u64, usize)> = Vec::new();
         for (zone, racks) in self.zones.iter().enumerate() {
             let mut trial = racks.clone();
-            if take_from_racks(trial.iter_mut(), group) {
+            let racks = trial.iter_mut().enumerate();
+            let racks = racks.map(|(at, rack)| (zone, at, rack));
+            if take_from_racks(racks, group).is_some() {
                 let free = trial.iter().map(Rack::free);
                 found.push((free.fold(0, u64::saturating_add), zone));
             }
@@ -240,26 +294,52 @@
     }
 
     /// Takes the group's cells at a place that [`Fleet::places`] gave for this very fleet.
-    fn bind(&mut self, place: Place, group: &Group) {
-        let bound = match place {
-            Place::Rack { zone, rack } => self.zones[zone][rack].hold(group),
-            Place::Zone { zone } => take_from_racks(self.zones[zone].iter_mut(), group),
-            Place::Any => take_from_racks(self.zones.iter_mut().flatten(), group),
+    fn bind(&mut self, place: Place, group: &Group) -> Vec<Part> {
+        let parts = match place {
+            Place::Rack { zone, rack } => self.zones[zone][rack].hold(group).then(|| {
+                let cells = group.count;
+                vec![Part { zone, rack, cells }]
+            }),
+            Place::Zone { zone } => take_from_racks(self.racks_mut(Some(zone)), group),
+            Place::Any => take_from_racks(self.racks_mut(None), group),
         };
-        assert!(bound, "a place that was found holds the group");
+        parts.expect("a place that was found holds the group")
+    }
+
+    /// The racks of one zone or of all, with their positions.
+    fn racks_mut(
+        &mut self,
+        only: Option<usize>,
+    ) -> impl Iterator<Item = (usize, usize, &mut Rack)> {
+        let zones = self.zones.iter_mut().enumerate();
+        let zones = zones.filter(move |(zone, _racks)| only.is_none_or(|only| only == *zone));
+        zones.flat_map(|(zone, racks)| {
+            let racks = racks.iter_mut().enumerate();
+            racks.map(move |(at, rack)| (zone, at, rack))
+        })
     }
 }
 
-/// Takes a group's cells from several racks, those with the least room first.
-fn take_from_racks<'a>(racks: impl Iterator<Item = &'a mut Rack>, group: &Group) -> bool {
-    let mut racks: Vec<&mut Rack> = racks.collect();
-    racks.sort_by_key(|rack| rack.free());
+/// Takes a group's cells from several racks, those with the least room first; none where they do
+/// not fit.
+fn take_from_racks<'a>(
+    racks: impl Iterator<Item = (usize, usize, &'a mut Rack)>,
+    group: &Group,
+) -> Option<Vec<Part>> {
+    let mut racks: Vec<_> = racks.collect();
+    racks.sort_by_key(|(_zone, _at, rack)| rack.free());
     let mut left = group.count;
-    for rack in racks {
+    let mut parts = Vec::new();
+    for (zone, at, rack) in racks {
         if left == 0 {
             break;
         }
-        left -= rack.take(left, group.size);
+        let cells = rack.take(left, group.size);
+        left -= cells;
+        if cells > 0 {
+            let rack = at;
+            parts.push(Part { zone, rack, cells });
+        }
     }
-    left == 0
+    (left == 0).then_some(parts)
 }
--- a/src/release_note/mod.rs
+++ b/src/release_note/mod.rs
@@ -12,6 +12,7 @@
 mod validate;
 
 pub use answer::{Digest, NoteAnswer, NoteFault};
+pub(crate) use fit::{GroupAt, Share, packing};
 pub use model::{
     Adjacency, EndpointRule, GuaranteeSpec, GuaranteedCells, InForce, NoteItems, RackSpec,
     ReleaseNote, ServiceSpec, TeamSpec, WithdrawnNames, ZoneSpec, ZoneState,
--- a/src/scheduler/binding.rs
+++ b/src/scheduler/binding.rs
@@ -10,6 +10,7 @@
 
 use super::load::Load;
 use super::pool::Pool;
+use super::seed;
 use crate::release_note::{Adjacency, GuaranteedCells, InForce};
 use crate::units::{Millis, TeamId};
 
@@ -36,7 +37,7 @@
 pub(super) struct Bindings {
     pub(super) groups: Vec<Group>,
     /// Groups of each team, as positions in `groups`.
-    by_team: BTreeMap<TeamId, Vec<usize>>,
+    pub(super) by_team: BTreeMap<TeamId, Vec<usize>>,
     /// Whether workers or notes changed since the last refresh.
     pub(super) dirty: bool,
     next: usize,
@@ -81,7 +82,7 @@
     }
 
     /// Drops cells whose workers can't run work and binds what is missing.
-    pub(super) fn refresh(&mut self, pool: &mut Pool, now: Millis) {
+    pub(super) fn refresh(&mut self, in_force: &InForce, pool: &mut Pool, now: Millis) {
         if self.dirty {
             self.dirty = false;
             self.repacked = false;
@@ -99,7 +100,7 @@
         let looked_at_all = self.next == 0;
         if looked_at_all && !self.repacked && self.accelerators_missing() > 0 {
             self.repacked = true;
-            self.repack(pool, now);
+            self.repack(in_force, pool, now);
         }
     }
 
@@ -115,7 +116,10 @@
     }
 
     /// Binds all unused groups afresh, the hardest first; keeps the old binding where that is worse.
-    fn repack(&mut self, pool: &mut Pool, now: Millis) {
+    ///
+    /// Where the greedy order misses some in a whole fleet, the binding is taken with which the
+    /// check of the note let these guarantees in.
+    fn repack(&mut self, in_force: &InForce, pool: &mut Pool, now: Millis) {
         let before: Vec<Vec<u32>> = self
             .groups
             .iter()
@@ -131,7 +135,15 @@
         for at in &order {
             bind(&mut self.groups[*at], pool, now);
         }
-        if self.accelerators_missing() < missed {
+        let missing = self.accelerators_missing();
+        if missing > 0 && order.len() == self.groups.len() && pool.is_whole(now) {
+            let greedy: Vec<Vec<u32>> = self.groups.iter().map(|g| g.cells.clone()).collect();
+            if seed::bind_as_checked(self, in_force, pool, now) {
+                return;
+            }
+            self.restore(&order, &greedy, pool);
+        }
+        if missing < missed {
             return;
         }
         self.restore(&order, &before, pool);
@@ -267,7 +279,7 @@
     }
 }
 
-fn unbind_all(group: &mut Group, pool: &mut Pool) {
+pub(super) fn unbind_all(group: &mut Group, pool: &mut Pool) {
     for ix in std::mem::take(&mut group.cells) {
         unbind_cell(group, pool, ix);
     }
@@ -281,7 +293,7 @@
     worker.drop_empty_holdings();
 }
 
-fn bind_cell(group: &mut Group, pool: &mut Pool, ix: u32) {
+pub(super) fn bind_cell(group: &mut Group, pool: &mut Pool, ix: u32) {
     let holdings = &mut pool.worker_mut(ix).holdings;
     holdings.entry(group.team.clone()).or_default().bound += group.spec.accelerators.0;
     group.cells.push(ix);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod report;
 mod reserve;
 mod search;
+mod seed;
 mod status;
 mod vacate;
 mod worker;
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -32,7 +32,7 @@
         self.dirty = false;
         self.rebinds_left = REBINDS_MAX;
         self.pool.refresh_racks();
-        self.bindings.refresh(&mut self.pool, now);
+        self.bindings.refresh(&self.in_force, &mut self.pool, now);
         let mut searches = 0;
         self.serve_claims(now, &mut searches);
         if self.options.guarantees {
--- a/src/scheduler/pool.rs
+++ b/src/scheduler/pool.rs
@@ -19,6 +19,8 @@
     pub(super) workers: Vec<u32>,
     /// What its note declares of each worker; none where the rack is not declared.
     pub(super) declared: Option<Load>,
+    /// How many workers its note declares.
+    declared_workers: u32,
     /// At least the largest free amount of each kind on one of its workers.
     free_max: Load,
     /// Whether something may have come free since.
@@ -98,6 +100,7 @@
                     cores: rack.cores.0,
                     memory_mb: rack.memory_mb.0,
                 });
+                self.racks[ix as usize].declared_workers = rack.workers;
                 let zone_ix = self.racks[ix as usize].zone as usize;
                 self.zones[zone_ix].open = spec.state == ZoneState::In;
             }
@@ -130,6 +133,7 @@
             zone: zone_ix,
             workers: Vec::new(),
             declared: None,
+            declared_workers: 0,
             free_max: Load::ZERO,
             touched: true,
         });
@@ -166,6 +170,24 @@
         Some(self.add(poll.worker.clone(), rack?))
     }
 
+    /// The slot of a rack that was heard of.
+    pub(super) fn rack_at(&self, zone: &ZoneId, rack: &RackId) -> Option<u32> {
+        let key = (zone.clone(), rack.clone());
+        self.rack_index.get(&key).copied()
+    }
+
+    /// Whether each declared worker can hold what its note declares of it.
+    pub(super) fn is_whole(&self, now: Millis) -> bool {
+        self.racks.iter().all(|rack| {
+            let Some(declared) = rack.declared else {
+                return true;
+            };
+            let workers = rack.workers.iter().map(|ix| self.worker(*ix));
+            let whole = workers.filter(|w| w.usable(now) && w.capacity == declared);
+            whole.count() >= rack.declared_workers as usize
+        })
+    }
+
     /// A slot for a worker that is known from durable state only.
     pub(super) fn expect(&mut self, id: &WorkerId) -> u32 {
         if let Some(ix) = self.find(id) {
--- a/tests/guarantee_fit.rs
+++ b/tests/guarantee_fit.rs
@@ -13,6 +13,7 @@
 use marjoramknot::release_note::{InForce, RackSpec};
 use marjoramknot::scheduler::{Event, Scheduler, SchedulerOptions};
 use marjoramknot::units::{Incarnation, Millis, OrdersVersion, Revision, Sequence, Term, ZoneId};
+use proptest::prelude::*;
 
 /// Workers, accelerators of each, cores of each.
 type Rack = (u32, u32, u32);
@@ -25,6 +26,18 @@
 /// Within this all workers poll again and again, and no leader takes longer for its first pass.
 const SETTLED_MS: u64 = 6_000;
 
+fn racks() -> impl Strategy<Value = Vec<Vec<Rack>>> {
+    let accelerators = prop::sample::select(vec![0_u32, 1, 2, 4, 8, 8, 8]);
+    let rack = (1_u32..5, accelerators, 1_u32..65);
+    prop::collection::vec(prop::collection::vec(rack, 1..4), 1..4)
+}
+
+fn wishes() -> impl Strategy<Value = Vec<Wish>> {
+    let adjacency = prop::sample::select(vec!["worker", "rack", "zone", "any"]);
+    let size = prop::sample::select(vec![1_u32, 2, 4, 8]);
+    prop::collection::vec((0..TEAMS, (1_u32..9, size, adjacency)), 1..24)
+}
+
 fn note_of(zones: &[Vec<Rack>], wishes: &[Wish]) -> String {
     let mut text = String::from("version = 1\n");
     for (zone, racks) in zones.iter().enumerate() {
@@ -159,3 +172,14 @@
         assert_eq!(at_risk(&scheduler), Vec::<String>::new(), "seed {seed}");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(4), ..ProptestConfig::default() })]
+
+    #[test]
+    fn accepted_are_bound(zones in racks(), wishes in wishes(), seed in any::<u64>()) {
+        let state = accepted(&zones, &wishes);
+        let scheduler = settled(&state, seed);
+        prop_assert_eq!(at_risk(&scheduler), Vec::<String>::new(), "{:?}", state.guarantees);
+    }
+}
