--- /dev/null
+++ b/benches/request_path.rs
@@ -0,0 +1,177 @@
+//! Measures the way of a request through an entry against its way straight to the endpoint.
+//!
+//! All parts run in this process, each on its own runtime: the entry's threads carry its name, so
+//! that its processor time is told apart. The commits of non-idempotent requests are a stand-in for
+//! the control group: a ledger behind a file that is synced before each answer.
+
+#![expect(clippy::cast_precision_loss, reason = "figures are printed rounded")]
+
+#[path = "request_path/cores.rs"]
+mod cores;
+#[path = "../tests/support/fake_endpoint.rs"]
+mod fake_endpoint;
+#[path = "request_path/load.rs"]
+mod load;
+#[path = "../tests/support/shares.rs"]
+mod shares;
+#[path = "request_path/stage.rs"]
+mod stage;
+
+use std::time::Duration;
+
+use load::{Load, Target, closed_loop, open_loop};
+use stage::{Commits, Stage, processor_ms, rss_mb};
+
+const ENDPOINTS: usize = 50;
+const SPAN: Duration = Duration::from_secs(4);
+/// Requests a second at one entry that today's sizes suggest.
+const TODAY_S: u64 = 1_000;
+const ROUNDS: usize = 5;
+const ROUND_SPAN: Duration = Duration::from_millis(1_500);
+/// Short, so that the ledger's limit of records is not met.
+const COMMIT_SPAN: Duration = Duration::from_secs(1);
+/// Requests in progress at one of six entries when all of today's slots are in use.
+const IN_PROGRESS: usize = 67;
+const IDLE_SPAN: Duration = Duration::from_secs(5);
+
+fn main() {
+    let base_mb = rss_mb();
+    let stage = Stage::start(ENDPOINTS, Commits::EachSynced);
+    let full = full_speed(&stage);
+    added_time(&stage, TODAY_S);
+    added_time(&stage, full / 2);
+    let idle_pct = idle();
+    let entry_mb = memory(base_mb);
+    let batch_ratio = batching();
+    let goodput = overload();
+    cores::print_slopes();
+    println!("requests_s={full}");
+    println!("non_idempotent_batch_ratio={batch_ratio:.1}");
+    println!("entry_mb={entry_mb:.1}");
+    println!("entry_idle_core_pct={idle_pct:.2}");
+    println!("overload_goodput_ratio={goodput:.3}");
+    std::process::exit(0);
+}
+
+/// Requests a second with as many callers as keep the entry busy.
+fn full_speed(stage: &Stage) -> u64 {
+    let load = Load::new(stage.through_entry());
+    stage.run(closed_loop(load.clone(), 64, Duration::from_secs(1)));
+    let before_ms = processor_ms("entry");
+    let done = stage.run(closed_loop(load, 64, SPAN));
+    let used_ms = processor_ms("entry") - before_ms;
+    println!("# closed loop of 64 callers, no work at the endpoints");
+    println!(
+        "entry_cpu_us_per_request={:.1}",
+        used_ms * 1_000.0 / done.answered as f64
+    );
+    println!(
+        "requests_s_per_core={:.0}",
+        done.answered as f64 * 1_000.0 / used_ms
+    );
+    done.answered / SPAN.as_secs()
+}
+
+/// Time added to a request at half load, queueing counted from when it was due.
+///
+/// Direct and through the entry by turns; the median of the rounds counts, since other work on the
+/// machine spoils some of them.
+fn added_time(stage: &Stage, per_s: u64) {
+    println!("# open loop at {per_s} requests a second, direct and through the entry by turns");
+    let run = |target: Target| stage.run(open_loop(Load::new(target), per_s, ROUND_SPAN));
+    let (direct, through) = (stage.direct(), stage.through_entry());
+    let mut added_p50 = Vec::new();
+    let mut added_p99 = Vec::new();
+    for _ in 0..ROUNDS {
+        let (direct, through) = (run(direct.clone()), run(through.clone()));
+        let (p50, p99) = (direct.ms(0.5), direct.ms(0.99));
+        let (entry_p50, entry_p99) = (through.ms(0.5), through.ms(0.99));
+        println!("direct_ms={p50:.2}/{p99:.2} entry_ms={entry_p50:.2}/{entry_p99:.2} (p50/p99)");
+        added_p50.push(entry_p50 - p50);
+        added_p99.push(entry_p99 - p99);
+    }
+    added_p50.sort_by(f64::total_cmp);
+    added_p99.sort_by(f64::total_cmp);
+    println!("added_p50_ms={:.2}", added_p50[ROUNDS / 2]);
+    println!("added_p99_best_ms={:.2}", added_p99[0]);
+    println!("added_p99_ms={:.2}", added_p99[ROUNDS / 2]);
+}
+
+/// Share of one core that the entry takes with nothing to do.
+fn idle() -> f64 {
+    // Connections of the load before are closed by then.
+    std::thread::sleep(Duration::from_secs(6));
+    let before_ms = processor_ms("entry");
+    std::thread::sleep(IDLE_SPAN);
+    (processor_ms("entry") - before_ms) * 100.0 / IDLE_SPAN.as_millis() as f64
+}
+
+/// The size of this process at its start, and what an entry adds to it with its part of today's load
+/// in progress: 400 slots over 6 entries. Its callers and endpoints stand ready before, but the
+/// connections between them and the entry count on both sides.
+fn memory(base_mb: f64) -> f64 {
+    let stage = Stage::start(ENDPOINTS, Commits::EachSynced);
+    stage.work(Duration::from_millis(50));
+    let direct = Load::new(stage.direct());
+    stage.run(closed_loop(direct, IN_PROGRESS, Duration::from_secs(2)));
+    let before_mb = rss_mb();
+    let through = Load::new(stage.through_entry());
+    stage.run(closed_loop(through, IN_PROGRESS, Duration::from_secs(2)));
+    let added_mb = rss_mb() - before_mb;
+    println!("# process at its start {base_mb:.1} MB, entry adds {added_mb:.1} MB");
+    base_mb + added_mb
+}
+
+/// How many more non-idempotent requests end in a second when commits share a sync.
+fn batching() -> f64 {
+    println!("# non-idempotent requests, 64 callers: one sync a commit, then one sync a batch");
+    let mut rates = Vec::new();
+    for commits in [Commits::EachSynced, Commits::Batched] {
+        let stage = Stage::start(ENDPOINTS, commits);
+        let load = Load::new(stage.through_entry()).non_idempotent();
+        let done = stage.run(closed_loop(load, 64, COMMIT_SPAN));
+        let rate = done.answered as f64 / COMMIT_SPAN.as_secs_f64();
+        assert_eq!(done.refused, 0, "{:?}", done.causes);
+        println!(
+            "non_idempotent_s={rate:.0} commits={commits:?} p99_ms={:.1}",
+            done.ms(0.99)
+        );
+        rates.push(rate);
+    }
+    rates[1] / rates[0]
+}
+
+/// Answers in time over what the endpoints can give, at ten times that load.
+fn overload() -> f64 {
+    let stage = Stage::start(5, Commits::EachSynced);
+    let work = Duration::from_millis(50);
+    stage.work(work);
+    let capacity_s = 5 * 8 * 1_000 / 50;
+    println!("# open loop at ten times the capacity of {capacity_s} requests a second");
+    let within = Duration::from_millis(500);
+    let run = |target: Target| {
+        let load = Load::new(target).within(within);
+        stage.run(open_loop(load, capacity_s * 10, SPAN))
+    };
+    let thin = run(stage.thin(40));
+    let entry = run(stage.through_entry());
+    println!(
+        "overload_answered={} causes={:?}",
+        entry.answered, entry.causes
+    );
+    let possible = capacity_s as f64 * SPAN.as_secs_f64();
+    println!(
+        "overload_goodput_ratio_unbounded_fifo={:.3}",
+        thin.in_time as f64 / possible
+    );
+    println!(
+        "overload_refused={} overload_refusal_p99_ms={:.1}",
+        entry.refused,
+        entry.refusal_ms(0.99)
+    );
+    println!(
+        "overload_team_ratio={:.2} wanted=3",
+        entry.teams[0] as f64 / entry.teams[1].max(1) as f64
+    );
+    entry.in_time as f64 / possible
+}
--- /dev/null
+++ b/src/entry/forward_idempotent.rs
@@ -0,0 +1,245 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as _, Incoming};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use super::endpoint_link::{Answered, relayed_headers, says_not_run};
+use super::forward::{Directive, Forwarder};
+use super::forward_request::{CallerRequest, ForwardAnswer};
+use super::open_attempt::OpenAttempt;
+use super::relay_body::{RelayBody, Relayed};
+use crate::router::{AttemptEnd, SendOrder};
+use crate::units::Millis;
+
+/// Answers up to this size are read whole before they are relayed, so that a broken one is retried.
+pub(super) const WHOLE_BYTES_MAX: usize = 32 * 1_024;
+
+/// How long after its caller was told an attempt is still waited for.
+pub(super) const LATE_ANSWER_MS: Millis = Millis(30_000);
+
+/// The caller's side of a request.
+pub(super) type AnswerSender = oneshot::Sender<ForwardAnswer>;
+
+impl Forwarder {
+    /// Sends a request to one endpoint after the other until one answers or the router refuses.
+    ///
+    /// Where the deadline passes or the caller goes away, the attempt in progress is waited for
+    /// behind it: the endpoint's slot is free when its answer comes, and no sooner.
+    pub(super) async fn run_idempotent(
+        self: Arc<Self>,
+        request: CallerRequest,
+        caller: AnswerSender,
+    ) {
+        let mut caller = Some(caller);
+        let (ticket, mut directives) = self.enqueue(&request);
+        while let Some(directive) = next_directive(&mut directives, &mut caller).await {
+            let told = match directive {
+                Directive::Refuse(refusal) => Some(ForwardAnswer::refused(&refusal)),
+                Directive::Send(order) => self.follow_order(&request, order, &mut caller).await,
+            };
+            if let Some(answer) = told {
+                tell(&mut caller, answer);
+            }
+            if caller.is_none() {
+                break;
+            }
+        }
+        self.leave(ticket, directives);
+    }
+
+    /// Makes one attempt; gives the answer where the caller can be told.
+    async fn follow_order(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        order: SendOrder,
+        caller: &mut Option<AnswerSender>,
+    ) -> Option<ForwardAnswer> {
+        let attempt = OpenAttempt::new(self, order);
+        let work = self.attempt(request, &attempt);
+        tokio::pin!(work);
+        let left_ms = request.deadline_ms.since(self.now());
+        let in_time = tokio::select! {
+            ended = timeout(left_ms.duration(), &mut work) => ended.ok(),
+            () = closed(caller) => None,
+        };
+        match in_time {
+            Some(Ok(answer)) => return Some(answer),
+            Some(Err(end)) => {
+                attempt.end(end);
+                return None;
+            }
+            None => {}
+        }
+        if !attempt.is_sent() {
+            attempt.end(AttemptEnd::NotSent);
+            return Some(ForwardAnswer::not_sent_in_time());
+        }
+        tell(caller, ForwardAnswer::late());
+        // A late answer has no caller; a streamed one ends its attempt when it is dropped here.
+        let late = timeout(LATE_ANSWER_MS.duration(), &mut work).await;
+        if let Ok(Err(end)) = late {
+            attempt.end(end);
+        }
+        None
+    }
+
+    /// One attempt: the answer, or how the attempt ended without one.
+    async fn attempt(
+        self: &Arc<Self>,
+        request: &CallerRequest,
+        attempt: &OpenAttempt,
+    ) -> Result<ForwardAnswer, AttemptEnd> {
+        let order = attempt.order.clone();
+        let sender = self.connect(&order).await?;
+        if !self.may_send(&order.run) {
+            return Err(AttemptEnd::NotSent);
+        }
+        attempt.set_sent();
+        let within = order.answer_within_ms;
+        let sequence = self.next_sequence();
+        let answered = self
+            .exchange_head(&order, request, sequence, sender, within)
+            .await?;
+        if says_not_run(&answered.response) {
+            return Err(self.end_of_refusal(&order, answered).await);
+        }
+        self.relay(attempt, answered).await
+    }
+
+    /// Reads the rest of a refusal, so that its connection can be used again.
+    pub(super) async fn end_of_refusal(&self, order: &SendOrder, answered: Answered) -> AttemptEnd {
+        let Answered { response, sender } = answered;
+        let read = read_whole(response.into_body(), WHOLE_BYTES_MAX).await;
+        let reusable = read.is_ok() && self.keep_connection(order.connection, sender);
+        AttemptEnd::Busy { reusable }
+    }
+
+    /// Relays an answer: a small one whole, a large one as it comes.
+    async fn relay(
+        self: &Arc<Self>,
+        attempt: &OpenAttempt,
+        answered: Answered,
+    ) -> Result<ForwardAnswer, AttemptEnd> {
+        let Answered { response, sender } = answered;
+        let (head, body) = response.into_parts();
+        let headers = relayed_headers(&head.headers);
+        let (body, first) = match read_whole(body, WHOLE_BYTES_MAX).await {
+            Ok(whole) => {
+                attempt.end_answered(sender);
+                return Ok(answered_with(head.status, headers, whole_body(whole)));
+            }
+            Err(PartOfBody::Broken) => return Err(AttemptEnd::Broken),
+            Err(PartOfBody::Larger { first, rest }) => (*rest, first),
+        };
+        let rest = RelayBody::new(first, body, Relayed::new(attempt.hand_over(), sender));
+        Ok(answered_with(head.status, headers, Body::new(rest)))
+    }
+}
+
+/// A body that was not read whole.
+#[derive(Debug)]
+pub(super) enum PartOfBody {
+    /// It ended early or its framing is broken.
+    Broken,
+    /// It is larger than what was asked for.
+    Larger {
+        first: Vec<Bytes>,
+        rest: Box<Incoming>,
+    },
+}
+
+/// Reads a body up to `max_bytes`.
+pub(super) async fn read_whole(mut body: Incoming, max_bytes: usize) -> Result<Bytes, PartOfBody> {
+    let mut frames = Vec::new();
+    let mut bytes = 0;
+    if body.size_hint().lower() > max_bytes as u64 {
+        let rest = Box::new(body);
+        return Err(PartOfBody::Larger {
+            first: frames,
+            rest,
+        });
+    }
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_early| PartOfBody::Broken)?;
+        if let Ok(data) = frame.into_data() {
+            bytes += data.len();
+            frames.push(data);
+        }
+        if bytes > max_bytes {
+            let rest = Box::new(body);
+            return Err(PartOfBody::Larger {
+                first: frames,
+                rest,
+            });
+        }
+    }
+    Ok(join(frames, bytes))
+}
+
+fn join(mut frames: Vec<Bytes>, bytes: usize) -> Bytes {
+    if frames.len() == 1 {
+        return frames.remove(0);
+    }
+    let mut whole = Vec::with_capacity(bytes);
+    for frame in frames {
+        whole.extend_from_slice(&frame);
+    }
+    whole.into()
+}
+
+/// A body that is at hand.
+pub(super) fn whole_body(bytes: Bytes) -> Body {
+    let whole = Full::new(bytes).map_err(|never: std::convert::Infallible| match never {});
+    Body::new(whole)
+}
+
+fn answered_with(status: StatusCode, headers: http::HeaderMap, body: Body) -> ForwardAnswer {
+    ForwardAnswer::Answered {
+        status,
+        headers,
+        body,
+    }
+}
+
+/// The answer with a whole body, as HTTP.
+pub(super) fn into_response(
+    status: StatusCode,
+    headers: http::HeaderMap,
+    body: Body,
+) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// The next directive; none once the caller has gone away.
+async fn next_directive(
+    directives: &mut mpsc::UnboundedReceiver<Directive>,
+    caller: &mut Option<AnswerSender>,
+) -> Option<Directive> {
+    tokio::select! {
+        directive = directives.recv() => directive,
+        () = closed(caller) => None,
+    }
+}
+
+async fn closed(caller: &mut Option<AnswerSender>) {
+    match caller {
+        Some(caller) => caller.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Tells the caller, once.
+pub(super) fn tell(caller: &mut Option<AnswerSender>, answer: ForwardAnswer) {
+    if let Some(caller) = caller.take() {
+        // A caller that has gone away needs no answer, or asks again with the same id.
+        let _told = caller.send(answer);
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,45 @@
+//! An entry: its listeners for callers, endpoints and workers, and operators.
+
+mod answer;
+mod body;
+mod callers;
+mod client_io;
+mod connections;
+mod context;
+mod endpoint_link;
+mod endpoints;
+pub mod exchange;
+mod forward;
+mod forward_idempotent;
+mod forward_recorded;
+mod forward_request;
+mod grant;
+mod health;
+mod held_polls;
+mod job_check;
+mod jobs;
+mod listener;
+mod open_attempt;
+mod operators;
+mod record_keeper;
+mod relay_body;
+mod reports;
+mod route;
+mod workers;
+
+pub use answer::{ErrorAnswer, error_answer, json_answer, text_answer};
+pub use body::{BodyFault, read_body, read_json};
+pub use callers::{draw_requests, read_request};
+pub use context::EntryContext;
+pub use endpoints::{AnnounceFn, Announcing, draw_endpoints};
+pub use exchange::{Exchange, ExchangeOptions};
+pub use forward::{BeginFn, FinishFn, ForwardOptions, Forwarder, UsesFn};
+pub use forward_request::{CallerRequest, ForwardAnswer, ForwardRefusal};
+pub use grant::{EntryState, GrantHolder, Sent, Taken};
+pub use health::{Health, draw_health, draw_metrics};
+pub use job_check::check_job;
+pub use jobs::{JobAccepted, WAIT_MAX_MS, draw_jobs};
+pub use listener::{Listener, ListenerHandle};
+pub use operators::{CancelJobs, operators_router};
+pub use route::{Answer, Answering, Refusal, RouteFn, route};
+pub use workers::{check_poll, draw_workers};
--- /dev/null
+++ b/src/programs/forwarding.rs
@@ -0,0 +1,75 @@
+use std::sync::Arc;
+
+use futures::FutureExt;
+
+use super::listening::find;
+use crate::entry::{Announcing, Exchange, ForwardOptions, Forwarder};
+use crate::kernel::{Clock, Service, Stopper};
+use crate::settings::EntrySettings;
+use crate::units::{EntryId, Incarnation};
+
+/// One run of an entry's process.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub(super) clock: Clock,
+    /// The wall clock at the start, so that each run's number is larger than the one before.
+    pub(super) incarnation: Incarnation,
+}
+
+impl Run {
+    pub(super) fn start() -> Self {
+        let clock = Clock::start();
+        Self {
+            clock,
+            incarnation: Incarnation(clock.wall().0),
+        }
+    }
+}
+
+/// Carries callers' requests to endpoints.
+pub(super) fn forwarder_service(settings: Arc<EntrySettings>, run: Run) -> Service {
+    Service::new("forwarder", &["exchange"], move |registry| async move {
+        let exchange = find::<Arc<Exchange>>(&registry, "exchange")?;
+        let options = forward_options(settings.name.clone(), run, &exchange);
+        let forwarder = Forwarder::start(options);
+        registry.publish("forwarder", Arc::clone(&forwarder));
+        let observing = tokio::spawn(Arc::clone(&forwarder).follow(exchange.state()));
+        let stop: Stopper = Box::new(move || {
+            Box::pin(async move {
+                forwarder.drain().await;
+                observing.abort();
+            })
+        });
+        Ok(stop)
+    })
+}
+
+fn forward_options(entry: EntryId, run: Run, exchange: &Arc<Exchange>) -> ForwardOptions {
+    let (begins, finishes) = (exchange.client().clone(), exchange.client().clone());
+    let uses = Arc::clone(exchange);
+    ForwardOptions::builder()
+        .entry(entry)
+        .incarnation(run.incarnation)
+        .clock(run.clock)
+        .begin(Arc::new(move |request| {
+            let client = begins.clone();
+            async move { client.begin_request(request).await }.boxed()
+        }))
+        .finish(Arc::new(move |request| {
+            let client = finishes.clone();
+            async move { client.finish_request(request).await }.boxed()
+        }))
+        .uses(Arc::new(move |used| uses.set_uses(used)))
+        .build()
+}
+
+/// Passes endpoints' announcements to the leader.
+pub(super) fn announcing(exchange: &Arc<Exchange>) -> Announcing {
+    let exchange = Arc::clone(exchange);
+    Announcing {
+        announce: Arc::new(move |announcement| {
+            let exchange = Arc::clone(&exchange);
+            async move { exchange.announce(announcement).await }.boxed()
+        }),
+    }
+}
--- /dev/null
+++ b/src/replica/core/repair.rs
@@ -0,0 +1,101 @@
+use super::progress::Progress;
+use super::{Core, Role};
+use crate::replica::{Membership, Node, Payload};
+use crate::units::Millis;
+
+impl Core {
+    /// Takes in a node that lost its folder as a learner, where a voter had its name.
+    pub(super) fn hear_join(&mut self, from: Node, now: Millis) {
+        let Some(members) = self.log.members() else {
+            return;
+        };
+        let configured = self.config.peers.contains(&from.name);
+        if !configured || members.contains(&from) {
+            return;
+        }
+        let next = self.log.last_index().next();
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        if let Some(progress) = state.progress.get_mut(&from) {
+            progress.heard_ms = Some(now);
+            return;
+        }
+        let name = &from.name;
+        state
+            .progress
+            .retain(|node, p| !p.is_learner || node.name != *name);
+        let mut progress = Progress::new(next);
+        progress.heard_ms = Some(now);
+        progress.is_learner = true;
+        state.progress.insert(from, progress);
+    }
+
+    /// Replaces a voter by the learner of the same name, once that holds the whole state.
+    ///
+    /// The old voter goes first: should the learner be lost as well meanwhile, the others are still a
+    /// quorum. Each step waits until the one before it is committed.
+    pub(super) fn replace_lost_members(&mut self, now: Millis) {
+        let Some(members) = self.next_members(now) else {
+            return;
+        };
+        self.append_own(Payload::Members(members));
+        self.update_progress();
+    }
+
+    fn next_members(&self, now: Millis) -> Option<Membership> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        let settled = self.commit >= state.first_own && self.commit >= self.log.members_index();
+        if !settled || state.transfer.is_some() || self.disk_full {
+            return None;
+        }
+        let members = self.log.members()?;
+        let mut learners = state.progress.iter().filter(|(_, p)| p.is_learner);
+        let is_ready = |p: &Progress| p.matched >= self.commit && self.is_live(p, now);
+        let (learner, _) = learners.find(|(_, p)| is_ready(p))?;
+        let old = members.voters.iter().find(|v| v.name == learner.name);
+        let next = match old {
+            Some(old) => members.without(old),
+            None => members.with(learner.clone()),
+        };
+        self.can_commit(&next, now).then_some(next)
+    }
+
+    fn is_live(&self, progress: &Progress, now: Millis) -> bool {
+        let heard = progress.acked_ms;
+        heard.is_some_and(|at| now < at.saturating_add(self.config.election_min_ms))
+    }
+
+    /// Whether enough of those voters answer that the change can be committed.
+    fn can_commit(&self, members: &Membership, now: Millis) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let own = &self.config.node;
+        let live = members.voters.iter().filter(|voter| {
+            let progress = state.progress.get(voter);
+            *voter == own || progress.is_some_and(|p| self.is_live(p, now))
+        });
+        live.count() >= members.quorum()
+    }
+
+    /// Follows the voters now in force; nodes that are no longer among them are dropped.
+    fn update_progress(&mut self) {
+        let voters = self.voters();
+        let own = self.config.node.clone();
+        let next = self.log.last_index();
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let is_voter = |node: &Node| voters.contains(node);
+        state
+            .progress
+            .retain(|node, p| is_voter(node) || p.is_learner);
+        for node in voters.iter().filter(|node| **node != own) {
+            let progress = state.progress.entry(node.clone());
+            progress.or_insert_with(|| Progress::new(next)).is_learner = false;
+        }
+    }
+}
--- /dev/null
+++ b/src/router/dispatch.rs
@@ -0,0 +1,296 @@
+use super::core::Router;
+use super::endpoint_state::{EndpointState, Pick};
+use super::request_state::RequestState;
+use super::service_state::{ServiceState, weight};
+use super::{AttemptEnd, ConnectionId, EndpointRun, RouterAction, RouterEvent, SendOrder, Ticket};
+use crate::units::{Millis, ServiceName};
+
+/// An endpoint that could take a request now.
+#[derive(Debug)]
+struct Candidate {
+    run: EndpointRun,
+    /// Used slots in thousandths of the share.
+    load: u32,
+    idempotent: Option<Pick>,
+    non_idempotent: Option<Pick>,
+    fresh: Option<Pick>,
+}
+
+/// Endpoints that are looked at for one request: among so many the least loaded is close to the
+/// least loaded of all, and the cost does not grow with their number.
+const SAMPLE_MAX: usize = 8;
+
+/// The endpoints of one service that take new work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceEndpoints {
+    pub(super) runs: Vec<EndpointRun>,
+    /// The slots of all their shares.
+    pub(super) slots: u32,
+}
+
+/// What may have become possible.
+#[derive(Clone, Debug)]
+pub(super) enum Chance {
+    /// Nothing.
+    None,
+    /// A request has come for a service.
+    Request(ServiceName),
+    /// A slot of this endpoint is free.
+    Slot(EndpointRun),
+    /// Anything.
+    All,
+}
+
+impl Router {
+    /// Hands requests that wait to endpoints with a free slot, team by team.
+    pub(super) fn send_waiting(
+        &mut self,
+        chance: &Chance,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) {
+        if !self.may_start(now) {
+            return;
+        }
+        match chance {
+            Chance::None => {}
+            Chance::Request(name) => {
+                // Where others have found no endpoint, this one finds none either.
+                let behind = |service: &ServiceState| service.starved && service.queue.len() > 1;
+                if !self.services.get(name).is_none_or(behind) {
+                    self.send_all(name, now, actions);
+                }
+            }
+            Chance::Slot(run) => self.send_to(run, now, actions),
+            Chance::All => {
+                let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+                for name in names {
+                    self.send_all(&name, now, actions);
+                }
+            }
+        }
+    }
+
+    /// Sends what waits for a service until nothing waits or no endpoint can take it.
+    fn send_all(&mut self, name: &ServiceName, now: Millis, actions: &mut Vec<RouterAction>) {
+        if self.services[name].queue.len() == 0 {
+            return;
+        }
+        loop {
+            let mut candidates = self.candidates(name, now);
+            let starved = candidates.is_empty();
+            let sent = self.send_some(name, &mut candidates, now, actions);
+            let service = self.services.entry(name.clone()).or_default();
+            service.starved = starved;
+            if sent == 0 || service.queue.len() == 0 {
+                break;
+            }
+        }
+        self.make_room(name, actions, now);
+    }
+
+    /// Sends what waits to one endpoint.
+    fn send_to(&mut self, run: &EndpointRun, now: Millis, actions: &mut Vec<RouterAction>) {
+        let Some(state) = self.endpoints.get(run) else {
+            return;
+        };
+        let name = state.share.service.clone();
+        let waits = self.services.get(&name).map_or(0, |s| s.queue.len()) > 0;
+        if let Some(candidate) = Candidate::of(run, state, now).filter(|_| waits) {
+            self.send_some(&name, &mut vec![candidate], now, actions);
+        }
+    }
+
+    fn send_some(
+        &mut self,
+        name: &ServiceName,
+        candidates: &mut Vec<Candidate>,
+        now: Millis,
+        actions: &mut Vec<RouterAction>,
+    ) -> usize {
+        let before = actions.len();
+        while let Some(order) = self.next_order(name, candidates, now) {
+            actions.push(RouterAction::Send(order));
+        }
+        actions.len() - before
+    }
+
+    /// Some endpoints that could take a request, from a place that moves on each time.
+    fn candidates(&mut self, name: &ServiceName, now: Millis) -> Vec<Candidate> {
+        let Some(ServiceEndpoints { runs, .. }) = self.by_service.get(name) else {
+            return Vec::new();
+        };
+        let count = runs.len();
+        self.rotation = self.rotation.wrapping_add(1);
+        let places = (0..count).map(|offset| (self.rotation + offset) % count);
+        places
+            .filter_map(|place| {
+                let run = &runs[place];
+                Candidate::of(run, self.endpoints.get(run)?, now)
+            })
+            .take(SAMPLE_MAX)
+            .collect()
+    }
+
+    /// Notes which endpoints take new work, after the view has changed.
+    pub(super) fn index_services(&mut self) {
+        self.by_service.clear();
+        for (run, state) in self.endpoints.iter().filter(|(_, state)| state.listed) {
+            let of_service = self.by_service.entry(state.share.service.clone());
+            let of_service = of_service.or_default();
+            of_service.runs.push(run.clone());
+            let slots = state.share.slots.get();
+            of_service.slots = of_service.slots.saturating_add(slots);
+        }
+        let teams = self.view.in_force.teams.values();
+        self.weights = teams
+            .map(|team| u64::from(team.request_weight.max(1)))
+            .sum();
+    }
+
+    fn next_order(
+        &mut self,
+        name: &ServiceName,
+        candidates: &mut Vec<Candidate>,
+        now: Millis,
+    ) -> Option<SendOrder> {
+        if candidates.is_empty() {
+            return None;
+        }
+        let service = self.services.get_mut(name)?;
+        let in_force = &self.view.in_force;
+        let requests = &self.requests;
+        let mut chosen = None;
+        let needed_ms = service.needed();
+        let ticket = service.queue.pop(
+            now,
+            needed_ms,
+            |team| weight(in_force, team),
+            |ticket| {
+                let state = requests.get(&ticket);
+                chosen = state.and_then(|state| choose(state, candidates));
+                chosen.is_some()
+            },
+        )?;
+        let answer_within_ms = service.answer_within();
+        let (index, pick) = chosen?;
+        let run = candidates[index].run.clone();
+        let order = self.begin(ticket, run, pick, answer_within_ms, now);
+        let state = self.endpoints.get(&candidates[index].run)?;
+        match Candidate::of(&order.run, state, now) {
+            Some(next) => candidates[index] = next,
+            None => {
+                candidates.remove(index);
+            }
+        }
+        Some(order)
+    }
+
+    fn begin(
+        &mut self,
+        ticket: Ticket,
+        run: EndpointRun,
+        pick: Pick,
+        answer_within_ms: Millis,
+        now: Millis,
+    ) -> SendOrder {
+        let (connection, fresh) = match pick {
+            Pick::Idle(connection) => (connection, false),
+            Pick::Fresh => {
+                self.last_connection += 1;
+                (ConnectionId(self.last_connection), true)
+            }
+        };
+        let request = self.requests.get_mut(&ticket);
+        request.expect("a queued request is known").sent_ms = Some(now);
+        let endpoint = self.endpoints.get_mut(&run);
+        let endpoint = endpoint.expect("candidates are known endpoints");
+        endpoint.begin(connection, fresh);
+        SendOrder {
+            ticket,
+            address: endpoint.share.address,
+            run,
+            connection,
+            fresh,
+            answer_within_ms,
+        }
+    }
+
+    /// Closes idle connections that keep a request which needs a fresh one from a free slot.
+    fn make_room(&mut self, name: &ServiceName, actions: &mut Vec<RouterAction>, now: Millis) {
+        if self.services[name].queue.len() == 0 {
+            return;
+        }
+        for (run, state) in &mut self.endpoints {
+            if state.share.service == *name
+                && let Some(connection) = state.idle_in_the_way()
+            {
+                state.close(connection, now);
+                actions.push(RouterAction::Close {
+                    run: run.clone(),
+                    connection,
+                });
+            }
+        }
+    }
+}
+
+impl Candidate {
+    fn of(run: &EndpointRun, state: &EndpointState, now: Millis) -> Option<Self> {
+        let idempotent = state.pick(true, now);
+        let non_idempotent = state.pick(false, now);
+        if idempotent.is_none() && non_idempotent.is_none() {
+            return None;
+        }
+        let used = state.slots_used().saturating_mul(1_000);
+        Some(Self {
+            run: run.clone(),
+            load: used / state.share.slots.get().max(1),
+            idempotent,
+            non_idempotent,
+            fresh: state.pick_fresh(now),
+        })
+    }
+
+    const fn pick(&self, state: &RequestState) -> Option<Pick> {
+        if state.needs_fresh {
+            self.fresh
+        } else if state.request.idempotent {
+            self.idempotent
+        } else {
+            self.non_idempotent
+        }
+    }
+}
+
+/// The least loaded endpoint that has not failed the request yet, else the least loaded one.
+fn choose(state: &RequestState, candidates: &[Candidate]) -> Option<(usize, Pick)> {
+    let picks = candidates
+        .iter()
+        .enumerate()
+        .filter_map(|(index, candidate)| {
+            let pick = candidate.pick(state)?;
+            let tried = state.tried.contains(&candidate.run);
+            Some(((tried, candidate.load), index, pick))
+        });
+    picks
+        .min_by_key(|(order, _, _)| *order)
+        .map(|(_, index, pick)| (index, pick))
+}
+
+/// What an event may make possible for requests that wait.
+pub(super) fn chance_of(event: &RouterEvent) -> Chance {
+    match event {
+        RouterEvent::Arrived { request, .. } => Chance::Request(request.service.clone()),
+        RouterEvent::Ended {
+            run,
+            end: AttemptEnd::Answered { .. },
+            ..
+        } => Chance::Slot(run.clone()),
+        RouterEvent::Gone { .. } | RouterEvent::ConnectionClosed { .. } => Chance::None,
+        RouterEvent::View(_)
+        | RouterEvent::Again { .. }
+        | RouterEvent::Ended { .. }
+        | RouterEvent::Tick => Chance::All,
+    }
+}
