Tests: deadlines and urgency in order, foreign load; orders' doc says when work is sent

Cause: both mechanisms had no test of their own. The contract's doc comment on TaskOrder::work now says that work is left out once the task runs (additive).

--- a/src/fleet/worker.rs
+++ b/src/fleet/worker.rs
@@ -179,7 +179,8 @@
     pub task: TaskKey,
     /// What is wanted.
     pub want: Want,
-    /// What it runs; present with [`Want::Prepare`] and [`Want::Run`].
+    /// What it runs; present with [`Want::Prepare`] and [`Want::Run`] until the worker reports that
+    /// the task runs.
     pub work: Option<TaskWork>,
 }
 
--- a/tests/fleet_health.rs
+++ b/tests/fleet_health.rs
@@ -195,3 +195,21 @@
     health.withdraw(jobs[0], Millis(6));
     assert_eq!(health.state, HealthState::Up);
 }
+
+/// What a worker reports in use beyond its orders is not given away, and comes back when it ends.
+#[test]
+fn foreign_load() {
+    let mut driver = Driver::ready(fleet(), 6);
+    for slot in driver.slots.iter_mut().skip(1) {
+        slot.worker.spec.faults.foreign_accelerators = 6;
+    }
+    driver.run_for(3_000);
+    let wide = driver.submit(job("guests", "wide", 1, 8, 1_000));
+    assert!(driver.run_until(5_000, |d| d.succeeded(&wide)));
+    assert_eq!(driver.slots[0].worker.history.len(), 1);
+    let two = driver.submit(job("guests", "two", 2, 8, 1_000));
+    driver.run_for(10_000);
+    assert!(!driver.started_ms.contains_key(&two));
+    driver.slots[1].worker.spec.faults.foreign_accelerators = 0;
+    assert!(driver.run_until(10_000, |d| d.succeeded(&two)));
+}
--- a/tests/guarantee_reclaim.rs
+++ b/tests/guarantee_reclaim.rs
@@ -297,3 +297,36 @@
             .all(|team| team.at_risk == Accelerators::ZERO)
     );
 }
+
+/// Deadlines and urgency go before arrival; each wait has a stable code.
+#[test]
+fn order_of_starts() {
+    let mut driver = Driver::ready(fleet(), 4);
+    fill(&mut driver, 1, 8);
+    let mut early = job("guests", "early", 1, 8, 20_000);
+    early.declared_run_ms = Millis(600_000);
+    let early = driver.submit(early);
+    let mut due = job("guests", "due", 1, 8, 20_000);
+    due.deadline_ms = Some(Millis(120_000));
+    let due = driver.submit(due);
+    let mut urgent = job("guests", "urgent", 1, 8, 20_000);
+    urgent.urgent = true;
+    let urgent = driver.submit(urgent);
+    driver.run_for(2_000);
+    let why = driver.scheduler.explain(&early).expect("it waits");
+    assert_eq!(why.code, "waits_for_cell");
+    for at in 0..3 {
+        let key = JobKey {
+            team: early.team.clone(),
+            id: format!("fill{at}").parse().expect("a valid id"),
+        };
+        driver.cancel(&key);
+        driver.run_for(3_000);
+    }
+    let order: Vec<_> = driver
+        .starts
+        .iter()
+        .map(|(key, _attempt, _at)| key.clone())
+        .collect();
+    assert!(order.ends_with(&[urgent, due, early]), "{order:?}");
+}
--- a/tests/support/fake_worker.rs
+++ b/tests/support/fake_worker.rs
@@ -24,6 +24,8 @@
     pub ignores_checkpoint: bool,
     /// Tasks pass their memory where they were ordered less than this.
     pub needs_memory_mb: u64,
+    /// Accelerators that somebody else uses on it.
+    pub foreign_accelerators: u32,
 }
 
 /// What a worker is made of.
@@ -116,7 +118,8 @@
 
     fn usage(&self) -> Usage {
         let busy = self.held.values().filter(|task| holds(&task.state));
-        let accelerators = busy.clone().map(|task| task.work.accelerators.0).sum();
+        let own: u32 = busy.clone().map(|task| task.work.accelerators.0).sum();
+        let accelerators = own + self.spec.faults.foreign_accelerators;
         let cores_milli = busy
             .clone()
             .map(|task| u64::from(task.work.cores.0) * 1_000);
