Tests: the deadline case fails without deadlines

Cause: with deadlines ignored the first form still passed; now the later job has the same declared time and goes first only for its deadline.

--- a/tests/guarantee_reclaim.rs
+++ b/tests/guarantee_reclaim.rs
@@ -307,7 +307,8 @@
     early.declared_run_ms = Millis(600_000);
     let early = driver.submit(early);
     let mut due = job("guests", "due", 1, 8, 20_000);
-    due.deadline_ms = Some(Millis(120_000));
+    due.declared_run_ms = Millis(600_000);
+    due.deadline_ms = Some(Millis(1_300_000));
     let due = driver.submit(due);
     let mut urgent = job("guests", "urgent", 1, 8, 20_000);
     urgent.urgent = true;
