--- a/tests/router_choice.rs
+++ b/tests/router_choice.rs
@@ -116,6 +116,26 @@
     assert_eq!(sim.sent.len(), 2);
 }
 
+#[test]
+fn closed_one_settles() {
+    let mut sim = Sim::new(1, 1);
+    let mut small = share(0, 1);
+    small.connections = Slots(1);
+    sim.shares = Arc::new(vec![small]);
+    sim.observe();
+    sim.arrive(TEAM, true, 60_000);
+    sim.end(AttemptEnd::Answered { reusable: false });
+    sim.arrive(TEAM, true, 60_000);
+    sim.pass(99);
+    assert_eq!(
+        sim.sent.len(),
+        0,
+        "the endpoint may not have seen the end of the first"
+    );
+    sim.pass(1);
+    assert_eq!(sim.sent.len(), 1);
+}
+
 #[rstest]
 #[case(true, 0, false)]
 #[case(true, IDLE_MAX_MS.0 - 1, false)]
--- a/tests/router_overload.rs
+++ b/tests/router_overload.rs
@@ -202,6 +202,34 @@
     );
 }
 
+#[test]
+fn bounded_retries() {
+    let mut sim = Sim::new(50, 8);
+    let requests = 1_000;
+    let mut attempts = BTreeMap::new();
+    for _ in 0..requests {
+        sim.arrive("regatta", true, 60_000);
+        sim.pass(100);
+        // Each request's first attempt fails, and a second one would succeed.
+        while let Some(order) = sim.sent.first() {
+            let made: &mut u32 = attempts.entry(order.ticket).or_default();
+            *made += 1;
+            let first = *made == 1;
+            sim.end(if first {
+                AttemptEnd::Broken
+            } else {
+                AttemptEnd::Answered { reusable: true }
+            });
+        }
+    }
+    let retries: u32 = attempts.values().map(|made| made - 1).sum();
+    let retries_max = RETRY_BURST + requests / 10;
+    assert!(
+        (RETRY_BURST..=retries_max).contains(&retries),
+        "{retries} retries"
+    );
+}
+
 #[test]
 fn attempts_of_one() {
     let mut sim = Sim::new(50, 8);
