--- a/tests/request_http.rs
+++ b/tests/request_http.rs
@@ -368,8 +368,18 @@
 
     /// Exchanges every 20 ms until a condition holds.
     async fn until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        self.until_without(&[], what, condition).await;
+    }
+
+    /// The same while some entries are cut off.
+    async fn until_without(
+        &mut self,
+        cut_off: &[usize],
+        what: &str,
+        condition: impl Fn(&Self) -> bool,
+    ) {
         for _ in 0..1_000 {
-            self.exchange(&[]);
+            self.exchange(cut_off);
             if condition(self) {
                 return;
             }
@@ -384,6 +394,65 @@
     }
 }
 
+/// Requests of one entry, each in a task of its own.
+fn send_many(
+    entry: &Entry,
+    prefix: &str,
+    count: u32,
+) -> Vec<tokio::task::JoinHandle<forwarding::Told>> {
+    let send = |number| {
+        let id = format!("{prefix}-{number}");
+        let request = entry.request(&id, Duration::from_secs(20));
+        let forwarder = Arc::clone(&entry.forwarder);
+        tokio::spawn(async move { forwarding::told(forwarder.forward(request).await).await })
+    };
+    (0..count).map(send).collect()
+}
+
+#[tokio::test]
+async fn cut_off_holder() {
+    let mut shared = Shared::start().await;
+    let both = |shared: &Shared| shared.slots(0) + shared.slots(1) == 8;
+    shared.until("the slots are shared", both).await;
+    shared.endpoint.always(Fault::Hang);
+    let held = send_many(&shared.entries[0].0, "a", 8);
+    let running = |shared: &Shared| shared.endpoint.counts(|counts| counts.running) == 8;
+    shared.until("one entry holds all slots", running).await;
+    let wanted = send_many(&shared.entries[1].0, "b", 8);
+    let clock = shared.entries[0].0.clock;
+    let cut_ms = clock.now();
+    let grant_ms = GRANT_MS.with_clock_margin();
+    let ended = move |_: &Shared| clock.now().since(cut_ms) > grant_ms;
+    shared
+        .until_without(&[0], "the grant has ended", ended)
+        .await;
+    let first = "entry-1".parse().expect("an id");
+    let mut book = shared.book.lock().expect("no test panics with the book");
+    book.entry_expired(&first, Incarnation(1), clock.now());
+    drop(book);
+    let later =
+        move |_: &Shared| clock.now().since(cut_ms) > grant_ms.saturating_add(Millis(1_500));
+    shared
+        .until_without(&[0], "announcements have come", later)
+        .await;
+    assert_eq!(
+        shared.slots(1),
+        0,
+        "the slots of the lost holder are in use still"
+    );
+    shared.endpoint.always(Fault::None);
+    shared.endpoint.release();
+    let done = |_: &Shared| wanted.iter().all(tokio::task::JoinHandle::is_finished);
+    shared
+        .until_without(&[0], "the other entry has slots", done)
+        .await;
+    for told in held.into_iter().chain(wanted) {
+        let told = told.await.expect("no request panics");
+        assert_eq!(told, forwarding::whole(), "nothing in progress was cut");
+    }
+    assert_eq!(shared.endpoint.counts(|counts| counts.running_max), 8);
+}
+
 #[rstest]
 #[case(0)]
 #[case(1)]
@@ -396,15 +465,7 @@
     // All demand comes to one entry, then to the other.
     for (round, index) in [busy, 1 - busy].into_iter().enumerate() {
         let entry = &shared.entries[index].0;
-        let sent: Vec<_> = (0..100)
-            .map(|n| {
-                let request = entry.request(&format!("r{round}-{n}"), Duration::from_secs(20));
-                let forwarder = Arc::clone(&entry.forwarder);
-                tokio::spawn(
-                    async move { forwarding::told(forwarder.forward(request).await).await },
-                )
-            })
-            .collect();
+        let sent = send_many(entry, &format!("r{round}"), 100);
         let all_here = move |shared: &Shared| shared.slots(index) == 8;
         shared.until("one entry has all slots", all_here).await;
         let done = |_: &Shared| sent.iter().all(tokio::task::JoinHandle::is_finished);
