Logs: how each request ended, and sentences quoted once

A lost or failed request shows at info with request, team and service; answered and not-run ones at debug, so that an overload does not flood the log. Additive in entry/callers.rs, control/lead.rs and entry/exchange.rs.

--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -4,7 +4,7 @@
 
 use super::Exit;
 
-/// Command line of `marjoramknot-control` and `marjoramknot-entry`.
+/// Serves until SIGTERM, then stops in order.
 #[derive(Clone, Debug, Default, Options)]
 pub struct DaemonOptions {
     /// Whether to print the help.
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -5,7 +5,7 @@
 
 use crate::units::TeamId;
 
-/// Command line of `marjoramctl`.
+/// Applies release notes, and shows and cancels what the system runs.
 #[derive(Clone, Debug, Options)]
 pub struct CtlOptions {
     /// Whether to print the help.
--- a/src/control/lead.rs
+++ b/src/control/lead.rs
@@ -209,7 +209,7 @@
                 Action::Order(orders) => given.push(orders),
                 Action::Explain { job, explanation } => {
                     let (code, sentence) = (explanation.code, explanation.sentence);
-                    info!(event = "decision", %job, %code, sentence = ?sentence.as_str());
+                    info!(event = "decision", %job, %code, sentence = sentence.as_str());
                 }
             }
         }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -8,6 +8,7 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
 use smol_str::{SmolStr, format_smolstr};
+use tracing::{debug, info};
 
 use super::answer::error_answer;
 use super::body::read_body;
@@ -63,14 +64,40 @@
             request.id.clone(),
         );
         let answer = forwarder.forward(request).await;
+        let took_ms = forwarder.now().since(arrived_ms);
+        log_answer(&answer, &team, &service, &id, took_ms);
         if forwarder.has_team(&team) && forwarder.deadline_max(&service).is_some() {
-            record_request(&team, &service, forwarder.now().since(arrived_ms));
+            record_request(&team, &service, took_ms);
         }
         Ok(to_http(answer, &id))
     }
     .boxed()
 }
 
+/// Logs how a request ended; only what its caller may have to look into shows at the usual level,
+/// so that an overload does not flood the log.
+fn log_answer(
+    answer: &ForwardAnswer,
+    team: &TeamId,
+    service: &ServiceName,
+    request: &RequestId,
+    took_ms: Millis,
+) {
+    match answer {
+        ForwardAnswer::Answered { status, .. } => {
+            debug!(event = "request_answered", %request, %team, %service, %status, %took_ms);
+        }
+        ForwardAnswer::Refused(refusal) if refusal.outcome == Outcome::NotRun => {
+            let code = refusal.code;
+            debug!(event = "request_not_run", %request, %team, %service, code, %took_ms);
+        }
+        ForwardAnswer::Refused(refusal) => {
+            let (code, outcome) = (refusal.code, refusal.outcome);
+            info!(event = "request_lost", %request, %team, %service, code, %outcome, %took_ms);
+        }
+    }
+}
+
 /// Reads a caller's request whole and checks it.
 ///
 /// # Errors
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -272,7 +272,7 @@
         let state = {
             let mut holder = self.holder();
             if let Taken::Ignored { cause } = holder.take(&answer) {
-                info!(event = "exchange_ignored", cause = ?cause.as_str());
+                info!(event = "exchange_ignored", cause = cause.as_str());
                 return;
             }
             holder.state().clone()
