--- /dev/null
+++ b/tests/support/listener_rows.rs
@@ -0,0 +1,94 @@
+//! A deployment with a note in force, and rows of requests that its listeners must refuse.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use marjoramknot::telemetry::{Metrics, start_metrics};
+use serde_json::Value;
+
+use super::http_client::Http;
+use super::in_process::InProcess;
+
+/// Bound on every wait for a condition.
+const BOUND: Duration = Duration::from_secs(30);
+
+const NOTE: &str = r#"
+version = 1
+
+[[added.teams]]
+name = "judges"
+queued_jobs_max = 1
+
+[[added.zones]]
+name = "Senec"
+racks = [{ name = "senec-1", workers = 2, accelerators = 8, cores = 32, memory_mb = 65536 }]
+
+[[added.services]]
+name = "booking"
+
+[[added.endpoints]]
+name = "booking-runners"
+prefix = "booking-"
+service = "booking"
+slots_max = 8
+connections_max = 64
+"#;
+
+fn metrics() -> &'static Metrics {
+    static METRICS: OnceLock<Metrics> = OnceLock::new();
+    METRICS.get_or_init(|| start_metrics().expect("one recorder a process"))
+}
+
+/// A deployment with the note in force.
+pub async fn ready() -> (InProcess, Http) {
+    let deployment = InProcess::start(1, "Senec", metrics()).await;
+    let http = Http::default();
+    let since = Instant::now();
+    loop {
+        let address = deployment.operators;
+        let applied = http.send(Method::POST, address, "/v1/release-notes", &[], NOTE);
+        let status = http.send(Method::GET, address, "/v1/status", &[], "");
+        let applied = applied
+            .await
+            .is_ok_and(|(status, _)| status == StatusCode::OK);
+        let (_code, status) = status.await.expect("the listener answers");
+        let status: Value = serde_json::from_str(&status).unwrap_or_default();
+        if applied && status["in_force_everywhere"] == status["revision"] {
+            return (deployment, http);
+        }
+        assert!(since.elapsed() < BOUND, "the note is not in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub fn merge(value: &mut Value, changes: Value) {
+    let (Value::Object(fields), Value::Object(changes)) = (value, changes) else {
+        panic!("both are objects");
+    };
+    fields.extend(changes);
+}
+
+/// Sends a body that must be refused and checks the refusal.
+pub async fn refused(
+    http: &Http,
+    to: (SocketAddr, Method, &str),
+    body: String,
+    status: StatusCode,
+    code: &str,
+    outcome: Option<&str>,
+) {
+    let (address, method, path) = to;
+    let short: String = body.chars().take(300).collect();
+    let sent = http.send(method, address, path, &[], body).await;
+    let (got, text) = sent.expect("the listener answers");
+    assert_eq!(got, status, "{path} {short}: {text}");
+    let answer: Value = serde_json::from_str(&text).expect("every refusal is JSON");
+    assert_eq!(answer["code"], code, "{path} {short}: {text}");
+    assert_eq!(
+        answer["outcome"].as_str(),
+        outcome,
+        "{path} {short}: {text}"
+    );
+}
