--- a/tests/request_http.rs
+++ b/tests/request_http.rs
@@ -427,9 +427,11 @@
         .until_without(&[0], "the grant has ended", ended)
         .await;
     let first = "entry-1".parse().expect("an id");
-    let mut book = shared.book.lock().expect("no test panics with the book");
-    book.entry_expired(&first, Incarnation(1), clock.now());
-    drop(book);
+    shared
+        .book
+        .lock()
+        .expect("no test panics with the book")
+        .entry_expired(&first, Incarnation(1), clock.now());
     let later =
         move |_: &Shared| clock.now().since(cut_ms) > grant_ms.saturating_add(Millis(1_500));
     shared
