--- a/src/replica/files/frame.rs
+++ b/src/replica/files/frame.rs
@@ -14,12 +14,15 @@
 
 /// Appends a value with its length and checksum.
 pub(super) fn push_frame<T: Serialize>(buffer: &mut Vec<u8>, value: &T) {
-    let body = postcard::to_stdvec(value).expect("values of the replica's files always encode");
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; HEADER_BYTES]);
+    // A snapshot is large, so that it is encoded in place and not copied.
+    postcard::to_io(value, &mut *buffer).expect("values of the replica's files always encode");
+    let (header, body) = buffer[start..].split_at_mut(HEADER_BYTES);
     let length = u32::try_from(body.len()).expect("a framed value is shorter than 4 GiB");
-    buffer.extend_from_slice(&length.to_le_bytes());
-    buffer.extend_from_slice(&length_sum(length).to_le_bytes());
-    buffer.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
-    buffer.extend_from_slice(&body);
+    header[..4].copy_from_slice(&length.to_le_bytes());
+    header[4..8].copy_from_slice(&length_sum(length).to_le_bytes());
+    header[8..].copy_from_slice(&crc32fast::hash(body).to_le_bytes());
 }
 
 /// A value as a frame of its own.
--- a/src/replica/files/store.rs
+++ b/src/replica/files/store.rs
@@ -18,7 +18,7 @@
 /// The file that keeps space for records that were taken before the disk was found full.
 pub(super) const RESERVE_FILE: &str = "reserve";
 /// The size of the reserve in bytes.
-const RESERVE_BYTES: usize = 2 * 1024 * 1024;
+const RESERVE_BYTES: u64 = 2 * 1024 * 1024;
 
 /// Writes what the core asks to make durable.
 #[derive(Debug)]
@@ -164,6 +164,16 @@
         self.folder.sync_folder()
     }
 
+    fn write_reserve(&mut self) -> Result<()> {
+        const PIECE_BYTES: u64 = 64 * 1024;
+        let zeros = vec![0; 64 * 1024];
+        for piece in 0..RESERVE_BYTES / PIECE_BYTES {
+            self.folder
+                .write(RESERVE_FILE, piece * PIECE_BYTES, &zeros)?;
+        }
+        Ok(())
+    }
+
     /// Makes sure that the reserve is there; false where the disk has no space for it.
     ///
     /// # Errors
@@ -172,10 +182,8 @@
         if self.has_reserve {
             return Ok(true);
         }
-        let zeros = vec![0; RESERVE_BYTES];
         let made = self
-            .folder
-            .write(RESERVE_FILE, 0, &zeros)
+            .write_reserve()
             .and_then(|()| self.folder.sync(RESERVE_FILE));
         match made {
             Ok(()) => self.has_reserve = true,
