Scheduler: work inside a guarantee waits 10 s for a cell to fall free before others must leave

Most small work ends within seconds of each other, so the owner now waits up to 10 s, and that time is taken off the victims' checkpoint bound of 30 s: no owner waits longer than before. Urgent work does not wait.

--- a/benches/scheduler_replay.rs
+++ b/benches/scheduler_replay.rs
@@ -26,7 +26,8 @@
 const SAMPLE_MS: u64 = 10_000;
 const STEP_MS: u64 = 500;
 type Change = fn(&mut SchedulerOptions);
-const VARIANTS: [(&str, Change); 11] = [
+const VARIANTS: [(&str, Change); 12] = [
+    ("no_patience", |o| o.reclaim_patience_ms = Millis::ZERO),
     ("first_come_backfill", |o| {
         first_come(o);
         o.backfill = true;
--- a/src/scheduler/gang.rs
+++ b/src/scheduler/gang.rs
@@ -18,6 +18,8 @@
     pub(super) queued: Option<super::queue::QueueKey>,
     /// Since when no cell could hold it.
     pub(super) blocked_ms: Option<Millis>,
+    /// Since when it waits although its team's guarantee has room for it.
+    pub(super) owed_ms: Option<Millis>,
     /// Workers on which it failed, and when.
     pub(super) failed_on: Vec<(u32, Millis)>,
     /// Attempts under this leader that count against the team's limit.
--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -30,6 +30,7 @@
             known_ms: (QUEUE_EPOCH_MS + now.0.min(QUEUE_EPOCH_MS)).saturating_sub(age.0),
             queued: None,
             blocked_ms: None,
+            owed_ms: None,
             failed_on: Vec::new(),
             failed_attempts: 0,
         };
@@ -101,6 +102,7 @@
             .collect();
         let job = self.jobs.get_mut(&ordinal).expect("the job waits");
         job.blocked_ms = None;
+        job.owed_ms = None;
         let gang = new_gang(job, places, firm, now);
         let transition = JobTransition::Placed {
             job: job.record.spec.key.clone(),
--- a/src/scheduler/options.rs
+++ b/src/scheduler/options.rs
@@ -17,6 +17,10 @@
     /// The same where urgent work waits for the places.
     #[builder(default = Millis(3_000))]
     pub urgent_checkpoint_bound_ms: Millis,
+    /// How long work inside a guarantee waits for a cell to fall free before others must leave; the
+    /// time waited is taken off their checkpoint bound. Urgent work does not wait.
+    #[builder(default = Millis(10_000))]
+    pub reclaim_patience_ms: Millis,
     /// How many gangs may be on their way out for reclaims at one time.
     #[builder(default = 64)]
     pub reclaims_max: usize,
--- a/src/scheduler/pass.rs
+++ b/src/scheduler/pass.rs
@@ -141,13 +141,26 @@
             }
             let started = self.try_borrowed(key.ordinal, now, searches)
                 || self.try_guaranteed(key.ordinal, now, searches)
-                || self.try_reclaim(key.ordinal, now, searches);
+                || (self.patience_is_over(key.ordinal, now)
+                    && self.try_reclaim(key.ordinal, now, searches));
             if !started && !self.options.backfill {
                 return;
             }
         }
     }
 
+    /// Whether a job has waited long enough for a cell of its guarantee to fall free by itself.
+    fn patience_is_over(&mut self, ordinal: u64, now: Millis) -> bool {
+        let Some(job) = self.jobs.get_mut(&ordinal) else {
+            return false;
+        };
+        let since_ms = *job.owed_ms.get_or_insert(now);
+        let is_over =
+            job.record.spec.urgent || now.since(since_ms) >= self.options.reclaim_patience_ms;
+        self.dirty |= !is_over;
+        is_over
+    }
+
     fn keys_by_team(&self, with_guarantee: bool) -> BTreeMap<TeamId, Vec<QueueKey>> {
         let teams = self.queue.teams().count().max(1);
         let scan = (SCAN_MAX / teams).clamp(*SCAN_OF_TEAM.start(), *SCAN_OF_TEAM.end());
--- a/src/scheduler/reclaim.rs
+++ b/src/scheduler/reclaim.rs
@@ -142,15 +142,10 @@
                 return false;
             }
         }
-        let urgent = self
-            .jobs
-            .get(&ordinal)
-            .is_some_and(|job| job.record.spec.urgent);
+        let bound_ms = self.time_to_leave(ordinal, now);
         for victim in victims {
             self.evict(victim, cause.clone(), now);
-            if urgent {
-                self.hurry(victim, now);
-            }
+            self.hurry(victim, now.saturating_add(bound_ms));
         }
         true
     }
@@ -242,14 +237,26 @@
         self.jobs.get(&ordinal)?.gang.as_ref()
     }
 
-    /// Shortens a victim's time for its checkpoint, for urgent work.
-    fn hurry(&mut self, victim: u64, now: Millis) {
-        let soon = now.saturating_add(self.options.urgent_checkpoint_bound_ms);
+    /// How long victims may take for their checkpoints: less for urgent work, and less by the time
+    /// that the owner of a guarantee has waited already.
+    fn time_to_leave(&self, ordinal: u64, now: Millis) -> Millis {
+        let Some(job) = self.jobs.get(&ordinal) else {
+            return self.options.checkpoint_bound_ms;
+        };
+        if job.record.spec.urgent {
+            return self.options.urgent_checkpoint_bound_ms;
+        }
+        let waited_ms = now.since(job.owed_ms.unwrap_or(now));
+        self.options.checkpoint_bound_ms.since(waited_ms)
+    }
+
+    /// Shortens a victim's time for its checkpoint.
+    fn hurry(&mut self, victim: u64, latest_ms: Millis) {
         let gang = self.jobs.get_mut(&victim).and_then(|job| job.gang.as_mut());
         if let Some(gang) = gang
             && let Stage::Checkpointing { until_ms, .. } = &mut gang.stage
         {
-            *until_ms = soon.min(*until_ms);
+            *until_ms = latest_ms.min(*until_ms);
         }
     }
 }
