--- a/benches/request_path.rs
+++ b/benches/request_path.rs
@@ -27,7 +27,7 @@
 /// Requests a second at one entry that today's sizes suggest.
 const TODAY_S: u64 = 1_000;
 const ROUNDS: usize = 5;
-const ROUND_SPAN: Duration = Duration::from_millis(1_000);
+const ROUND_SPAN: Duration = Duration::from_secs(1);
 /// Short, so that the ledger's limit of records is not met.
 const COMMIT_SPAN: Duration = Duration::from_secs(1);
 /// Requests in progress at one of six entries when all of today's slots are in use.
