Control client: the recovery from silent connections is held to its 2 s

Cause: swallowed_bytes allowed 6 s for a limit of 2 s, for the sake of a busy machine; no test in virtual time measured a note that reaches the entry.

Ruled out: the shorter way, to end an exchange when another call retires its connection; the limit holds without.

Conclusion: both tests now assert 2 s.

--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -207,8 +207,7 @@
         let took = start.elapsed();
         println!("recovery_ms={}", took.as_millis());
         assert!(relay.opened.load(Ordering::SeqCst) >= version);
-        // The limit is 2 s; the rest is for a machine that is busy.
-        assert!(took < Duration::from_secs(6), "{took:?}");
+        assert!(took < Duration::from_secs(2), "{took:?}");
     }
     assert!(entry.state().borrow().in_force.revision > Revision::ZERO);
     replica.stop().await;
--- a/tests/exchange_cuts.rs
+++ b/tests/exchange_cuts.rs
@@ -262,6 +262,34 @@
     }
 }
 
+/// Whenever in a held exchange the connections go silent, a status is answered and a note that was
+/// accepted since is in force at the entry within 2 s.
+#[tokio::test(start_paused = true)]
+async fn silent_recovery() {
+    let world = World::start().await;
+    let network = world.network();
+    let entry = network.entry("e1", 1);
+    until("the first grant", 2_000, || entry.may_start()).await;
+    for (offset_ms, version) in (0..1_450).step_by(50).zip(2_u64..) {
+        sleep(Duration::from_millis(5_000 + offset_ms)).await;
+        network.cut(world.leader.address).silence_open();
+        let start = Instant::now();
+        let note = deadline_note(version, version);
+        let answer = world.operator.apply_note(note).await;
+        let wanted = assert_matches!(answer, Ok(NoteAnswer::Accepted { revision }) => revision);
+        assert_eq!(status(entry.client()).await.revision, wanted);
+        let answered = start.elapsed();
+        until("the note in force", 2_000, || revision(&entry) == wanted).await;
+        let took = start.elapsed();
+        println!(
+            "offset_ms={offset_ms} answered_ms={} took_ms={}",
+            answered.as_millis(),
+            took.as_millis()
+        );
+        assert!(took <= Duration::from_secs(2), "{took:?} at {offset_ms} ms");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn racing_entries() {
     let world = World::start().await;
