Scheduler: a placement that waits for its commit lets go no held poll

Cause: choosing places counted as a change of the workers' orders, though a gang in placing is in none; each of its workers got a new version of the same orders, had to poll again, and the order to prepare met a poll on its way.

Ruled out: comparing all orders with those sent last, which costs a copy of them a worker; the gang's stage tells it.

Conclusion: workers of a gang get two orders, to prepare and to run, each in answer to a held poll.

--- a/src/scheduler/life.rs
+++ b/src/scheduler/life.rs
@@ -69,6 +69,9 @@
     }
 
     /// Enters a new gang's loads at its workers.
+    ///
+    /// A gang whose placement is not committed is in no orders yet: those stay as they are, so that
+    /// no poll is let go which the order to prepare needs.
     fn hold_places(&mut self, ordinal: u64, mut gang: Gang) {
         gang.expected_ms = self.expected_end(ordinal, Millis::ZERO);
         let job = self.jobs.get_mut(&ordinal).expect("the job is known");
@@ -76,10 +79,13 @@
             load: gang.load,
             firm: gang.firm,
         };
+        let is_ordered = gang.want().is_some();
         for (at, place) in (0_u32..).zip(&gang.places) {
             let team = &job.record.spec.key.team;
             self.pool.hold(place.worker, (ordinal, at), team, task);
-            self.changed.insert(place.worker);
+            if is_ordered {
+                self.changed.insert(place.worker);
+            }
         }
         job.gang = Some(gang);
     }
--- a/tests/gang_life.rs
+++ b/tests/gang_life.rs
@@ -32,6 +32,39 @@
     );
 }
 
+/// A placement that is not committed changes no orders, so it lets go no poll that is held.
+#[test]
+fn two_orders() {
+    let (mut polls, mut took_ms) = (0, 0);
+    for seed in 0..20 {
+        let mut driver = Driver::ready(small_fleet(), seed);
+        driver.run_for(50 * seed);
+        let seen = |driver: &Driver| -> Vec<(u64, u64)> {
+            let workers = driver.slots.iter().map(|slot| &slot.worker);
+            workers
+                .map(|worker| (worker.version.get(), worker.sequence.get()))
+                .collect()
+        };
+        let before = seen(&driver);
+        let submitted_ms = driver.now.0;
+        let mut spec = job("ponds", "render", 4, 8, 60_000);
+        spec.urgent = true;
+        driver.submit(spec);
+        let running = |d: &Driver| {
+            let ran = d.slots.iter().filter(|s| !s.worker.history.is_empty());
+            ran.count() == 4
+        };
+        assert!(driver.run_until(10_000, running));
+        took_ms += driver.now.0 - submitted_ms;
+        for ((slot, before), after) in driver.slots.iter().zip(before).zip(seen(&driver)) {
+            let orders = if slot.worker.history.is_empty() { 0 } else { 2 };
+            assert_eq!(after.0 - before.0, orders, "to prepare and to run");
+            polls += if orders > 0 { after.1 - before.1 } else { 0 };
+        }
+    }
+    println!("polls_of_80_workers={} start_ms={}", polls, took_ms / 20);
+}
+
 /// What goes wrong at one moment.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
