Scheduler: a team's own movable work counts as used inside its guarantee

Cause: work inside a guarantee may start as movable, and the operators' table called it borrowed. Used is now what is held up to the guarantee, borrowed the rest.

--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -30,13 +30,16 @@
         let guaranteed = groups
             .map(|g| g.spec.count.saturating_mul(g.spec.accelerators.0))
             .fold(0, u32::saturating_add);
+        // Work that could still be moved counts inside the guarantee as far as that reaches.
         let held = self.pool.team_use(team);
+        let held = held.firm.saturating_add(held.borrowed);
+        let inside = held.min(u64::from(guaranteed));
         let (at_risk, risk_cause) = self.bindings.at_risk(team);
         TeamStatus {
             team: team.clone(),
             guaranteed: Accelerators(guaranteed),
-            used: accelerators(held.firm),
-            borrowed: accelerators(held.borrowed),
+            used: accelerators(inside),
+            borrowed: accelerators(held - inside),
             at_risk: Accelerators(at_risk),
             risk_cause,
             waiting: u32::try_from(self.queue.len(team)).unwrap_or(u32::MAX),
