--- a/benches/capacity/roles.rs
+++ b/benches/capacity/roles.rs
@@ -100,7 +100,7 @@
         messages_s: ENTRIES * (EXCHANGES_S + REPORT_BATCHES_S) + 2.0 * changes_s(),
         bytes_s: polls_s() * poll_bytes + 4.0 * log_bytes_s(slopes),
         core_pct: percent(polls_s() * poll_us + TICKS_S * slopes.tick_us + apply_us),
-        memory: "state and 24 MB, *estimate*".to_owned(),
+        memory: "scheduler's state and replica_mb of control_group".to_owned(),
     }
 }
 
@@ -111,7 +111,7 @@
         messages_s: 2.0 * changes_s(),
         bytes_s: log_bytes_s(slopes),
         core_pct: percent(slopes.apply_us.slope * JOBS_A_DAY / DAY_S),
-        memory: "see control_group's replica_mb".to_owned(),
+        memory: "replica_mb of control_group".to_owned(),
     }
 }
 
