--- a/benches/capacity/fleet.rs
+++ b/benches/capacity/fleet.rs
@@ -9,11 +9,11 @@
 };
 use marjoramknot::release_note::{Adjacency, InForce, RackSpec, TeamSpec, ZoneSpec, ZoneState};
 use marjoramknot::scheduler::{
-    Action, Event, JobPhase, JobRecord, JobSpec, JobTransition, Scheduler, SchedulerOptions,
+    Action, Event, JobRecord, JobSpec, JobTransition, Scheduler, SchedulerOptions,
 };
 use marjoramknot::units::{
-    Accelerators, Attempt, Cores, Incarnation, MemoryMb, Millis, OrdersVersion, RackId, Sequence,
-    Term, WallMs, WorkerId, ZoneId,
+    Accelerators, Cores, Incarnation, MemoryMb, Millis, OrdersVersion, RackId, Sequence, Term,
+    WallMs, WorkerId, ZoneId,
 };
 
 use crate::messages::{id, job_key};
@@ -284,19 +284,7 @@
             deadline_ms: None,
             payload: "run --config /etc/job.toml --seed 17".into(),
         };
-        JobRecord {
-            memory_mb: spec.memory_mb,
-            spec,
-            submitted_ms: WallMs(1_000),
-            ordinal: u64::from(number) + 1,
-            phase: JobPhase::Waiting,
-            attempt: Attempt::ZERO,
-            started_once: false,
-            cancel_requested: false,
-            checkpoints: Vec::new(),
-            attained_ms: Millis::ZERO,
-            ended_ms: None,
-        }
+        JobRecord::new(spec, WallMs(1_000), u64::from(number) + 1)
     };
     (0..size.running + size.waiting).map(job).collect()
 }
--- a/src/control/job_table.rs
+++ b/src/control/job_table.rs
@@ -102,7 +102,7 @@
         if let Err(reason) = admitted {
             return SubmitAnswer::NotRun { reason };
         }
-        let record = new_record(spec, now, self.next_ordinal);
+        let record = JobRecord::new(spec.clone(), now, self.next_ordinal);
         self.next_ordinal = self.next_ordinal.saturating_add(1);
         self.digests.insert(spec.key.clone(), digest);
         self.insert(record);
@@ -111,7 +111,7 @@
 
     /// Applies a transition if it fits the job's attempt and phase; false where it changed nothing.
     pub(super) fn apply(&mut self, transition: &JobTransition, now: WallMs) -> bool {
-        let Some(known) = self.jobs.get(key_of(transition)) else {
+        let Some(known) = self.jobs.get(transition.job()) else {
             return false;
         };
         let mut job = known.clone();
@@ -284,33 +284,6 @@
     Sha256::digest(bytes).into()
 }
 
-/// The job that a transition is about.
-pub(super) const fn key_of(transition: &JobTransition) -> &JobKey {
-    match transition {
-        JobTransition::Placed { job, .. }
-        | JobTransition::Started { job, .. }
-        | JobTransition::Requeued { job, .. }
-        | JobTransition::CancelRequested { job }
-        | JobTransition::Ended { job, .. } => job,
-    }
-}
-
-fn new_record(spec: &JobSpec, now: WallMs, ordinal: u64) -> JobRecord {
-    JobRecord {
-        spec: spec.clone(),
-        submitted_ms: now,
-        ordinal,
-        phase: JobPhase::Waiting,
-        attempt: Attempt::ZERO,
-        started_once: false,
-        cancel_requested: false,
-        checkpoints: Vec::new(),
-        attained_ms: Millis::ZERO,
-        memory_mb: spec.memory_mb,
-        ended_ms: None,
-    }
-}
-
 /// A new attempt needs a place for each task, or part of the gang would never run.
 fn place(job: &mut JobRecord, attempt: Attempt, members: &[Member]) -> bool {
     let is_whole = members.len() == usize::try_from(job.spec.tasks).unwrap_or(usize::MAX)
--- a/src/scheduler/commit.rs
+++ b/src/scheduler/commit.rs
@@ -7,14 +7,7 @@
 impl Scheduler {
     /// A transition was committed.
     pub(super) fn committed(&mut self, transition: JobTransition, now: Millis) {
-        let key = match &transition {
-            JobTransition::Placed { job, .. }
-            | JobTransition::Started { job, .. }
-            | JobTransition::Requeued { job, .. }
-            | JobTransition::CancelRequested { job }
-            | JobTransition::Ended { job, .. } => job,
-        };
-        let Some(ordinal) = self.by_key.get(key).copied() else {
+        let Some(ordinal) = self.by_key.get(transition.job()).copied() else {
             return;
         };
         match transition {
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -241,6 +241,40 @@
     pub ended_ms: Option<WallMs>,
 }
 
+impl JobTransition {
+    /// The job that it is about.
+    #[must_use]
+    pub const fn job(&self) -> &JobKey {
+        match self {
+            Self::Placed { job, .. }
+            | Self::Started { job, .. }
+            | Self::Requeued { job, .. }
+            | Self::CancelRequested { job }
+            | Self::Ended { job, .. } => job,
+        }
+    }
+}
+
+impl JobRecord {
+    /// A job that was just accepted.
+    #[must_use]
+    pub const fn new(spec: JobSpec, submitted_ms: WallMs, ordinal: u64) -> Self {
+        Self {
+            memory_mb: spec.memory_mb,
+            spec,
+            submitted_ms,
+            ordinal,
+            phase: JobPhase::Waiting,
+            attempt: Attempt::ZERO,
+            started_once: false,
+            cancel_requested: false,
+            checkpoints: Vec::new(),
+            attained_ms: Millis::ZERO,
+            ended_ms: None,
+        }
+    }
+}
+
 /// The answer to a submission.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/tests/support/gang_driver.rs
+++ b/tests/support/gang_driver.rs
@@ -276,19 +276,7 @@
     pub fn submit(&mut self, spec: JobSpec) -> JobKey {
         self.ordinal += 1;
         let key = spec.key.clone();
-        let record = JobRecord {
-            submitted_ms: WallMs(self.now.0),
-            ordinal: self.ordinal,
-            phase: JobPhase::Waiting,
-            attempt: Attempt::ZERO,
-            started_once: false,
-            cancel_requested: false,
-            checkpoints: Vec::new(),
-            attained_ms: Millis::ZERO,
-            memory_mb: spec.memory_mb,
-            ended_ms: None,
-            spec,
-        };
+        let record = JobRecord::new(spec, WallMs(self.now.0), self.ordinal);
         self.records.insert(key.clone(), record.clone());
         self.submitted_ms.insert(key.clone(), self.now);
         self.give(Event::Submitted {
