--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -11,6 +11,7 @@
 use crate::scheduler::{
     Explanation, JobKey, JobOutcome, JobSpec, SubmitAnswer, TeamStatus, WorkerStatus,
 };
+use crate::workload::{WorkAnswer, WorkRequest};
 use crate::units::{
     Attempt, FolderId, LogIndex, Millis, ReplicaId, Revision, ServiceName, TeamId, Term, ZoneId,
 };
@@ -64,6 +65,8 @@
     async fn cancel_jobs(keys: Vec<JobKey>) -> Result<Vec<JobView>>;
     /// The whole status, for operators.
     async fn status() -> Result<Status>;
+    /// A caller's, worker's or operator's call on the workload.
+    async fn work(request: WorkRequest) -> Result<WorkAnswer>;
 }
 
 /// Which jobs to list.
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -15,6 +15,7 @@
 use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
 use crate::scheduler::{JobKey, JobSpec, SubmitAnswer};
 use crate::units::Millis;
+use crate::workload::{WorkAnswer, WorkRequest};
 
 /// How long one try of a call may take before its connection counts as silent.
 const TRY_MS: Millis = Millis(1_000);
@@ -240,6 +241,19 @@
         .await
     }
 
+    /// Makes a call on the workload; calls may be repeated.
+    ///
+    /// # Errors
+    /// [`ControlError::Uncertain`] where a change may have been made.
+    pub async fn work(&self, request: WorkRequest) -> Result<WorkAnswer> {
+        self.call(
+            self.deadline_ms,
+            TRY_MS,
+            async |client: ControlApiClient, context| client.work(context, request.clone()).await,
+        )
+        .await
+    }
+
     /// Tries until there is an answer or the deadline.
     async fn call<T, C, F>(&self, deadline_ms: Millis, try_ms: Millis, call: C) -> Result<T>
     where
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -4,6 +4,7 @@
 use crate::request_ledger::{BeginAnswer, BeginRequest, FinishAnswer, FinishRequest};
 use crate::scheduler::{JobSpec, JobTransition, SubmitAnswer};
 use crate::units::WallMs;
+use crate::workload::{WorkloadCommand, WorkloadReply};
 
 /// One record of the replicated log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -32,6 +33,8 @@
     SubmitJob(Box<JobSpec>),
     /// Changes a job.
     Job(Box<JobTransition>),
+    /// Changes the workload, in order.
+    Workload(Vec<WorkloadCommand>),
     /// Moves the state's clock on, so that old records expire.
     Clock,
 }
@@ -52,6 +55,8 @@
         /// False where the transition was out of date and changed nothing.
         applied: bool,
     },
+    /// The answers to changes of the workload, in order.
+    Workload(Vec<WorkloadReply>),
     /// Nothing to tell.
     Done,
 }
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -9,6 +9,7 @@
 use crate::request_ledger::Ledger;
 use crate::scheduler::{self, JobKey, JobRecord, JobSpec, SubmitAnswer};
 use crate::units::{LogIndex, Revision, WallMs};
+use crate::workload::Workload;
 
 /// The replicated state: what every replica holds after the same records.
 ///
@@ -22,6 +23,7 @@
     notes: NoteHistory,
     jobs: JobTable,
     ledger: Ledger,
+    workload: Workload,
 }
 
 impl Machine {
@@ -35,6 +37,7 @@
         let reply = self.apply_body(index, &command.body);
         self.jobs.expire(self.wall_ms);
         self.ledger.expire(self.wall_ms);
+        self.workload.expire(self.wall_ms);
         reply
     }
 
@@ -50,7 +53,15 @@
     /// Reads a state from a snapshot; none where the bytes are not one.
     #[must_use]
     pub fn restore(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let mut machine: Self = postcard::from_bytes(bytes).ok()?;
+        machine.workload.rebuild_index();
+        Some(machine)
+    }
+
+    /// Queues, their jobs and closed availability zones.
+    #[must_use]
+    pub const fn workload(&self) -> &Workload {
+        &self.workload
     }
 
     /// The last applied record.
@@ -115,6 +126,11 @@
             CommandBody::Job(transition) => Reply::Job {
                 applied: self.jobs.apply(transition, self.wall_ms),
             },
+            CommandBody::Workload(commands) => {
+                let now = self.wall_ms;
+                let apply = |command| self.workload.apply(command, now);
+                Reply::Workload(commands.iter().map(apply).collect())
+            }
             CommandBody::Clock => Reply::Done,
         }
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod note_history;
 mod order_book;
 mod service;
+mod work_loop;
 
 pub use api::{
     ControlApi, ControlApiClient, ControlApiRequest, ControlApiResponse, ControlError, GroupStatus,
@@ -36,6 +37,7 @@
 pub use machine::Machine;
 pub use note_history::VERSIONS_KEPT;
 pub use service::{ControlOptions, ControlService, JOBS_IN_CALL};
+pub use work_loop::WorkDoor;
 
 use crate::units::Millis;
 
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -17,6 +17,7 @@
 use super::ask::Ask;
 use super::job_table::is_ended;
 use super::lead_loop::LeadLoop;
+use super::work_loop::{WorkDoor, WorkLoop};
 use super::{
     CommandBody, ControlApi, ControlApiRequest, ControlApiResponse, ControlError, ExchangeAnswer,
     ExchangeRequest, JobFilter, JobView, Machine, Reply, ReportAnswer, ReportBatch, Result,
@@ -32,6 +33,7 @@
     SubmitAnswer,
 };
 use crate::units::{Millis, WallMs};
+use crate::workload::{PlannerOptions, WorkAnswer, WorkRequest};
 
 /// The most jobs that one call lists or cancels.
 pub const JOBS_IN_CALL: usize = 1_000;
@@ -54,6 +56,8 @@
     /// The scheduler's settings.
     #[builder(default)]
     pub scheduler: SchedulerOptions,
+    /// The planner's settings.
+    pub planner: Option<PlannerOptions>,
 }
 
 /// The service that entries call: it serves [`ControlApi`] and runs the leader's loop.
@@ -64,6 +68,8 @@
     stop: watch::Sender<bool>,
     close: watch::Sender<bool>,
     lead_loop: JoinHandle<()>,
+    work_loop: JoinHandle<()>,
+    work: WorkDoor,
     accepts: JoinHandle<()>,
 }
 
@@ -82,10 +88,14 @@
         let stop = watch::Sender::new(false);
         let close = watch::Sender::new(false);
         let (asks, taken) = mpsc::channel(ASKS_MAX);
+        let planner = options.planner.unwrap_or_else(|| PlannerOptions::builder().build());
+        let work = WorkLoop::new(handle.clone(), machine.clone(), planner, Clock::start());
+        let (work, work_loop) = work.start(stop.subscribe());
         let server = ControlServer {
             asks,
             machine: machine.clone(),
             handle: handle.clone(),
+            work: work.clone(),
             close: close.subscribe(),
         };
         let lead_loop = LeadLoop::new(handle, machine, options.scheduler, Clock::start());
@@ -98,10 +108,18 @@
             stop,
             close,
             lead_loop,
+            work_loop,
+            work,
             accepts,
         })
     }
 
+    /// The way to the workload inside this process.
+    #[must_use]
+    pub fn work(&self) -> WorkDoor {
+        self.work.clone()
+    }
+
     /// Where it listens.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -126,6 +144,9 @@
         if timeout(STOP_WAIT, self.lead_loop).await.is_err() {
             warn!(event = "leader_loop_stuck");
         }
+        if timeout(STOP_WAIT, self.work_loop).await.is_err() {
+            warn!(event = "work_loop_stuck");
+        }
         self.close.send_replace(true);
         drop(self.accepts.await);
     }
@@ -213,6 +234,7 @@
     asks: mpsc::Sender<Ask>,
     machine: SharedMachine,
     handle: Handle,
+    work: WorkDoor,
     /// Turns true when connections are to finish their calls and close.
     close: watch::Receiver<bool>,
 }
@@ -357,6 +379,10 @@
     async fn status(self, _: Context) -> Result<Status> {
         self.ask(|reply| Ask::Status { reply }).await?
     }
+
+    async fn work(self, _: Context, request: WorkRequest) -> Result<WorkAnswer> {
+        self.work.ask(request).await
+    }
 }
 
 fn view(job: JobRecord, explanation: Option<Explanation>, now: WallMs) -> JobView {
--- /dev/null
+++ b/src/control/work_loop.rs
@@ -0,0 +1,549 @@
+//! The task on the leader that answers calls on the workload.
+//!
+//! One batch of changes is on its way at a time and shares a commit; what arrives meanwhile waits for
+//! the next. Decisions so always stand on the applied state.
+
+use std::collections::BTreeSet;
+use std::future::pending;
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::{info, warn};
+
+use super::{Command, CommandBody, ControlError, Reply, Result, SharedMachine};
+use crate::kernel::Clock;
+use crate::replica::{Applied, Handle, Leadership, ProposeError};
+use crate::units::{Millis, Term, WorkerId};
+use crate::workload::{
+    CallerAnswer, CallerCall, CallerRequest, Declaration, JobNumber, Phase, Planner, PlannerOptions,
+    Queue, Transition, WorkAnswer, WorkRequest, WorkerOrders, WorkerReport, Workload,
+    WorkloadCommand, WorkloadReply,
+};
+
+/// How often time passes for the planner.
+const TICK_MS: Millis = Millis(50);
+/// How often waiting tasks are looked at again though nothing changed.
+const REVIEW_MS: Millis = Millis(250);
+/// Calls that wait for the loop.
+const ASKS_MAX: usize = 4_096;
+/// When a caller comes again where too much waits.
+const OVERLOAD_RETRY_MS: Millis = Millis(2_000);
+
+/// The way to the loop inside a process.
+#[derive(Clone, Debug)]
+pub struct WorkDoor {
+    asks: mpsc::Sender<Ask>,
+}
+
+/// A call with where its answer goes.
+#[derive(Debug)]
+struct Ask {
+    request: WorkRequest,
+    reply: Answer,
+}
+
+type Answer = oneshot::Sender<Result<WorkAnswer>>;
+type Proposed = std::result::Result<Applied, ProposeError>;
+
+/// A call that is answered after a commit.
+enum Waiting {
+    /// The answer follows from the reply to a command of the batch.
+    Change { at: usize, reply: Answer },
+    /// The answer holds a worker's orders.
+    Report {
+        report: Box<WorkerReport>,
+        received_ms: Millis,
+        reply: Answer,
+    },
+    /// The answer only says that the batch is committed.
+    Plain { reply: Answer },
+}
+
+/// Changes that are committed together, and who waits for them.
+#[derive(Default)]
+struct Batch {
+    commands: Vec<WorkloadCommand>,
+    transitions: Vec<Transition>,
+    waiting: Vec<Waiting>,
+}
+
+/// What a leadership knows.
+struct Lead {
+    term: Term,
+    planner: Planner,
+}
+
+/// The task's state.
+pub(super) struct WorkLoop {
+    handle: Handle,
+    leadership: watch::Receiver<Leadership>,
+    machine: SharedMachine,
+    options: PlannerOptions,
+    clock: Clock,
+    lead: Option<Lead>,
+    next: Batch,
+    in_flight: Option<(BoxFuture<'static, Proposed>, Vec<Waiting>)>,
+    reviewed_ms: Millis,
+    stopping: bool,
+}
+
+impl WorkDoor {
+    /// Asks the leader's loop.
+    ///
+    /// # Errors
+    /// [`ControlError::NotLeader`] where this replica does not lead, [`ControlError::Uncertain`]
+    /// where a change may have been made.
+    pub async fn ask(&self, request: WorkRequest) -> Result<WorkAnswer> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.asks.send(Ask { request, reply }).await;
+        sent.map_err(|_closed| ControlError::NotLeader { leader: None })?;
+        answer.await.map_err(|_closed| ControlError::Uncertain)?
+    }
+}
+
+impl WorkLoop {
+    pub(super) fn new(
+        handle: Handle,
+        machine: SharedMachine,
+        options: PlannerOptions,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            leadership: handle.leadership(),
+            handle,
+            machine,
+            options,
+            clock,
+            lead: None,
+            next: Batch::default(),
+            in_flight: None,
+            reviewed_ms: Millis::ZERO,
+            stopping: false,
+        }
+    }
+
+    /// Starts the task; it ends once `stop` is true and the batch on its way is done.
+    pub(super) fn start(self, stop: watch::Receiver<bool>) -> (WorkDoor, JoinHandle<()>) {
+        let (asks, taken) = mpsc::channel(ASKS_MAX);
+        let task = tokio::spawn(self.run(taken, stop));
+        (WorkDoor { asks }, task)
+    }
+
+    async fn run(mut self, mut asks: mpsc::Receiver<Ask>, mut stop: watch::Receiver<bool>) {
+        let mut ticks = interval(TICK_MS.duration());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.follow_leadership();
+        while !self.stopping || self.in_flight.is_some() {
+            tokio::select! {
+                ask = asks.recv(), if !self.stopping => match ask {
+                    Some(ask) => self.take(ask),
+                    None => self.stopping = true,
+                },
+                done = landed(&mut self.in_flight) => self.finish(done),
+                changed = self.leadership.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.follow_leadership();
+                }
+                _instant = ticks.tick(), if self.lead.is_some() => self.tick(),
+                () = until_true(&mut stop), if !self.stopping => self.stopping = true,
+            }
+            self.send_batch();
+        }
+        self.refuse_waiting();
+    }
+
+    fn follow_leadership(&mut self) {
+        let seen = self.leadership.borrow_and_update().clone();
+        if !seen.leads {
+            self.lead = None;
+            self.refuse_waiting();
+            return;
+        }
+        if self.lead.as_ref().is_some_and(|lead| lead.term == seen.term) {
+            return;
+        }
+        let now = self.clock.now();
+        let planner = Planner::new(self.options.clone(), seen.term, now);
+        info!(event = "planner_began", term = %seen.term);
+        self.lead = Some(Lead {
+            term: seen.term,
+            planner,
+        });
+    }
+
+    /// Whether this replica may order and answer now.
+    fn may_act(&self) -> bool {
+        let term = self.leadership.borrow().term;
+        let same_term = self.lead.as_ref().is_some_and(|lead| lead.term == term);
+        self.handle.has_quorum() && same_term
+    }
+
+    fn not_leader(&self) -> ControlError {
+        let seen = self.leadership.borrow();
+        let leader = seen.leader_address.filter(|_address| !seen.leads);
+        ControlError::NotLeader { leader }
+    }
+
+    /// Tells those who wait for changes that were never proposed.
+    fn refuse_waiting(&mut self) {
+        for waiting in std::mem::take(&mut self.next).waiting {
+            send(waiting.into_reply(), Err(self.not_leader()));
+        }
+    }
+
+    fn take(&mut self, ask: Ask) {
+        if !self.may_act() {
+            send(ask.reply, Err(self.not_leader()));
+            return;
+        }
+        match ask.request {
+            WorkRequest::Check => send(ask.reply, Ok(WorkAnswer::Done)),
+            WorkRequest::ReadDeclaration => {
+                let held = self.machine.read(|m| m.workload().declaration().cloned());
+                send(ask.reply, Ok(WorkAnswer::Declaration(held)));
+            }
+            WorkRequest::Call(call) => self.take_call(&call, ask.reply),
+            WorkRequest::Report(report) => self.take_report(report, ask.reply),
+            WorkRequest::Left { worker } => self.take_left(&worker, ask.reply),
+            WorkRequest::Declare(declaration) => self.take_declaration(declaration, ask.reply),
+            WorkRequest::SetZone { zone, closed } => {
+                info!(event = "zone_change_asked", zone = %zone, closed);
+                self.change(WorkloadCommand::SetZone { zone, closed }, ask.reply);
+            }
+        }
+    }
+
+    fn change(&mut self, command: WorkloadCommand, reply: Answer) {
+        let at = self.next.commands.len();
+        self.next.commands.push(command);
+        self.next.waiting.push(Waiting::Change { at, reply });
+    }
+
+    fn take_declaration(&mut self, declaration: Arc<Declaration>, reply: Answer) {
+        if let Err(fault) = declaration.check() {
+            warn!(event = "declaration_refused", version = declaration.version, cause = %fault);
+            send(reply, Ok(WorkAnswer::Invalid(fault)));
+            return;
+        }
+        self.change(WorkloadCommand::Declare(declaration), reply);
+    }
+
+    fn take_call(&mut self, call: &CallerCall, reply: Answer) {
+        let decided = self.machine.read(|machine| decide(call, machine.workload()));
+        match decided {
+            Decided::Answer(answer) => {
+                log_refusal(call, &answer);
+                send(reply, Ok(WorkAnswer::Call(answer)));
+            }
+            Decided::Change(command) => self.change(command, reply),
+        }
+    }
+
+    fn take_report(&mut self, report: Box<WorkerReport>, reply: Answer) {
+        let now = self.clock.now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let planner = &mut lead.planner;
+        let reported = self
+            .machine
+            .read(|machine| planner.report(&report, machine.workload(), now));
+        if !reported.is_news {
+            let orders = Box::default();
+            send(reply, Ok(WorkAnswer::Orders(orders)));
+            return;
+        }
+        let waits = !reported.transitions.is_empty();
+        self.next.transitions.extend(reported.transitions);
+        let waiting = Waiting::Report {
+            report,
+            received_ms: now,
+            reply,
+        };
+        if waits {
+            self.next.waiting.push(waiting);
+        } else {
+            self.answer(waiting, &[]);
+        }
+    }
+
+    fn take_left(&mut self, worker: &WorkerId, reply: Answer) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let planner = &mut lead.planner;
+        let lost = self
+            .machine
+            .read(|machine| planner.left(worker, machine.workload()));
+        self.next.transitions.extend(lost);
+        self.next.waiting.push(Waiting::Plain { reply });
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.reviewed_ms) < REVIEW_MS {
+            return;
+        }
+        self.reviewed_ms = now;
+        if let Some(lead) = &mut self.lead {
+            lead.planner.touch();
+        }
+    }
+
+    /// Proposes what has gathered, where nothing else is on its way.
+    fn send_batch(&mut self) {
+        if self.in_flight.is_some() || !self.may_act() {
+            return;
+        }
+        self.decide_runs();
+        let mut batch = std::mem::take(&mut self.next);
+        if !batch.transitions.is_empty() {
+            let transitions = std::mem::take(&mut batch.transitions);
+            batch.commands.push(WorkloadCommand::Transitions(transitions));
+        }
+        if batch.commands.is_empty() {
+            for waiting in batch.waiting {
+                self.answer(waiting, &[]);
+            }
+            return;
+        }
+        let command = Command {
+            wall_ms: self.clock.wall(),
+            body: CommandBody::Workload(batch.commands),
+        };
+        let bytes = postcard::to_allocvec(&command).expect("a command always encodes");
+        let handle = self.handle.clone();
+        let proposal = async move { handle.propose(bytes).await }.boxed();
+        self.in_flight = Some((proposal, batch.waiting));
+    }
+
+    /// Adds what the planner decides to the next batch.
+    fn decide_runs(&mut self) {
+        let (now, wall) = (self.clock.now(), self.clock.wall());
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let planner = &mut lead.planner;
+        if !planner.is_dirty() {
+            return;
+        }
+        let transitions = &mut self.next.transitions;
+        self.machine.read(|machine| {
+            let state = machine.workload();
+            transitions.extend(planner.lapsed(state, now));
+            transitions.extend(planner.due(state, wall));
+            transitions.extend(planner.plan(state, now, wall));
+            transitions.extend(planner.withdrawn(state));
+        });
+    }
+
+    fn finish(&mut self, (result, waiting): (Proposed, Vec<Waiting>)) {
+        let applied = match result {
+            Ok(applied) => applied,
+            Err(cause) => {
+                warn!(event = "batch_not_committed", cause = %cause, waiting = waiting.len());
+                let error = self.error_of(&cause);
+                for waiting in waiting {
+                    send(waiting.into_reply(), Err(error.clone()));
+                }
+                return;
+            }
+        };
+        let replies = match postcard::from_bytes(&applied.reply) {
+            Ok(Reply::Workload(replies)) => replies,
+            _ => Vec::new(),
+        };
+        if let Some(lead) = &mut self.lead {
+            lead.planner.touch();
+        }
+        // Starts that follow from the ends of this batch go out with the same answers.
+        self.decide_runs();
+        let placed_on = self.next.workers_placed_on();
+        for waiting in waiting {
+            match waiting {
+                Waiting::Report { ref report, .. } if placed_on.contains(&report.worker) => {
+                    self.next.waiting.push(waiting);
+                }
+                waiting => self.answer(waiting, &replies),
+            }
+        }
+    }
+
+    fn error_of(&self, cause: &ProposeError) -> ControlError {
+        match cause {
+            ProposeError::NotLeader | ProposeError::Stopped => self.not_leader(),
+            ProposeError::Uncertain => ControlError::Uncertain,
+            ProposeError::Refused { reason } => ControlError::Refused {
+                reason: reason.as_str().into(),
+            },
+        }
+    }
+
+    /// Answers under the quorum lease; what was committed is also told after it was lost.
+    fn answer(&mut self, waiting: Waiting, replies: &[WorkloadReply]) {
+        match waiting {
+            Waiting::Plain { reply } => send(reply, Ok(WorkAnswer::Done)),
+            Waiting::Change { at, reply } => {
+                let answer = replies.get(at).map(answer_of);
+                send(reply, answer.ok_or(ControlError::Uncertain));
+            }
+            Waiting::Report {
+                report,
+                received_ms,
+                reply,
+            } => {
+                let answer = if self.may_act() {
+                    let orders = self.orders(&report, received_ms);
+                    Ok(WorkAnswer::Orders(Box::new(orders)))
+                } else {
+                    Err(self.not_leader())
+                };
+                send(reply, answer);
+            }
+        }
+    }
+
+    fn orders(&mut self, report: &WorkerReport, received_ms: Millis) -> WorkerOrders {
+        let Some(lead) = &mut self.lead else {
+            return WorkerOrders::default();
+        };
+        let planner = &mut lead.planner;
+        self.machine
+            .read(|machine| planner.answer(report, received_ms, machine.workload()))
+    }
+}
+
+impl Waiting {
+    fn into_reply(self) -> Answer {
+        match self {
+            Self::Change { reply, .. } | Self::Report { reply, .. } | Self::Plain { reply } => reply,
+        }
+    }
+}
+
+impl Batch {
+    fn workers_placed_on(&self) -> BTreeSet<WorkerId> {
+        let placed = self.transitions.iter().filter_map(|transition| match transition {
+            Transition::Placed { places, .. } => Some(places),
+            Transition::Due { .. } | Transition::Ended { .. } => None,
+        });
+        let workers = placed.flatten().map(|(_index, place)| place.worker.clone());
+        workers.collect()
+    }
+}
+
+/// How a caller's call goes on.
+enum Decided {
+    Answer(CallerAnswer),
+    Change(WorkloadCommand),
+}
+
+/// Decides a call on the applied state: what needs no change is answered at once.
+fn decide(call: &CallerCall, state: &Workload) -> Decided {
+    let Some(declaration) = state.declaration() else {
+        return Decided::Answer(CallerAnswer::NotConfigured);
+    };
+    let Some(queue) = declaration.queue_of(&call.host, &call.path) else {
+        return Decided::Answer(CallerAnswer::NoQueue);
+    };
+    let team = call.key.as_deref().and_then(|key| declaration.team_of(key));
+    if team.is_none() && !queue.public {
+        return Decided::Answer(CallerAnswer::BadKey);
+    }
+    let team = team.map(|team| team.name.clone());
+    let rest = &call.path[queue.path.prefix.len()..];
+    if rest.is_empty() && call.request == CallerRequest::Show {
+        let jobs = waiting_jobs(state, queue);
+        return Decided::Answer(CallerAnswer::Waiting { jobs });
+    }
+    let Ok(id) = rest.parse() else {
+        return Decided::Answer(CallerAnswer::NoId);
+    };
+    let known = state.number_of(&id).and_then(|number| {
+        let job = state.job(number)?;
+        (job.queue == queue.path && job.team == team).then_some((number, job.phase))
+    });
+    match (&call.request, known) {
+        (CallerRequest::Submit(spec), _) => Decided::Change(WorkloadCommand::Submit {
+            id,
+            host: call.host.clone(),
+            path: call.path.clone(),
+            team,
+            spec: Arc::clone(spec),
+        }),
+        (CallerRequest::Show, Some((_number, phase))) => {
+            Decided::Answer(CallerAnswer::Phase(phase))
+        }
+        (CallerRequest::Cancel, Some((number, phase))) => cancel(number, phase),
+        (CallerRequest::Show | CallerRequest::Cancel, None) => {
+            Decided::Answer(CallerAnswer::NoJob)
+        }
+    }
+}
+
+fn cancel(job: JobNumber, phase: Phase) -> Decided {
+    if phase.is_ended() {
+        return Decided::Answer(CallerAnswer::Cancelled);
+    }
+    Decided::Change(WorkloadCommand::Cancel { job })
+}
+
+fn waiting_jobs(state: &Workload, queue: &Queue) -> u64 {
+    let waiting = state
+        .open_jobs()
+        .filter(|(_number, job)| job.phase == Phase::Queued && job.queue == queue.path);
+    u64::try_from(waiting.count()).unwrap_or(u64::MAX)
+}
+
+fn answer_of(reply: &WorkloadReply) -> WorkAnswer {
+    let call = match reply {
+        WorkloadReply::Done => return WorkAnswer::Done,
+        WorkloadReply::Invalid(fault) => return WorkAnswer::Invalid(fault.clone()),
+        WorkloadReply::NoQueue => CallerAnswer::NoQueue,
+        WorkloadReply::BadJob(fault) => CallerAnswer::BadJob(*fault),
+        WorkloadReply::OtherJob => CallerAnswer::OtherJob,
+        WorkloadReply::TooManyJobs => CallerAnswer::Overloaded {
+            retry_after_ms: OVERLOAD_RETRY_MS,
+        },
+    };
+    WorkAnswer::Call(call)
+}
+
+fn log_refusal(call: &CallerCall, answer: &CallerAnswer) {
+    let is_refusal = matches!(
+        answer,
+        CallerAnswer::NotConfigured | CallerAnswer::NoQueue | CallerAnswer::BadKey
+    );
+    if is_refusal {
+        info!(event = "call_refused", host = %call.host, path = %call.path, cause = ?answer);
+    }
+}
+
+/// The caller may have given up waiting.
+fn send(reply: Answer, answer: Result<WorkAnswer>) {
+    drop(reply.send(answer));
+}
+
+/// Waits for the batch on its way; for ever where there is none.
+async fn landed(
+    in_flight: &mut Option<(BoxFuture<'static, Proposed>, Vec<Waiting>)>,
+) -> (Proposed, Vec<Waiting>) {
+    let Some((proposal, _waiting)) = in_flight else {
+        return pending().await;
+    };
+    let result = proposal.await;
+    let waiting = in_flight.take().map(|(_proposal, waiting)| waiting);
+    (result, waiting.unwrap_or_default())
+}
+
+async fn until_true(receiver: &mut watch::Receiver<bool>) {
+    if receiver.wait_for(|stop| *stop).await.is_err() {
+        pending::<()>().await;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,3 +53,4 @@
 pub mod settings;
 pub mod telemetry;
 pub mod units;
+pub mod workload;
--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -15,7 +15,7 @@
 use crate::entry::{Answering, json_answer, route, text_answer};
 use crate::kernel::{Kernel, KernelBuilder, Service, Stopper};
 use crate::replica::{self, Handle, Peer, ReplicaOptions};
-use crate::settings::ControlSettings;
+use crate::settings::{ControlSettings, SeedSettings};
 use crate::telemetry::Metrics;
 use crate::units::Millis;
 
@@ -28,15 +28,22 @@
 /// The service that failed to start, with its cause.
 pub async fn start_control(settings: ControlSettings, metrics: Metrics) -> Result<Kernel> {
     let settings = Arc::new(settings);
-    let started = KernelBuilder::default()
-        .with(replica_service(Arc::clone(&settings)))
-        .with(control_service(Arc::clone(&settings)))
+    let started = control_core(&settings)
         .with(operators_service(settings, metrics))
         .start()
         .await;
     started.map_err(|cause| cause.to_string())
 }
 
+/// The services of a control replica without its listener for operators: the replica is published
+/// as `replica`, the way to the workload as `work`.
+#[must_use]
+pub fn control_core(settings: &Arc<ControlSettings>) -> KernelBuilder {
+    KernelBuilder::default()
+        .with(replica_service(Arc::clone(settings)))
+        .with(control_service(Arc::clone(settings)))
+}
+
 /// Serves as a control replica until `stop` is cancelled, then hands over and stops.
 #[must_use]
 pub fn serve_control(
@@ -78,7 +85,11 @@
         control_address: replica.entries,
     });
     let own = settings.own();
+    let seeded = settings.seeded.as_ref();
     ReplicaOptions::builder()
+        .maybe_host_ports(seeded.map(|seeded| seeded.ports))
+        .maybe_voters_wanted(seeded.map(SeedSettings::voters_wanted))
+        .may_found(seeded.is_none_or(SeedSettings::may_found))
         .name(settings.name.clone())
         .listen(own.peers)
         .control_address(own.entries)
@@ -95,10 +106,13 @@
         let address = settings.own().entries;
         let bound = TcpListener::bind(address).await;
         let listener = bound.map_err(|cause| format!("cannot listen on {address}: {cause}"))?;
-        let options = ControlOptions::default();
+        let options = ControlOptions::builder()
+            .planner(settings.planner.clone())
+            .build();
         let (replica, machine) = (Handle::clone(&replica), SharedMachine::clone(&machine));
         let service = ControlService::start(options, replica, machine, listener)
             .map_err(|cause| cause.to_string())?;
+        registry.publish("work", service.work());
         let stop: Stopper = Box::new(move || Box::pin(service.stop()));
         Ok(stop)
     })
--- a/src/programs/daemon.rs
+++ b/src/programs/daemon.rs
@@ -1,10 +1,12 @@
 use std::env;
 use std::fmt::Display;
+use std::io;
+use std::num::NonZero;
 use std::path::Path;
 use std::process::ExitCode;
 
 use futures::future::BoxFuture;
-use tokio::runtime::Runtime;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use tracing::{error, info};
@@ -29,10 +31,13 @@
 
 /// Runs a daemon with the command line of this process.
 #[must_use]
-pub fn run_daemon<S>(daemon: &Daemon<S>) -> ExitCode {
+pub fn run_daemon<S: 'static>(daemon: &Daemon<S>) -> ExitCode {
     let args: Vec<_> = env::args().skip(1).collect();
     let exit = match daemon_task(daemon.program, &args) {
-        DaemonTask::Run(path) => load(daemon, &path).map_or_else(|exit| exit, |s| run(daemon, s)),
+        DaemonTask::Run(path) => {
+            let settings = load(daemon, &path);
+            settings.map_or_else(|exit| exit, |settings| run(daemon, settings, &path))
+        }
         DaemonTask::Check(path) => check(daemon, &path),
         DaemonTask::Print { text, exit } => print(&text, exit),
     };
@@ -53,20 +58,21 @@
     })
 }
 
-fn run<S>(daemon: &Daemon<S>, settings: S) -> Exit {
-    match serve(daemon, settings) {
+fn run<S: 'static>(daemon: &Daemon<S>, settings: S, path: &Path) -> Exit {
+    match serve(daemon, settings, path) {
         Ok(()) => Exit::Done,
         Err(cause) => print(&format!("{}: {cause}", daemon.program), Exit::Failed),
     }
 }
 
-fn serve<S>(daemon: &Daemon<S>, settings: S) -> Result<()> {
-    start_log((daemon.log_level)(&settings)).map_err(text)?;
+fn serve<S: 'static>(daemon: &Daemon<S>, settings: S, path: &Path) -> Result<()> {
+    let _lines = start_log((daemon.log_level)(&settings)).map_err(text)?;
     let metrics = start_metrics().map_err(text)?;
-    let runtime = Runtime::new().map_err(text)?;
+    let runtime = runtime().map_err(text)?;
     let stop = CancellationToken::new();
     runtime.block_on(async {
         stop_on_signal(&stop)?;
+        check_on_hangup(daemon.load, path)?;
         info!(event = "started", program = daemon.program);
         let served = (daemon.serve)(settings, metrics, stop).await;
         match &served {
@@ -77,6 +83,15 @@
     })
 }
 
+/// One processor gains nothing from handing tasks between threads.
+fn runtime() -> io::Result<Runtime> {
+    let processors = std::thread::available_parallelism().map_or(1, NonZero::get);
+    if processors > 1 {
+        return Runtime::new();
+    }
+    Builder::new_current_thread().enable_all().build()
+}
+
 fn stop_on_signal(stop: &CancellationToken) -> Result<()> {
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
         let mut signals = signal(kind).map_err(text)?;
@@ -90,6 +105,22 @@
     Ok(())
 }
 
+/// Checks the settings file when told that it changed; changes take effect at the next start.
+fn check_on_hangup<S: 'static>(load: fn(&Path) -> settings::Result<S>, path: &Path) -> Result<()> {
+    let mut hangups = signal(SignalKind::hangup()).map_err(text)?;
+    let path = path.to_owned();
+    let task: BoxFuture<'static, ()> = Box::pin(async move {
+        while hangups.recv().await.is_some() {
+            match load(&path) {
+                Ok(_settings) => info!(event = "settings_changed", outcome = "kept until restart"),
+                Err(cause) => error!(event = "settings_refused", cause = %cause),
+            }
+        }
+    });
+    tokio::spawn(task);
+    Ok(())
+}
+
 fn print(text: &str, exit: Exit) -> Exit {
     if exit == Exit::Done {
         println!("{text}");
--- a/src/programs/listening.rs
+++ b/src/programs/listening.rs
@@ -15,7 +15,10 @@
 pub struct Address(pub SocketAddr);
 
 /// Binds a listener, publishes its address and serves until it is stopped.
-pub(super) async fn listen<H: NewHandler + 'static>(
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn listen<H: NewHandler + 'static>(
     registry: &Registry,
     name: &'static str,
     settings: ListenerSettings,
@@ -37,6 +40,9 @@
 }
 
 /// Finds what another service has published.
-pub(super) fn find<T: Send + Sync + 'static>(registry: &Registry, name: &str) -> Result<Arc<T>> {
+///
+/// # Errors
+/// Nothing of that type is published under this name.
+pub fn find<T: Send + Sync + 'static>(registry: &Registry, name: &str) -> Result<Arc<T>> {
     registry.find(name).map_err(|cause| cause.to_string())
 }
--- a/src/programs/mod.rs
+++ b/src/programs/mod.rs
@@ -9,10 +9,10 @@
 mod forwarding;
 mod listening;
 
-pub use control::{serve_control, start_control};
+pub use control::{control_core, serve_control, start_control};
 pub use daemon::{Daemon, run_daemon};
 pub use entry::{serve_entry, start_entry};
-pub use listening::Address;
+pub use listening::{Address, find, listen};
 
 /// Result of running a program; the error is a sentence.
 pub type Result<T> = std::result::Result<T, String>;
--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{Core, Role};
@@ -17,13 +17,18 @@
     pub(super) ask_at_ms: Millis,
     /// Peers that said that they are blank, and when.
     pub(super) blank_peers: BTreeMap<Node, Millis>,
+    /// Members that another replica named; they are asked too, as configured peers may be gone.
+    pub(super) told_members: BTreeSet<ReplicaId>,
     /// Whether an earlier folder was damaged: then it never forms a new group.
     pub(super) after_damage: bool,
 }
 
 impl Core {
     fn ask_all(&mut self, body: &Body) {
-        for name in self.config.peers.clone() {
+        let own = &self.config.node.name;
+        let told = self.formation.told_members.iter();
+        let names: BTreeSet<ReplicaId> = self.config.peers.iter().chain(told).cloned().collect();
+        for name in names.into_iter().filter(|name| name != own).collect::<Vec<_>>() {
             let message = self.message_by_name(name, body.clone());
             self.out.push(super::Action::Send(message));
         }
@@ -64,6 +69,9 @@
             return;
         }
         self.formation.ask_at_ms = now.saturating_add(self.config.ask_ms);
+        if self.config.voters_wanted.is_some() {
+            self.ask_all(&Body::Hello);
+        }
         self.ask_all(&Body::Join);
     }
 
@@ -87,11 +95,16 @@
         members: Option<Membership>,
         now: Millis,
     ) {
+        let named = members.iter().flat_map(|m| &m.voters);
+        let named = named.map(|voter| voter.name.clone()).collect();
         if self.group.is_some() {
+            if self.group == group && members.is_some() {
+                self.formation.told_members = named;
+            }
             return;
         }
         let configured = self.config.peers.contains(&from.name);
-        if !configured {
+        if !configured && self.config.voters_wanted.is_none() {
             self.dropped.unknown_sender += 1;
             return;
         }
@@ -106,6 +119,7 @@
             self.form_group(now);
             return;
         };
+        self.formation.told_members = named;
         self.group = Some(group.clone());
         self.unsaved.group = Some(group);
         self.formation.ask_at_ms = now;
@@ -119,7 +133,8 @@
     fn form_group(&mut self, now: Millis) {
         let own = self.config.node.clone();
         let peers = &self.config.peers;
-        if self.formation.after_damage || peers.iter().any(|name| *name <= own.name) {
+        let may_found = self.config.may_found && !self.formation.after_damage;
+        if !may_found || peers.iter().any(|name| *name <= own.name) {
             return;
         }
         let fresh = self.formation.blank_peers.iter();
--- a/src/replica/core/repair.rs
+++ b/src/replica/core/repair.rs
@@ -4,13 +4,14 @@
 use crate::units::Millis;
 
 impl Core {
-    /// Takes in a node that lost its folder as a learner, where a voter had its name.
+    /// Takes in a node as a learner: one that lost its folder, or a new one where the group is open.
     pub(super) fn hear_join(&mut self, from: Node, now: Millis) {
         let Some(members) = self.log.members() else {
             return;
         };
         let configured = self.config.peers.contains(&from.name);
-        if !configured || members.contains(&from) {
+        let may_join = configured || self.config.voters_wanted.is_some();
+        if !may_join || members.contains(&from) {
             return;
         }
         let next = self.log.last_index().next();
@@ -52,15 +53,41 @@
             return None;
         }
         let members = self.log.members()?;
-        let mut learners = state.progress.iter().filter(|(_, p)| p.is_learner);
+        let learners = state.progress.iter().filter(|(_, p)| p.is_learner);
         let is_ready = |p: &Progress| p.matched >= self.commit && self.is_live(p, now);
-        let (learner, _) = learners.find(|(_, p)| is_ready(p))?;
-        let old = members.voters.iter().find(|v| v.name == learner.name);
-        let next = match old {
-            Some(old) => members.without(old),
-            None => members.with(learner.clone()),
+        let ready = learners.filter(|(_, p)| is_ready(p));
+        let mut nexts = ready.filter_map(|(learner, _)| self.members_with(members, learner, now));
+        nexts.find(|next| self.can_commit(next, now))
+    }
+
+    /// The next step towards a group in which this learner votes; none where no vote is free.
+    fn members_with(
+        &self,
+        members: &Membership,
+        learner: &Node,
+        now: Millis,
+    ) -> Option<Membership> {
+        if let Some(old) = members.voters.iter().find(|v| v.name == learner.name) {
+            return Some(members.without(old));
+        }
+        let wanted = self.config.voters_wanted.unwrap_or(usize::MAX);
+        if members.voters.len() < wanted {
+            return Some(members.with(learner.clone()));
+        }
+        let dead = members.voters.iter().find(|voter| self.is_dead(voter, now))?;
+        Some(members.without(dead))
+    }
+
+    /// Whether a voter has been silent for so long that a learner may take its place.
+    fn is_dead(&self, voter: &Node, now: Millis) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let Some(progress) = state.progress.get(voter) else {
+            return false;
         };
-        self.can_commit(&next, now).then_some(next)
+        let heard_ms = progress.heard_ms.unwrap_or_default().max(state.since_ms);
+        now.since(heard_ms) >= self.config.replace_after_ms
     }
 
     fn is_live(&self, progress: &Progress, now: Millis) -> bool {
--- a/src/replica/core/types.rs
+++ b/src/replica/core/types.rs
@@ -13,6 +13,15 @@
     pub node: Node,
     /// The names of the other configured replicas.
     pub peers: Vec<ReplicaId>,
+    /// Whether this replica may form a new group together with its peers.
+    #[builder(default = true)]
+    pub may_found: bool,
+    /// How many voters the group keeps where replicas outside the configured peers may join; none
+    /// where only configured peers may.
+    pub voters_wanted: Option<usize>,
+    /// How long a voter is silent before a ready learner takes its place.
+    #[builder(default = Millis(8_000))]
+    pub replace_after_ms: Millis,
     /// Seed of the election times.
     #[builder(default)]
     pub seed: u64,
--- a/src/replica/lease.rs
+++ b/src/replica/lease.rs
@@ -1,23 +1,27 @@
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::units::Millis;
 
 /// Until when this replica holds its quorum, checked against the clock by whoever asks.
 ///
 /// A flag alone would still say yes after the replica's task was held up past the end of the lease.
+/// The clock counts on while the machine is suspended: a leader that wakes must not believe in a
+/// lease that the others have seen run out.
 #[derive(Debug)]
 pub struct LeaseClock {
-    origin: Instant,
+    origin: Duration,
     until_ms: AtomicU64,
 }
 
 impl LeaseClock {
-    /// A lease that is not held, on a clock that starts at `origin`.
+    /// A lease that is not held, on a clock that starts now.
     #[must_use]
-    pub const fn new(origin: Instant) -> Self {
+    pub fn start() -> Self {
         Self {
-            origin,
+            origin: since_boot(),
             until_ms: AtomicU64::new(0),
         }
     }
@@ -36,6 +40,14 @@
     /// The time since the origin.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Millis::from(self.origin.elapsed())
+        Millis::from(since_boot().saturating_sub(self.origin))
     }
 }
+
+/// The time since the machine started, time in suspension included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -21,5 +21,5 @@
 pub use message::{
     AppendOutcome, Body, Entry, Membership, Message, Node, Payload, Snapshot, SnapshotMeta,
 };
-pub use options::{Peer, ReplicaError, ReplicaOptions};
+pub use options::{HostPorts, Peer, ReplicaError, ReplicaOptions};
 pub use start::{bind, start, start_on};
--- a/src/replica/options.rs
+++ b/src/replica/options.rs
@@ -1,5 +1,6 @@
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 use bon::Builder;
@@ -19,6 +20,48 @@
     pub control_address: SocketAddr,
 }
 
+/// Ports of replicas that are named by their IP address.
+///
+/// They make the group open: a replica that no settings name is reached by its name, and may join.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HostPorts {
+    /// Where each replica listens for the others.
+    pub peers: u16,
+    /// Where entries reach each replica.
+    pub entries: u16,
+}
+
+/// Where replicas are reached.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Addresses {
+    named: BTreeMap<ReplicaId, Peer>,
+    ports: Option<HostPorts>,
+}
+
+impl Addresses {
+    pub(super) fn new(peers: &[Peer], ports: Option<HostPorts>) -> Self {
+        let named = peers.iter().map(|peer| (peer.name.clone(), peer.clone()));
+        Self {
+            named: named.collect(),
+            ports,
+        }
+    }
+
+    /// The replica of this name: as configured, else by its IP address.
+    pub(super) fn find(&self, name: &ReplicaId) -> Option<Peer> {
+        if let Some(peer) = self.named.get(name) {
+            return Some(peer.clone());
+        }
+        let ports = self.ports?;
+        let host: IpAddr = name.as_str().parse().ok()?;
+        Some(Peer {
+            name: name.clone(),
+            peer_address: SocketAddr::new(host, ports.peers),
+            control_address: SocketAddr::new(host, ports.entries),
+        })
+    }
+}
+
 /// How a replica runs.
 #[derive(Builder, Debug)]
 pub struct ReplicaOptions {
@@ -33,6 +76,14 @@
     /// The other voters; this replica may be among them and is passed over.
     #[builder(default)]
     pub peers: Vec<Peer>,
+    /// Ports of replicas that are named by their IP address; none where only `peers` belong to the
+    /// group.
+    pub host_ports: Option<HostPorts>,
+    /// How many voters an open group keeps; further replicas stand by as learners.
+    pub voters_wanted: Option<usize>,
+    /// Whether this replica may form a new group together with its peers.
+    #[builder(default = true)]
+    pub may_found: bool,
     /// The data folder, used by no other process.
     pub data_folder: PathBuf,
     /// Seed of the election times; replicas should differ in it.
--- a/src/replica/peer/link.rs
+++ b/src/replica/peer/link.rs
@@ -13,7 +13,8 @@
 
 use super::PeerApiClient;
 use crate::codec;
-use crate::replica::{Body, Message, Peer};
+use crate::replica::options::Addresses;
+use crate::replica::{Body, Message};
 use crate::units::ReplicaId;
 
 /// How long a delivery may stay unanswered before its connection is given up.
@@ -37,38 +38,54 @@
 /// Roughly the most bytes in one delivery.
 const DELIVERY_BYTES: usize = 512 * 1024;
 
-/// The ways to all peers.
+/// The most peers that a replica keeps a link to.
+const LINKS_MAX: usize = 64;
+
+/// The ways to all peers; a link starts with the first message to its peer.
 #[derive(Debug)]
 pub(in crate::replica) struct Links {
+    addresses: Addresses,
     queues: BTreeMap<ReplicaId, mpsc::Sender<Message>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl Links {
-    pub(in crate::replica) fn start(peers: &[Peer]) -> Self {
-        let mut queues = BTreeMap::new();
-        let mut tasks = Vec::new();
-        for peer in peers {
-            let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
-            let link = Link {
-                address: peer.peer_address,
-                messages,
-            };
-            queues.insert(peer.name.clone(), queue);
-            tasks.push(tokio::spawn(link.run()));
+    pub(in crate::replica) const fn new(addresses: Addresses) -> Self {
+        Self {
+            addresses,
+            queues: BTreeMap::new(),
+            tasks: Vec::new(),
         }
-        Self { queues, tasks }
     }
 
-    /// Queues a message; it is dropped where the queue is full.
-    pub(in crate::replica) fn send(&self, message: Message) {
-        let Some(queue) = self.queues.get(&message.to) else {
+    /// Queues a message; it is dropped where the queue is full or the peer has no address.
+    pub(in crate::replica) fn send(&mut self, message: Message) {
+        if !self.queues.contains_key(&message.to) && !self.open(&message.to) {
+            metrics::counter!("replica_messages_dropped", "cause" => "no_address").increment(1);
             return;
-        };
-        if queue.try_send(message).is_err() {
+        }
+        let queue = self.queues.get(&message.to);
+        if queue.is_some_and(|queue| queue.try_send(message).is_err()) {
             metrics::counter!("replica_messages_dropped", "cause" => "queue_full").increment(1);
         }
     }
+
+    fn open(&mut self, name: &ReplicaId) -> bool {
+        let Some(peer) = self.addresses.find(name) else {
+            return false;
+        };
+        if self.queues.len() >= LINKS_MAX {
+            return false;
+        }
+        let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
+        let link = Link {
+            address: peer.peer_address,
+            messages,
+        };
+        self.queues.insert(name.clone(), queue);
+        self.tasks.push(tokio::spawn(link.run()));
+        true
+    }
 }
 
 impl Drop for Links {
--- a/src/replica/runner.rs
+++ b/src/replica/runner.rs
@@ -1,7 +1,6 @@
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
@@ -9,6 +8,7 @@
 
 use super::core::{Action, Core, Event, Refusal};
 use super::lease::LeaseClock;
+use super::options::Addresses;
 use super::peer::Links;
 use super::writer::{DiskEvent, Writer};
 use super::{
@@ -37,8 +37,7 @@
     status_at: Millis,
     lease: Arc<LeaseClock>,
     waiting: BTreeMap<LogIndex, (Term, Reply)>,
-    /// Where the settings say that entries reach each replica.
-    control_addresses: BTreeMap<ReplicaId, SocketAddr>,
+    addresses: Addresses,
     batch_records: usize,
     failed: bool,
 }
@@ -50,7 +49,7 @@
         links: Links,
         writer: Writer,
         (leadership, status): (watch::Sender<Leadership>, watch::Sender<GroupStatus>),
-        control_addresses: BTreeMap<ReplicaId, SocketAddr>,
+        addresses: Addresses,
         batch_records: usize,
     ) -> Self {
         Self {
@@ -61,9 +60,9 @@
             leadership,
             status,
             status_at: Millis::ZERO,
-            lease: Arc::new(LeaseClock::new(Instant::now())),
+            lease: Arc::new(LeaseClock::start()),
             waiting: BTreeMap::new(),
-            control_addresses,
+            addresses,
             batch_records,
             failed: false,
         }
@@ -222,11 +221,11 @@
         let until = self.core.lease_until(now).unwrap_or(Millis::ZERO);
         self.lease.set(until);
         let leader = self.core.leader();
-        let address = leader.and_then(|node| self.control_addresses.get(&node.name));
+        let address = leader.and_then(|node| self.addresses.find(&node.name));
         let next = Leadership {
             term: self.core.term(),
             leader: leader.map(|node| node.name.clone()),
-            leader_address: address.copied(),
+            leader_address: address.map(|peer| peer.control_address),
             leads: self.core.leads(),
             has_quorum: self.core.has_quorum(now),
         };
--- a/src/replica/start.rs
+++ b/src/replica/start.rs
@@ -1,4 +1,3 @@
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 
@@ -14,6 +13,7 @@
 use super::peer::{Links, serve};
 use super::runner::Runner;
 use super::writer::Writer;
+use super::options::Addresses;
 use super::{Handle, Leadership, MachineHooks, Node, Peer, ReplicaError, ReplicaOptions};
 use crate::control::GroupStatus;
 use crate::units::{FolderId, LogIndex, Millis, Term};
@@ -73,11 +73,13 @@
     log_opened(&options, &opened);
 
     let peers = other_peers(&options);
-    let mut control_addresses: BTreeMap<_, _> = peers
-        .iter()
-        .map(|peer| (peer.name.clone(), peer.control_address))
-        .collect();
-    control_addresses.insert(options.name.clone(), options.control_address);
+    let mut known = peers.clone();
+    known.push(Peer {
+        name: options.name.clone(),
+        peer_address: options.control_address,
+        control_address: options.control_address,
+    });
+    let addresses = Addresses::new(&known, options.host_ports);
     let config = core_config(&options, &peers, opened.folder);
     let core = Core::new(config, opened.recovered, Millis::ZERO);
     let (disk_sender, disk_events) = mpsc::unbounded_channel();
@@ -96,10 +98,10 @@
     let runner = Runner::new(
         core,
         hooks,
-        Links::start(&peers),
+        Links::new(addresses.clone()),
         writer,
         (leadership, status),
-        control_addresses,
+        addresses,
         options.batch_records.max(1),
     );
     let lease = runner.lease();
@@ -156,6 +158,8 @@
         .node(node)
         .peers(peers.iter().map(|p| p.name.clone()).collect())
         .seed(options.seed)
+        .may_found(options.may_found)
+        .maybe_voters_wanted(options.voters_wanted)
         .election_min_ms(options.election_min_ms)
         .election_max_ms(options.election_max_ms)
         .heartbeat_ms(options.heartbeat_ms)
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -6,9 +6,11 @@
 use super::entry::{ID, LEVEL};
 use super::fields::Fields;
 use super::listener::{ListenerSettings, dialled};
+use super::seeds::SeedSettings;
 use super::{Result, SettingsError, parse, read};
 use crate::telemetry::LogLevel;
 use crate::units::{ReplicaId, ZoneId};
+use crate::workload::PlannerOptions;
 
 /// Most replicas of a control group.
 const REPLICAS_MAX: usize = 7;
@@ -35,8 +37,13 @@
     pub data_folder: PathBuf,
     /// The log's level.
     pub log_level: LogLevel,
-    /// All replicas of the group at its first start, this one among them.
+    /// All replicas of the group at its first start, this one among them; in a seeded group those
+    /// that the settings know.
     pub replicas: Vec<ReplicaAddresses>,
+    /// How the group forms and grows where not all replicas are listed.
+    pub seeded: Option<SeedSettings>,
+    /// Times and limits of the planner.
+    pub planner: PlannerOptions,
     /// The listener for health and metrics.
     pub operators: ListenerSettings,
 }
@@ -73,10 +80,20 @@
             fields.fault("data_folder", "is empty; give a folder on a disk");
         }
         let log_level = fields.optional("log_level", LogLevel::default(), LEVEL);
-        let replicas = take_replicas(fields);
-        if let Some(name) = &name {
-            check_named(fields, name, &replicas);
-        }
+        let planner = take_planner(&mut fields.table("planner"));
+        let seeds = fields.table("seeded");
+        let (name, replicas, seeded) = if seeds.is_empty() {
+            let replicas = take_replicas(fields);
+            if let Some(name) = &name {
+                check_named(fields, name, &replicas);
+            }
+            (name, replicas, None)
+        } else {
+            let seeded = SeedSettings::take(seeds);
+            let own = seeded.as_ref().map(SeedSettings::own_name);
+            let replicas = seeded.as_ref().map(SeedSettings::replicas);
+            (own, replicas.unwrap_or_default(), seeded)
+        };
         let operators = ListenerSettings::take(&mut fields.table("operators"));
         Some(Self {
             name: name?,
@@ -84,11 +101,36 @@
             data_folder: data_folder?,
             log_level,
             replicas,
+            seeded,
+            planner,
             operators: operators?,
         })
     }
 }
 
+/// Takes the planner's times and limits.
+fn take_planner(fields: &mut Fields) -> PlannerOptions {
+    let defaults = PlannerOptions::builder().build();
+    let mut span = |key, default, range| fields.millis(key, default, range);
+    let lease_ms = span("lease_ms", defaults.lease_ms, 500..=600_000);
+    let report_after_ms = span("report_after_ms", defaults.report_after_ms, 20..=60_000);
+    let fresh_ms = span("fresh_ms", defaults.fresh_ms, 100..=60_000);
+    let stop_ms = span("stop_ms", defaults.stop_ms, 10..=600_000);
+    let early_ms = span("early_ms", defaults.early_ms, 0..=60_000);
+    let far_factor = fields.number("far_factor", defaults.far_factor, 1..=100);
+    let spread = fields.number("report_spread_us", defaults.report_spread_us, 0..=1_000_000);
+    fields.close();
+    PlannerOptions::builder()
+        .lease_ms(lease_ms)
+        .report_after_ms(report_after_ms)
+        .report_spread_us(spread)
+        .fresh_ms(fresh_ms)
+        .stop_ms(stop_ms)
+        .far_factor(far_factor)
+        .early_ms(early_ms)
+        .build()
+}
+
 impl FromStr for ControlSettings {
     type Err = SettingsError;
 
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -33,6 +33,22 @@
         self.faults.take()
     }
 
+    /// Whether no field is left.
+    pub(super) fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// A truth value that has a default.
+    pub(super) fn flag(&mut self, key: &str, default: bool) -> bool {
+        let Some(value) = self.table.remove(key) else {
+            return default;
+        };
+        value.as_bool().unwrap_or_else(|| {
+            self.fault(key, format!("is {value}; give true or false"));
+            default
+        })
+    }
+
     /// Reports what nobody took as unknown.
     pub(super) fn close(&mut self) {
         let unknown: Vec<_> = self.table.keys().cloned().collect();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,7 +6,9 @@
 mod control;
 mod entry;
 mod fields;
+mod gateway;
 mod listener;
+mod seeds;
 
 use std::fmt;
 use std::fs;
@@ -16,7 +18,9 @@
 
 pub use control::{ControlSettings, ReplicaAddresses};
 pub use entry::{EntrySettings, StopSettings};
+pub use gateway::GatewaySettings;
 pub use listener::ListenerSettings;
+pub use seeds::SeedSettings;
 
 use fields::Fields;
 
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -1,5 +1,6 @@
 use derive_more::{Display, FromStr};
 use tracing::Level;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -46,19 +47,35 @@
         .with_target(env!("CARGO_CRATE_NAME"), Level::from(level))
 }
 
-/// Writes one key=value line an event to standard error from now on.
+/// Lines that wait to be written; further ones are dropped and counted.
+const LINES_WAITING_MAX: usize = 4_096;
+
+/// Keeps the log's writer alive; dropping it writes what waits.
+#[derive(Debug)]
+pub struct LogGuard {
+    _writer: WorkerGuard,
+}
+
+/// Writes one key=value line an event to standard output from now on.
+///
+/// A reader that stalls holds up no request: lines that cannot be written are dropped.
 ///
 /// # Errors
 /// [`TelemetryError::Twice`] where this process has a log.
-pub fn start_log(level: LogLevel) -> Result<()> {
+pub fn start_log(level: LogLevel) -> Result<LogGuard> {
+    let (output, writer) = NonBlockingBuilder::default()
+        .buffered_lines_limit(LINES_WAITING_MAX)
+        .lossy(true)
+        .finish(std::io::stdout());
     let lines = tracing_logfmt::builder()
         .with_level(true)
         .with_target(false)
         .layer()
-        .with_writer(std::io::stderr);
+        .with_writer(output);
     tracing_subscriber::registry()
         .with(own_events(level))
         .with(lines)
         .try_init()
-        .map_err(|_installed| TelemetryError::Twice { what: "the log" })
+        .map_err(|_installed| TelemetryError::Twice { what: "the log" })?;
+    Ok(LogGuard { _writer: writer })
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,7 +3,7 @@
 mod log;
 mod metrics;
 
-pub use self::log::{LogLevel, start_log};
+pub use self::log::{LogGuard, LogLevel, start_log};
 pub use self::metrics::{
     Metrics, record_answer, record_connections, record_job_completion, record_queue_wait,
     record_request, start_metrics,
--- /dev/null
+++ b/src/workload/amount.rs
@@ -0,0 +1,80 @@
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// What a task takes of a worker, or what a worker has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[display("{cpu_millicores}m/{memory_mb}MB/{accelerators}acc")]
+pub struct Amount {
+    /// Processor time in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Amount {
+    /// Nothing.
+    pub const ZERO: Self = Self {
+        cpu_millicores: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+
+    /// The sum.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference, zero where `other` is larger.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// This amount `count` times.
+    #[must_use]
+    pub const fn times(self, count: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Whether this fits into `room`.
+    #[must_use]
+    pub const fn fits_in(self, room: Self) -> bool {
+        self.cpu_millicores <= room.cpu_millicores
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// How often this fits into `room`, at most `most` times.
+    #[must_use]
+    pub fn count_in(self, room: Self, most: u64) -> u64 {
+        let of = |need: u64, have: u64| have.checked_div(need).unwrap_or(most);
+        of(self.cpu_millicores, room.cpu_millicores)
+            .min(of(self.memory_mb, room.memory_mb))
+            .min(of(self.accelerators, room.accelerators))
+            .min(most)
+    }
+
+    /// The amount in core-seconds a second by which lost work is weighed.
+    #[must_use]
+    pub const fn weight(self) -> u64 {
+        /// What an accelerator is worth in thousandths of a core, as the operators price it.
+        const ACCELERATOR_MILLICORES: u64 = 8_000;
+        let accelerators = self.accelerators.saturating_mul(ACCELERATOR_MILLICORES);
+        self.cpu_millicores.saturating_add(accelerators)
+    }
+}
--- /dev/null
+++ b/src/workload/mod.rs
@@ -0,0 +1,34 @@
+//! Queues of jobs with steps, and the workers that run their tasks.
+//!
+//! [`Workload`] is the replicated state; [`Planner`] holds what only the leader knows and decides
+//! what starts, stops and is lost. Both are pure: changes, reports and times come in, state,
+//! transitions and orders come out. docs/PLATFORM.md tells how they are joined.
+
+mod amount;
+mod calls;
+mod declaration;
+mod index;
+mod job;
+mod planner;
+mod run;
+mod spec;
+mod state;
+
+pub use amount::Amount;
+pub use calls::{
+    CallerCall, CallerRequest, CallerAnswer, ListedEnd, ListedRun, Start, WorkAnswer, WorkRequest, WorkerOrders,
+    WorkerReport,
+};
+pub use declaration::{
+    Declaration, DeclarationFault, Queue, QueuePath, QueueTerms, Service, Team,
+};
+pub use job::{Job, Occurrence, Phase, StepState, TaskState};
+pub use planner::{Planner, PlannerOptions, Reported};
+pub use run::{
+    JobNumber, Life, Place, RunEnd, RunKey, StepKey, TaskKey, TaskName, Transition,
+};
+pub use spec::{JobSpec, Schedule, SpecFault, Step, PAYLOAD_MAX_BYTES, STEPS_MAX, TASKS_MAX};
+pub use state::{Workload, WorkloadCommand, WorkloadReply};
+
+/// Result of checking a declaration.
+pub type Result<T> = std::result::Result<T, DeclarationFault>;
--- /dev/null
+++ b/src/workload/planner/fleet.rs
@@ -0,0 +1,110 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol_str::SmolStr;
+
+use crate::units::{Millis, Sequence, ServiceName, ZoneId};
+use crate::workload::{Amount, Life, RunKey, WorkerReport};
+
+/// Failures in a row after which a worker gets no new tasks for a while.
+const FAILURES_IN_A_ROW: u32 = 2;
+/// How long it gets none after that; the time doubles with each further failure.
+const QUARANTINE_MS: Millis = Millis(3_000);
+/// The most doublings of that time.
+const DOUBLINGS_MAX: u32 = 3;
+
+/// A worker as its reports show it.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) life: Life,
+    pub(super) sequence: Sequence,
+    pub(super) service: ServiceName,
+    pub(super) zone: ZoneId,
+    pub(super) rack: Option<SmolStr>,
+    pub(super) labels: Vec<SmolStr>,
+    pub(super) room: Amount,
+    pub(super) leaving: bool,
+    pub(super) heard_ms: Millis,
+    /// Until when something may run there that it was told by any leader.
+    pub(super) lease_until_ms: Millis,
+    /// What its last report lists as running.
+    pub(super) running: BTreeMap<RunKey, Running>,
+    /// Starts that went out, with the report that they answered.
+    pub(super) sent: BTreeMap<RunKey, Sequence>,
+    /// Runs that had a place there when this leader first heard it: an earlier leader may have
+    /// ordered their start.
+    pub(super) inherited: BTreeSet<RunKey>,
+    /// Whether its last report lists a run that has no place there.
+    pub(super) runs_others: bool,
+    /// Failures since the last task that did its work.
+    pub(super) failures: u32,
+    pub(super) quarantined_until_ms: Millis,
+}
+
+/// A run as the last report shows it.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) first_seen_ms: Millis,
+    pub(super) saved: SmolStr,
+    /// When its saved progress last changed, or it began.
+    pub(super) saved_at_ms: Millis,
+    pub(super) percent: u32,
+}
+
+impl Worker {
+    pub(super) fn new(report: &WorkerReport, lease_until_ms: Millis) -> Self {
+        let mut worker = Self {
+            life: report.life,
+            sequence: Sequence::ZERO,
+            service: report.service.clone(),
+            zone: report.zone.clone(),
+            rack: None,
+            labels: Vec::new(),
+            room: Amount::ZERO,
+            leaving: false,
+            heard_ms: Millis::ZERO,
+            lease_until_ms,
+            running: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            inherited: BTreeSet::new(),
+            runs_others: false,
+            failures: 0,
+            quarantined_until_ms: Millis::ZERO,
+        };
+        worker.describe(report);
+        worker
+    }
+
+    /// Takes over what a report says of the worker itself; gives whether anything changed.
+    pub(super) fn describe(&mut self, report: &WorkerReport) -> bool {
+        let same = self.room == report.room
+            && self.leaving == report.leaving
+            && self.labels == report.labels
+            && self.service == report.service
+            && self.zone == report.zone;
+        if !same {
+            self.service = report.service.clone();
+            self.zone = report.zone.clone();
+            self.rack = report.rack.clone();
+            self.labels = report.labels.clone();
+            self.room = report.room;
+            self.leaving = report.leaving;
+        }
+        !same
+    }
+
+    pub(super) const fn succeeded(&mut self) {
+        self.failures = 0;
+        self.quarantined_until_ms = Millis::ZERO;
+    }
+
+    /// Counts a failure; a worker on which task after task fails must not draw more work.
+    pub(super) fn failed(&mut self, now: Millis) {
+        self.failures += 1;
+        if self.failures < FAILURES_IN_A_ROW {
+            return;
+        }
+        let doublings = (self.failures - FAILURES_IN_A_ROW).min(DOUBLINGS_MAX);
+        let pause = Millis(QUARANTINE_MS.get() << doublings);
+        self.quarantined_until_ms = now.saturating_add(pause);
+    }
+}
--- /dev/null
+++ b/src/workload/planner/plan.rs
@@ -0,0 +1,168 @@
+//! One look at all that waits: who starts, and for whom others leave.
+
+use std::collections::BTreeMap;
+
+use tracing::info;
+
+use super::order::{Waiting, waiting};
+use super::place::{Ask, Slots};
+use super::Planner;
+use crate::units::{Millis, WallMs};
+use crate::workload::{Job, Place, Step, StepKey, StepState, Transition, Workload};
+
+/// How long a task waits for room beside its data before it runs elsewhere, in percent of the time
+/// that it would lose there.
+const DATA_PATIENCE_PERCENT: u64 = 50;
+/// Most tasks that get a place in one look, so that no look takes long.
+const PLACED_MAX: usize = 2_000;
+
+impl Planner {
+    /// Occurrences that are due.
+    #[must_use]
+    pub fn due(&self, state: &Workload, wall: WallMs) -> Vec<Transition> {
+        let mut due = Vec::new();
+        for (number, job) in state.open_jobs() {
+            let is_due = job.due < job.spec.occurrences()
+                && job.due_ms(job.due).0 <= wall.0.saturating_add(self.options.early_ms.get());
+            if job.spec.schedule.is_some() && is_due {
+                due.push(Transition::Due {
+                    job: number,
+                    occurrence: job.due,
+                });
+            }
+        }
+        due
+    }
+
+    /// Gives out free room; the places count once they are committed.
+    pub fn plan(&mut self, state: &Workload, now: Millis, wall: WallMs) -> Vec<Transition> {
+        self.dirty = false;
+        self.reclaims.retain(|_step, until| now < *until);
+        let mut slots = self.slots(state, now);
+        let mut transitions = Vec::new();
+        let mut placed = 0;
+        for step in waiting(state, &self.run_times, wall) {
+            let places = self.place_step(&step, state, &mut slots, wall, &mut transitions);
+            placed += places;
+            if placed >= PLACED_MAX {
+                self.dirty = true;
+                break;
+            }
+            let Some((spec, tasks)) = state.step(step.key) else {
+                continue;
+            };
+            let all_placed = places >= tasks.waiting() as usize;
+            if step.priority == 0 && !all_placed {
+                self.reclaim(&step, spec, state, &slots, now);
+            }
+        }
+        transitions
+    }
+
+    /// Places what fits of a step; gives the number of tasks placed.
+    fn place_step(
+        &self,
+        waiting: &Waiting,
+        state: &Workload,
+        slots: &mut Slots,
+        wall: WallMs,
+        transitions: &mut Vec<Transition>,
+    ) -> usize {
+        let key = waiting.key;
+        let (Some(job), Some((step, tasks))) = (state.job(key.job), state.step(key)) else {
+            return 0;
+        };
+        let mut ask = Ask {
+            step,
+            service: &job.terms.service,
+            tasks: if step.gang { step.tasks } else { 1 },
+            held: BTreeMap::new(),
+            anywhere: self.takes_any_rack(job, step, key, wall),
+        };
+        ask.count_held(tasks);
+        let placed = if step.gang {
+            place_gang(key, tasks, &ask, slots, transitions)
+        } else {
+            place_tasks(key, tasks, &mut ask, slots, transitions)
+        };
+        if placed > 0 {
+            info!(event = "tasks_placed", job = %job.id, occurrence = key.occurrence, step = key.step,
+                tasks = placed, gang = step.gang, waited_ms = wall.since(job.due_ms(key.occurrence)).get(),
+                priority = waiting.priority);
+        }
+        placed
+    }
+
+    /// Whether a task has waited for room beside its data for so long that it runs elsewhere.
+    fn takes_any_rack(&self, job: &Job, step: &Step, key: StepKey, wall: WallMs) -> bool {
+        if step.data_rack.is_none() {
+            return true;
+        }
+        let waited = wall.since(job.due_ms(key.occurrence)).get();
+        let run = self.run_times.of(job, step).get();
+        let lost = run.saturating_mul(self.options.far_factor.saturating_sub(1));
+        waited >= lost.saturating_mul(DATA_PATIENCE_PERCENT) / 100
+    }
+}
+
+fn place_gang(
+    key: StepKey,
+    tasks: &StepState,
+    ask: &Ask<'_>,
+    slots: &mut Slots,
+    transitions: &mut Vec<Transition>,
+) -> usize {
+    let Some(places) = slots.for_gang(ask) else {
+        return 0;
+    };
+    for at in &places {
+        slots.take(*at, ask.step.room());
+    }
+    let placed = places.len();
+    let places = places.into_iter().zip(0_u32..);
+    transitions.push(Transition::Placed {
+        step: key,
+        run: tasks.next_run(ask.step, 0),
+        places: places.map(|(at, index)| (index, place(slots, at))).collect(),
+    });
+    placed
+}
+
+fn place_tasks(
+    key: StepKey,
+    tasks: &StepState,
+    ask: &mut Ask<'_>,
+    slots: &mut Slots,
+    transitions: &mut Vec<Transition>,
+) -> usize {
+    let mut by_run: BTreeMap<u32, Vec<(u32, Place)>> = BTreeMap::new();
+    let idle = tasks.tasks.iter().zip(0_u32..).filter(|(task, _index)| task.waits());
+    let mut placed = 0;
+    for (_task, index) in idle {
+        let Some(at) = slots.for_task(ask) else {
+            break;
+        };
+        slots.take(at, ask.step.room());
+        let place = place(slots, at);
+        if ask.step.per_worker_max.is_some() {
+            *ask.held.entry(place.worker.clone()).or_default() += 1;
+        }
+        let run = tasks.next_run(ask.step, index);
+        by_run.entry(run).or_default().push((index, place));
+        placed += 1;
+    }
+    transitions.extend(by_run.into_iter().map(|(run, places)| Transition::Placed {
+        step: key,
+        run,
+        places,
+    }));
+    placed
+}
+
+fn place(slots: &Slots, at: usize) -> Place {
+    let slot = &slots.all[at];
+    Place {
+        worker: slot.worker.clone(),
+        life: slot.life,
+    }
+}
--- /dev/null
+++ b/src/workload/planner/reports.rs
@@ -0,0 +1,370 @@
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+use tracing::{info, warn};
+
+use super::fleet::{Running, Worker};
+use super::{Planner, Reported};
+use crate::units::{Millis, WorkerId};
+use crate::workload::{
+    Life, ListedEnd, RunEnd, RunKey, Start, Transition, WorkerOrders, WorkerReport, Workload,
+};
+
+/// How much slower a worker's clock may be, in percent; from the platform's description of leases.
+const CLOCK_MARGIN_PERCENT: u64 = 3;
+/// What is added to the end of a lease for the resolution of the clocks.
+const LEASE_SLACK_MS: Millis = Millis(20);
+
+impl Planner {
+    /// Until when a lease that was granted for a report received at `now` may last.
+    fn lease_end(&self, now: Millis) -> Millis {
+        let lease = self.options.lease_ms.get();
+        let margin = lease.saturating_mul(CLOCK_MARGIN_PERCENT) / 100;
+        now.saturating_add(Millis(lease + margin))
+            .saturating_add(LEASE_SLACK_MS)
+    }
+
+    /// The end of the lease of a worker that has not reported to this leader: an earlier leader may
+    /// have answered it until this one was elected.
+    pub(super) fn unheard_lease_end(&self) -> Millis {
+        self.lease_end(self.elected_ms)
+    }
+
+    /// Takes a report; nothing is ordered before its transitions are committed.
+    pub fn report(&mut self, report: &WorkerReport, state: &Workload, now: Millis) -> Reported {
+        let mut transitions = Vec::new();
+        let placed = state.placed_on(&report.worker);
+        let newest = placed.map(|(_run, life)| life).max().unwrap_or_default();
+        let lease_until = self.unheard_lease_end();
+        let worker = self.workers.get(&report.worker);
+        let known = worker.map_or(newest, |worker| worker.life.max(newest));
+        let is_late = worker.is_some_and(|worker| {
+            worker.life == report.life && report.sequence <= worker.sequence
+        });
+        if report.life < known || is_late {
+            return Reported::default();
+        }
+        if worker.is_none_or(|worker| worker.life < report.life) {
+            info!(event = "worker_heard", worker = %report.worker, life = %report.life,
+                service = %report.service, zone = %report.zone, room = %report.room);
+            self.lose_lives_before(report.life, &report.worker, state, &mut transitions);
+            let mut worker = Worker::new(report, lease_until);
+            let placed = state.placed_on(&report.worker);
+            let of_life = placed.filter(|(_run, life)| *life == report.life);
+            worker.inherited = of_life.map(|(run, _life)| run).collect();
+            self.workers.insert(report.worker.clone(), worker);
+            self.dirty = true;
+        }
+        self.take_lists(report, state, now, &mut transitions);
+        Reported {
+            is_news: true,
+            transitions,
+        }
+    }
+
+    fn take_lists(
+        &mut self,
+        report: &WorkerReport,
+        state: &Workload,
+        now: Millis,
+        transitions: &mut Vec<Transition>,
+    ) {
+        let Some(worker) = self.workers.get_mut(&report.worker) else {
+            return;
+        };
+        worker.sequence = report.sequence;
+        worker.heard_ms = now;
+        self.dirty |= worker.describe(report);
+        let earlier = std::mem::take(&mut worker.running);
+        worker.running = running(report, state, &earlier, now);
+        worker.runs_others = worker.running.len() < report.running.len();
+        let running: Vec<RunKey> = worker.running.keys().copied().collect();
+        worker.sent.retain(|run, _sent| !running.contains(run));
+        worker.inherited.retain(|run| !running.contains(run));
+        for end in &report.ended {
+            self.take_end(report, end, &earlier, state, now, transitions);
+        }
+    }
+
+    /// Takes one listed end; an end of anything but a present run changes nothing.
+    fn take_end(
+        &mut self,
+        report: &WorkerReport,
+        end: &ListedEnd,
+        earlier: &BTreeMap<RunKey, Running>,
+        state: &Workload,
+        now: Millis,
+        transitions: &mut Vec<Transition>,
+    ) {
+        let Some(task) = state.key_of(&end.task) else {
+            return;
+        };
+        let run = RunKey { task, run: end.run };
+        let is_here = |(placed, life): (RunKey, Life)| placed == run && life == report.life;
+        if !state.placed_on(&report.worker).any(is_here) {
+            return;
+        }
+        info!(event = "run_ended", job = %end.task.job, task = %end.task, run = end.run, end = %end.end,
+            worker = %report.worker, report = %report.sequence);
+        self.stopping.remove(&run);
+        self.dirty = true;
+        let Some(worker) = self.workers.get_mut(&report.worker) else {
+            return;
+        };
+        worker.sent.remove(&run);
+        worker.inherited.remove(&run);
+        match end.end {
+            RunEnd::Done => worker.succeeded(),
+            RunEnd::Failed => worker.failed(now),
+            _ => {}
+        }
+        if worker.quarantined_until_ms > now && end.end == RunEnd::Failed {
+            warn!(event = "worker_quarantined", worker = %report.worker, failures = worker.failures,
+                until_ms = worker.quarantined_until_ms.get());
+        }
+        if let (RunEnd::Done, Some(seen)) = (end.end, earlier.get(&run)) {
+            self.run_times.learn(state, task, now.since(seen.first_seen_ms));
+        }
+        transitions.push(Transition::Ended {
+            run,
+            end: end.end,
+            saved: end.saved.clone(),
+        });
+    }
+
+    /// A worker that began anew runs nothing of what it ran before.
+    fn lose_lives_before(
+        &mut self,
+        life: Life,
+        worker: &WorkerId,
+        state: &Workload,
+        transitions: &mut Vec<Transition>,
+    ) {
+        let lost: Vec<RunKey> = state
+            .placed_on(worker)
+            .filter(|(_run, of)| *of < life)
+            .map(|(run, _of)| run)
+            .collect();
+        for run in lost {
+            transitions.push(self.lost(worker, run, RunEnd::Lapsed));
+        }
+    }
+
+    fn lost(&mut self, worker: &WorkerId, run: RunKey, end: RunEnd) -> Transition {
+        info!(event = "run_lost", run = %run, worker = %worker, end = %end);
+        self.stopping.remove(&run);
+        self.dirty = true;
+        let saved = self.saved_of(worker, run);
+        Transition::Ended { run, end, saved }
+    }
+
+    /// The progress that a worker last reported of a run.
+    fn saved_of(&self, worker: &WorkerId, run: RunKey) -> SmolStr {
+        let worker = self.workers.get(worker);
+        let running = worker.and_then(|worker| worker.running.get(&run));
+        running.map(|running| running.saved.clone()).unwrap_or_default()
+    }
+
+    /// A worker said goodbye: all that it ran has ended.
+    pub fn left(&mut self, worker: &WorkerId, state: &Workload) -> Vec<Transition> {
+        let runs: Vec<RunKey> = state.placed_on(worker).map(|(run, _life)| run).collect();
+        let lost = runs.into_iter().map(|run| self.lost(worker, run, RunEnd::Lapsed));
+        let lost = lost.collect();
+        info!(event = "worker_left", worker = %worker);
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.leaving = true;
+        }
+        lost
+    }
+
+    /// Runs on workers whose lease has surely ended, and starts that will not be carried out.
+    pub fn lapsed(&mut self, state: &Workload, now: Millis) -> Vec<Transition> {
+        let unheard = self.unheard_lease_end();
+        let silent: Vec<WorkerId> = state
+            .placed_workers()
+            .filter(|id| {
+                let worker = self.workers.get(*id);
+                now > worker.map_or(unheard, |worker| worker.lease_until_ms)
+            })
+            .cloned()
+            .collect();
+        let mut transitions = Vec::new();
+        for worker in silent {
+            warn!(event = "worker_lease_over", worker = %worker);
+            let runs: Vec<RunKey> = state.placed_on(&worker).map(|(run, _life)| run).collect();
+            for run in runs {
+                transitions.push(self.lost(&worker, run, RunEnd::Lapsed));
+            }
+            if let Some(worker) = self.workers.get_mut(&worker) {
+                worker.running.clear();
+                worker.sent.clear();
+            }
+        }
+        self.workers
+            .retain(|_id, worker| now <= worker.lease_until_ms || now.since(worker.heard_ms) < FORGET_MS);
+        transitions
+    }
+
+    /// Answers a report whose transitions are committed.
+    pub fn answer(
+        &mut self,
+        report: &WorkerReport,
+        received_ms: Millis,
+        state: &Workload,
+    ) -> WorkerOrders {
+        let lease_until = self.lease_end(received_ms);
+        let report_after_ms = self.report_after_ms();
+        let Some(worker) = self.workers.get_mut(&report.worker) else {
+            return WorkerOrders::default();
+        };
+        if worker.life != report.life || worker.sequence != report.sequence {
+            return WorkerOrders::default();
+        }
+        worker.lease_until_ms = worker.lease_until_ms.max(lease_until);
+        let placed: Vec<RunKey> = state
+            .placed_on(&report.worker)
+            .filter(|(_run, life)| *life == report.life)
+            .map(|(run, _life)| run)
+            .collect();
+        let may_start = !worker.leaving && state.is_open(&worker.zone);
+        let mut orders = WorkerOrders {
+            lease_ms: Some(self.options.lease_ms),
+            acknowledged: report.ended.iter().map(|end| end.number).max().unwrap_or(0),
+            term: self.term,
+            report_after_ms,
+            ..WorkerOrders::default()
+        };
+        for run in &placed {
+            if worker.running.contains_key(run) {
+                continue;
+            }
+            let wanted = may_start && !self.stopping.contains(run) && !has_ended(state, *run);
+            let start = start(state, *run).filter(|_start| wanted);
+            if let Some(start) = start {
+                orders.starts.push(start);
+            } else if let Some(task) = state.name_of(run.task) {
+                // A start that is still on its way is refused after this.
+                orders.stops.push((task, run.run));
+            }
+            worker.sent.insert(*run, report.sequence);
+            worker.inherited.remove(run);
+        }
+        for listed in &report.running {
+            let task = state.key_of(&listed.task);
+            let run = task.map(|task| RunKey {
+                task,
+                run: listed.run,
+            });
+            let goes_on = run.is_some_and(|run| {
+                placed.contains(&run) && !self.stopping.contains(&run) && !has_ended(state, run)
+            });
+            if !goes_on {
+                orders.stops.push((listed.task.clone(), listed.run));
+            }
+        }
+        orders
+    }
+
+    /// Runs that have a place but were never ordered, and are not wanted any more.
+    ///
+    /// A start that went out is withdrawn only after a later report shows that it did not happen.
+    pub fn withdrawn(&mut self, state: &Workload) -> Vec<Transition> {
+        let mut transitions = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let barred = worker.leaving || !state.is_open(&worker.zone);
+            for (run, life) in state.placed_on(id) {
+                let wanted = !barred && !self.stopping.contains(&run) && !has_ended(state, run);
+                let is_former = life < worker.life;
+                if is_former {
+                    transitions.push((run, RunEnd::Withdrawn));
+                }
+                if is_former || wanted || worker.running.contains_key(&run) {
+                    continue;
+                }
+                if may_have_started(worker, run) {
+                    continue;
+                }
+                transitions.push((run, RunEnd::Withdrawn));
+            }
+        }
+        let withdrawn = transitions.into_iter().map(|(run, end)| {
+            self.stopping.remove(&run);
+            self.dirty = true;
+            Transition::Ended {
+                run,
+                end,
+                saved: SmolStr::default(),
+            }
+        });
+        withdrawn.collect()
+    }
+
+    /// The pause between a worker's reports: longer where there are many workers.
+    fn report_after_ms(&self) -> Millis {
+        let count = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
+        let spread = Millis(count.saturating_mul(self.options.report_spread_us) / 1_000);
+        self.options.report_after_ms.max(spread)
+    }
+}
+
+/// How long a worker without a lease is remembered, with its failures.
+const FORGET_MS: Millis = Millis(60_000);
+
+/// Whether this leader ordered the start and no later report has shown that it did not happen.
+///
+/// A leader knows only its own orders: runs that an earlier leader placed may have been ordered.
+fn may_have_started(worker: &Worker, run: RunKey) -> bool {
+    worker.sent.get(&run).is_some_and(|sent| worker.sequence <= *sent)
+        || worker.inherited.contains(&run)
+}
+
+fn has_ended(state: &Workload, run: RunKey) -> bool {
+    let job = state.job(run.task.step.job);
+    let task = state.task(run.task);
+    job.is_none_or(|job| job.phase.is_ended()) || task.is_none_or(|task| task.done)
+}
+
+fn start(state: &Workload, run: RunKey) -> Option<Start> {
+    let job = state.job(run.task.step.job)?;
+    let (step, step_state) = state.step(run.task.step)?;
+    Some(Start {
+        task: state.name_of(run.task)?,
+        run: run.run,
+        payload: job.spec.payload.clone(),
+        saved: step_state.saved_of(step, run.task.index),
+    })
+}
+
+/// The listed runs that have a place on this life of the worker.
+fn running(
+    report: &WorkerReport,
+    state: &Workload,
+    earlier: &BTreeMap<RunKey, Running>,
+    now: Millis,
+) -> BTreeMap<RunKey, Running> {
+    let listed = report.running.iter().filter_map(|listed| {
+        let task = state.key_of(&listed.task)?;
+        let run = RunKey {
+            task,
+            run: listed.run,
+        };
+        let place = state.task(task)?;
+        let is_here = place.run == listed.run
+            && place.place.as_ref().is_some_and(|place| {
+                place.worker == report.worker && place.life == report.life
+            });
+        if !is_here {
+            return None;
+        }
+        let before = earlier.get(&run);
+        let same = before.filter(|before| before.saved == listed.saved);
+        let seen = Running {
+            first_seen_ms: before.map_or(now, |before| before.first_seen_ms),
+            saved: listed.saved.clone(),
+            saved_at_ms: same.map_or(now, |same| same.saved_at_ms),
+            percent: listed.percent,
+        };
+        Some((run, seen))
+    });
+    listed.collect()
+}
--- /dev/null
+++ b/src/workload/state.rs
@@ -0,0 +1,455 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use tracing::info;
+
+use super::index::Index;
+use super::job::{Job, Occurrence, Phase, StepState};
+use super::{
+    Declaration, DeclarationFault, JobNumber, JobSpec, Place, Queue, RunEnd, RunKey, SpecFault,
+    StepKey, TaskKey, TaskName, Transition,
+};
+use crate::units::{JobId, Millis, TeamId, WallMs, WorkerId, ZoneId};
+
+/// How long an ended job is known.
+const ENDED_KEPT_MS: Millis = Millis(600_000);
+/// How many ended jobs are known at most.
+const ENDED_MAX: usize = 50_000;
+/// How many jobs may be open at once.
+const OPEN_MAX: usize = 20_000;
+
+/// The replicated state of declared queues, their jobs and closed availability zones.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Workload {
+    declaration: Option<Arc<Declaration>>,
+    closed_zones: BTreeSet<ZoneId>,
+    jobs: std::collections::BTreeMap<JobNumber, Job>,
+    last_number: JobNumber,
+    #[serde(skip)]
+    index: Index,
+}
+
+/// A change of the workload.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WorkloadCommand {
+    /// Replaces the declaration where this one has a higher version.
+    Declare(Arc<Declaration>),
+    /// Closes an availability zone for new runs, or opens it again.
+    SetZone {
+        /// The zone.
+        zone: ZoneId,
+        /// Whether it is closed.
+        closed: bool,
+    },
+    /// Accepts a job, unless its id is known.
+    Submit {
+        /// The caller's id.
+        id: JobId,
+        /// The host and path that the call named.
+        host: smol_str::SmolStr,
+        /// The path of the call.
+        path: smol_str::SmolStr,
+        /// The team whose key the call carried.
+        team: Option<TeamId>,
+        /// The job.
+        spec: Arc<JobSpec>,
+    },
+    /// Cancels a job.
+    Cancel {
+        /// The job.
+        job: JobNumber,
+    },
+    /// Changes runs, in order.
+    Transitions(Vec<Transition>),
+}
+
+/// What a change of the workload gave.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WorkloadReply {
+    /// It is done.
+    Done,
+    /// The declaration is refused.
+    Invalid(DeclarationFault),
+    /// The queue that the call names does not exist.
+    NoQueue,
+    /// The job is refused.
+    BadJob(SpecFault),
+    /// Too many jobs are open.
+    TooManyJobs,
+    /// The id belongs to a job of another queue or team.
+    OtherJob,
+}
+
+impl Workload {
+    /// Applies a change; the same changes give the same state on each replica.
+    pub fn apply(&mut self, command: &WorkloadCommand, now: WallMs) -> WorkloadReply {
+        match command {
+            WorkloadCommand::Declare(declaration) => self.declare(declaration),
+            WorkloadCommand::SetZone { zone, closed: true } => {
+                self.closed_zones.insert(zone.clone());
+                WorkloadReply::Done
+            }
+            WorkloadCommand::SetZone { zone, .. } => {
+                self.closed_zones.remove(zone);
+                WorkloadReply::Done
+            }
+            WorkloadCommand::Submit {
+                id,
+                host,
+                path,
+                team,
+                spec,
+            } => self.submit(id, (host, path), team.as_ref(), spec, now),
+            WorkloadCommand::Cancel { job } => {
+                self.end_job(*job, Phase::Cancelled, now);
+                WorkloadReply::Done
+            }
+            WorkloadCommand::Transitions(transitions) => {
+                for transition in transitions {
+                    self.change(transition, now);
+                }
+                WorkloadReply::Done
+            }
+        }
+    }
+
+    /// Builds what is derived from the state, after it was read from a snapshot.
+    pub fn rebuild_index(&mut self) {
+        self.index = Index::of(&self.jobs);
+    }
+
+    /// Forgets jobs that ended long ago.
+    pub fn expire(&mut self, now: WallMs) {
+        while let Some((ended_ms, number)) = self.index.oldest_ended() {
+            let is_old = now.since(ended_ms) >= ENDED_KEPT_MS;
+            if !is_old && self.index.ended_len() <= ENDED_MAX {
+                return;
+            }
+            self.index.forget(ended_ms, number);
+            if let Some(job) = self.jobs.remove(&number) {
+                self.index.forget_id(&job.id, number);
+            }
+        }
+    }
+
+    /// The declaration in force.
+    #[must_use]
+    pub const fn declaration(&self) -> Option<&Arc<Declaration>> {
+        self.declaration.as_ref()
+    }
+
+    /// Whether new runs may start in a zone.
+    #[must_use]
+    pub fn is_open(&self, zone: &ZoneId) -> bool {
+        !self.closed_zones.contains(zone)
+    }
+
+    /// A job.
+    #[must_use]
+    pub fn job(&self, number: JobNumber) -> Option<&Job> {
+        self.jobs.get(&number)
+    }
+
+    /// The number of the job with this id.
+    #[must_use]
+    pub fn number_of(&self, id: &JobId) -> Option<JobNumber> {
+        self.index.number_of(id)
+    }
+
+    /// The jobs that have not ended, in the order of acceptance.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (JobNumber, &Job)> {
+        let open = self.index.open();
+        open.filter_map(|number| Some((number, self.jobs.get(&number)?)))
+    }
+
+    /// The runs that have a place on a worker.
+    pub fn placed_on(&self, worker: &WorkerId) -> impl Iterator<Item = (RunKey, Life)> + '_ {
+        let tasks = self.index.placed_on(worker);
+        tasks.filter_map(|key| {
+            let task = self.task(key)?;
+            let place = task.place.as_ref()?;
+            let run = RunKey {
+                task: key,
+                run: task.run,
+            };
+            Some((run, place.life))
+        })
+    }
+
+    /// The workers on which some run has a place.
+    pub fn placed_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.index.workers()
+    }
+
+    /// What the runs with a place on a worker take of its room.
+    #[must_use]
+    pub fn used_on(&self, worker: &WorkerId) -> super::Amount {
+        self.index.used_on(worker)
+    }
+
+    /// A task of an occurrence that is known.
+    #[must_use]
+    pub fn task(&self, key: TaskKey) -> Option<&super::job::TaskState> {
+        let (_step, state) = self.step(key.step)?;
+        state.tasks.get(key.index as usize)
+    }
+
+    /// A step of an occurrence that is known.
+    #[must_use]
+    pub fn step(&self, key: StepKey) -> Option<(&super::Step, &StepState)> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.spec.steps.get(usize::from(key.step))?;
+        let occurrence = job.occurrences.get(&key.occurrence)?;
+        Some((step, occurrence.steps.get(usize::from(key.step))?))
+    }
+
+    /// The key of a task that a worker names.
+    #[must_use]
+    pub fn key_of(&self, name: &TaskName) -> Option<TaskKey> {
+        let job = self.number_of(&name.job)?;
+        let step = StepKey {
+            job,
+            occurrence: name.occurrence,
+            step: name.step,
+        };
+        let index = name.index;
+        Some(TaskKey { step, index })
+    }
+
+    /// The name by which workers know a task.
+    #[must_use]
+    pub fn name_of(&self, key: TaskKey) -> Option<TaskName> {
+        let job = self.jobs.get(&key.step.job)?;
+        Some(TaskName {
+            job: job.id.clone(),
+            occurrence: key.step.occurrence,
+            step: key.step.step,
+            index: key.index,
+        })
+    }
+
+    fn declare(&mut self, declaration: &Arc<Declaration>) -> WorkloadReply {
+        if let Err(fault) = declaration.check() {
+            return WorkloadReply::Invalid(fault);
+        }
+        let current = self.declaration.as_ref().map(|held| held.version);
+        if current.is_some_and(|version| declaration.version <= version) {
+            return WorkloadReply::Done;
+        }
+        info!(event = "declaration_in_force", version = declaration.version, queues = declaration.queues.len());
+        self.declaration = Some(Arc::clone(declaration));
+        for number in self.index.open().collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&number) else {
+                continue;
+            };
+            if let Some(queue) = declaration.queue(&job.queue) {
+                job.terms = queue.terms.clone();
+            }
+        }
+        WorkloadReply::Done
+    }
+
+    fn submit(
+        &mut self,
+        id: &JobId,
+        (host, path): (&str, &str),
+        team: Option<&TeamId>,
+        spec: &Arc<JobSpec>,
+        now: WallMs,
+    ) -> WorkloadReply {
+        let declaration = self.declaration.clone();
+        let queue = declaration.as_ref().and_then(|d| d.queue_of(host, path));
+        let Some(queue) = queue else {
+            return WorkloadReply::NoQueue;
+        };
+        if let Some(known) = self.number_of(id).and_then(|number| self.jobs.get(&number)) {
+            let same = known.queue == queue.path && known.team.as_ref() == team;
+            return if same {
+                WorkloadReply::Done
+            } else {
+                WorkloadReply::OtherJob
+            };
+        }
+        if let Err(fault) = spec.check() {
+            return WorkloadReply::BadJob(fault);
+        }
+        if self.index.open().count() >= OPEN_MAX {
+            return WorkloadReply::TooManyJobs;
+        }
+        self.accept(id, queue, team, spec, now);
+        WorkloadReply::Done
+    }
+
+    fn accept(
+        &mut self,
+        id: &JobId,
+        queue: &Queue,
+        team: Option<&TeamId>,
+        spec: &Arc<JobSpec>,
+        now: WallMs,
+    ) {
+        self.last_number = JobNumber(self.last_number.0 + 1);
+        let number = self.last_number;
+        let mut job = Job {
+            id: id.clone(),
+            queue: queue.path.clone(),
+            team: team.cloned(),
+            terms: queue.terms.clone(),
+            spec: Arc::clone(spec),
+            accepted_ms: now,
+            phase: Phase::Queued,
+            ended_ms: None,
+            occurrences: std::collections::BTreeMap::new(),
+            due: 0,
+            complete: 0,
+        };
+        if spec.schedule.is_none() {
+            add_occurrence(&mut job);
+        }
+        self.index.accepted(id, number);
+        self.jobs.insert(number, job);
+    }
+
+    fn change(&mut self, transition: &Transition, now: WallMs) {
+        match transition {
+            Transition::Due { job, occurrence } => {
+                let job = self.jobs.get_mut(job);
+                let due = |job: &&mut Job| {
+                    !job.phase.is_ended()
+                        && job.due == *occurrence
+                        && job.due < job.spec.occurrences()
+                };
+                if let Some(job) = job.filter(due) {
+                    add_occurrence(job);
+                }
+            }
+            Transition::Placed { step, run, places } => self.place(*step, *run, places),
+            Transition::Ended { run, end, saved } => self.end_run(*run, *end, saved, now),
+        }
+    }
+
+    fn place(&mut self, key: StepKey, run: u32, places: &[(u32, Place)]) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let at = usize::from(key.step);
+        let spec = Arc::clone(&job.spec);
+        let Some(step) = spec.steps.get(at) else {
+            return;
+        };
+        let occurrence = job.occurrences.get_mut(&key.occurrence);
+        let state = occurrence.and_then(|occurrence| occurrence.steps.get_mut(at));
+        let Some(state) = state else {
+            return;
+        };
+        let fits = |(index, _place): &(u32, Place)| {
+            let task = state.tasks.get(*index as usize);
+            task.is_some_and(|task| task.waits() && task.run < run)
+        };
+        if job.phase.is_ended() || !places.iter().all(fits) {
+            return;
+        }
+        for (index, place) in places {
+            let task = &mut state.tasks[*index as usize];
+            task.run = run;
+            task.place = Some(place.clone());
+            state.placed += 1;
+            let index = *index;
+            let task = TaskKey { step: key, index };
+            self.index.placed(&place.worker, task, step.room());
+        }
+        job.phase = Phase::Running;
+    }
+
+    fn end_run(&mut self, run: RunKey, end: RunEnd, saved: &smol_str::SmolStr, now: WallMs) {
+        let key = run.task.step;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let at = usize::from(key.step);
+        let spec = Arc::clone(&job.spec);
+        let Some(step) = spec.steps.get(at) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return;
+        };
+        let Some(state) = occurrence.steps.get_mut(at) else {
+            return;
+        };
+        let task = state.tasks.get_mut(run.task.index as usize);
+        let Some(task) = task.filter(|task| task.run == run.run) else {
+            return;
+        };
+        let Some(place) = task.place.take() else {
+            return;
+        };
+        state.placed -= 1;
+        self.index.ended(&place.worker, run.task, step.room());
+        let attempts_max = job.terms.attempts_max;
+        let failed = state.end(step, run.task.index, end, saved, attempts_max);
+        self.settle(key.job, key.occurrence, failed, now);
+    }
+
+    /// Ends what is complete, and forgets the tasks of what ended.
+    fn settle(&mut self, number: JobNumber, occurrence: u32, failed: bool, now: WallMs) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if let Some(state) = job.occurrences.get_mut(&occurrence) {
+            let all_done = state.steps.iter().all(StepState::is_complete);
+            if all_done && !state.complete {
+                state.complete = true;
+                job.complete += 1;
+            }
+            let is_empty = state.steps.iter().all(|step| step.placed == 0);
+            if state.complete && is_empty {
+                job.occurrences.remove(&occurrence);
+            }
+        }
+        let is_complete = job.complete >= job.spec.occurrences();
+        if failed {
+            self.end_job(number, Phase::Failed, now);
+        } else if is_complete {
+            self.end_job(number, Phase::Completed, now);
+        }
+        self.forget_tasks(number);
+    }
+
+    fn end_job(&mut self, number: JobNumber, phase: Phase, now: WallMs) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.phase.is_ended() {
+            return;
+        }
+        job.phase = phase;
+        job.ended_ms = Some(now);
+        self.index.closed(number, now);
+        self.forget_tasks(number);
+    }
+
+    /// An ended job without runs keeps only what its caller may ask.
+    fn forget_tasks(&mut self, number: JobNumber) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        if job.phase.is_ended() && !job.has_places() {
+            job.occurrences.clear();
+            job.spec = Arc::default();
+        }
+    }
+}
+
+use super::Life;
+
+fn add_occurrence(job: &mut Job) {
+    let steps = job.spec.steps.iter().map(StepState::new).collect();
+    let occurrence = Occurrence {
+        steps,
+        complete: false,
+    };
+    job.occurrences.insert(job.due, occurrence);
+    job.due += 1;
+}
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -31,14 +31,14 @@
             .arg("--settings")
             .arg(settings)
             .stdout(Stdio::null())
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the program stands beside the test");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let stderr = child.stderr.take().expect("standard error is piped");
+        let stdout = child.stdout.take().expect("standard output is piped");
         let lines = Arc::clone(&log);
         thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
                 lines
                     .lock()
                     .expect("no thread panics with the log")
