--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -19,6 +19,8 @@
 
 /// How long one try of a call may take before its connection counts as silent.
 const TRY_MS: Millis = Millis(1_000);
+/// The same for calls on the workload, whose callers wait a second or a few.
+const WORK_TRY_MS: Millis = Millis(450);
 /// How long a call is tried where its caller sets no deadline.
 const CALL_MS: Millis = Millis(5_000);
 /// How much longer than its hold an exchange or a held look-up may take.
@@ -74,6 +76,11 @@
         }
     }
 
+    /// Tells the client which replica leads, where the caller knows better.
+    pub fn hint_leader(&self, leader: SocketAddr) {
+        self.connections.hint_leader(leader);
+    }
+
     /// Makes one exchange with the replica that is thought to lead.
     ///
     /// It is tried once: the next exchange must carry a new sequence.
@@ -248,7 +255,7 @@
     pub async fn work(&self, request: WorkRequest) -> Result<WorkAnswer> {
         self.call(
             self.deadline_ms,
-            TRY_MS,
+            WORK_TRY_MS,
             async |client: ControlApiClient, context| client.work(context, request.clone()).await,
         )
         .await
--- a/src/control/connections.rs
+++ b/src/control/connections.rs
@@ -46,6 +46,16 @@
             .or_else(|| in_turn.map(|at| self.addresses[at]))
     }
 
+    /// Another source names the leader, for example the replica in the same process.
+    pub(super) fn hint_leader(&self, leader: SocketAddr) {
+        let mut state = self.lock();
+        let failed = state.failed.get(&leader);
+        let is_avoided = failed.is_some_and(|when| when.elapsed() < AVOID);
+        if state.leader != Some(leader) && !is_avoided {
+            state.leader = Some(leader);
+        }
+    }
+
     /// A connection to this replica; none where it could not be opened in time.
     pub(super) async fn open(&self, address: SocketAddr) -> Option<Arc<Dialled>> {
         let known = self.lock().open.get(&address).map(Arc::clone);
--- a/src/telemetry/log.rs
+++ b/src/telemetry/log.rs
@@ -41,9 +41,12 @@
 }
 
 /// This program's events at its level; of the libraries' only errors, as theirs have no event name.
+///
+/// Missed deadlines of `tarpc` are left out: each is a connection that is retired, which is logged.
 fn own_events(level: LogLevel) -> Targets {
     Targets::new()
         .with_default(LevelFilter::ERROR)
+        .with_target("tarpc", LevelFilter::OFF)
         .with_target(env!("CARGO_CRATE_NAME"), Level::from(level))
 }
 
--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use smol_str::SmolStr;
 
@@ -28,11 +28,8 @@
     pub(super) lease_until_ms: Millis,
     /// What its last report lists as running.
     pub(super) running: BTreeMap<RunKey, Running>,
-    /// Starts that went out, with the report that they answered.
-    pub(super) sent: BTreeMap<RunKey, Sequence>,
-    /// Runs that had a place there when this leader first heard it: an earlier leader may have
-    /// ordered their start.
-    pub(super) inherited: BTreeSet<RunKey>,
+    /// What may have become of placed runs that are not listed.
+    pub(super) unlisted: BTreeMap<RunKey, Unlisted>,
     /// Whether its last report lists a run that has no place there.
     pub(super) runs_others: bool,
     /// Failures since the last task that did its work.
@@ -40,6 +37,25 @@
     pub(super) quarantined_until_ms: Millis,
 }
 
+/// What may have become of a placed run that the last report does not list.
+///
+/// A run that is being stopped is in neither list until its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Unlisted {
+    /// An earlier leader may have ordered its start.
+    Inherited,
+    /// It was told to stop at that time, and may have been started by an earlier leader.
+    StopOrdered {
+        since_ms: Millis,
+    },
+    /// Its start was ordered in the answer to that report.
+    StartOrdered {
+        sequence: Sequence,
+    },
+    /// It was listed as running before.
+    Ran,
+}
+
 /// A run as the last report shows it.
 #[derive(Clone, Debug)]
 pub(super) struct Running {
@@ -64,8 +80,7 @@
             heard_ms: Millis::ZERO,
             lease_until_ms,
             running: BTreeMap::new(),
-            sent: BTreeMap::new(),
-            inherited: BTreeSet::new(),
+            unlisted: BTreeMap::new(),
             runs_others: false,
             failures: 0,
             quarantined_until_ms: Millis::ZERO,
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -38,6 +38,10 @@
     pub fn plan(&mut self, state: &Workload, now: Millis, wall: WallMs) -> Vec<Transition> {
         self.dirty = false;
         self.reclaims.retain(|_step, until| now < *until);
+        self.stopping.retain(|run| {
+            let task = state.task(run.task);
+            task.is_some_and(|task| task.run == run.run && task.place.is_some())
+        });
         let mut slots = self.slots(state, now);
         let mut transitions = Vec::new();
         let mut placed = 0;
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -3,7 +3,7 @@
 use smol_str::SmolStr;
 use tracing::{info, warn};
 
-use super::fleet::{Running, Worker};
+use super::fleet::{Running, Unlisted, Worker};
 use super::{Planner, Reported};
 use crate::units::{Millis, WorkerId};
 use crate::workload::{
@@ -51,7 +51,8 @@
             let mut worker = Worker::new(report, lease_until);
             let placed = state.placed_on(&report.worker);
             let of_life = placed.filter(|(_run, life)| *life == report.life);
-            worker.inherited = of_life.map(|(run, _life)| run).collect();
+            let inherited = of_life.map(|(run, _life)| (run, Unlisted::Inherited));
+            worker.unlisted = inherited.collect();
             self.workers.insert(report.worker.clone(), worker);
             self.dirty = true;
         }
@@ -78,9 +79,9 @@
         let earlier = std::mem::take(&mut worker.running);
         worker.running = running(report, state, &earlier, now);
         worker.runs_others = worker.running.len() < report.running.len();
-        let running: Vec<RunKey> = worker.running.keys().copied().collect();
-        worker.sent.retain(|run, _sent| !running.contains(run));
-        worker.inherited.retain(|run| !running.contains(run));
+        for run in worker.running.keys() {
+            worker.unlisted.insert(*run, Unlisted::Ran);
+        }
         for end in &report.ended {
             self.take_end(report, end, &earlier, state, now, transitions);
         }
@@ -106,13 +107,12 @@
         }
         info!(event = "run_ended", job = %end.task.job, task = %end.task, run = end.run, end = %end.end,
             worker = %report.worker, report = %report.sequence);
-        self.stopping.remove(&run);
+        self.stopping.insert(run);
         self.dirty = true;
         let Some(worker) = self.workers.get_mut(&report.worker) else {
             return;
         };
-        worker.sent.remove(&run);
-        worker.inherited.remove(&run);
+        worker.unlisted.remove(&run);
         match end.end {
             RunEnd::Done => worker.succeeded(),
             RunEnd::Failed => worker.failed(now),
@@ -152,7 +152,7 @@
 
     fn lost(&mut self, worker: &WorkerId, run: RunKey, end: RunEnd) -> Transition {
         info!(event = "run_lost", run = %run, worker = %worker, end = %end);
-        self.stopping.remove(&run);
+        self.stopping.insert(run);
         self.dirty = true;
         let saved = self.saved_of(worker, run);
         Transition::Ended { run, end, saved }
@@ -197,7 +197,7 @@
             }
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.running.clear();
-                worker.sent.clear();
+                worker.unlisted.clear();
             }
         }
         self.workers
@@ -235,19 +235,28 @@
             ..WorkerOrders::default()
         };
         for run in &placed {
-            if worker.running.contains_key(run) {
+            let before = worker.unlisted.get(run).copied();
+            if worker.running.contains_key(run) || before == Some(Unlisted::Ran) {
                 continue;
             }
             let wanted = may_start && !self.stopping.contains(run) && !has_ended(state, *run);
             let start = start(state, *run).filter(|_start| wanted);
-            if let Some(start) = start {
+            let sequence = report.sequence;
+            let next = if let Some(start) = start {
                 orders.starts.push(start);
-            } else if let Some(task) = state.name_of(run.task) {
+                Unlisted::StartOrdered { sequence }
+            } else {
                 // A start that is still on its way is refused after this.
-                orders.stops.push((task, run.run));
-            }
-            worker.sent.insert(*run, report.sequence);
-            worker.inherited.remove(run);
+                let task = state.name_of(run.task);
+                orders.stops.extend(task.map(|task| (task, run.run)));
+                let since_ms = received_ms;
+                match before {
+                    Some(Unlisted::Inherited) => Unlisted::StopOrdered { since_ms },
+                    Some(before) => before,
+                    None => continue,
+                }
+            };
+            worker.unlisted.insert(*run, next);
         }
         for listed in &report.running {
             let task = state.key_of(&listed.task);
@@ -281,14 +290,16 @@
                 if is_former || wanted || worker.running.contains_key(&run) {
                     continue;
                 }
-                if may_have_started(worker, run) {
+                if may_run(worker, run, self.options.stop_ms) {
                     continue;
                 }
+                worker.unlisted.remove(&run);
                 transitions.push((run, RunEnd::Withdrawn));
             }
         }
         let withdrawn = transitions.into_iter().map(|(run, end)| {
-            self.stopping.remove(&run);
+            // No start goes out while the withdrawal is on its way.
+            self.stopping.insert(run);
             self.dirty = true;
             Transition::Ended {
                 run,
@@ -307,15 +318,22 @@
     }
 }
 
+/// What is added to the time of a stop before a worker's silence about a run means that it is over.
+const STOP_SLACK_MS: Millis = Millis(1_000);
 /// How long a worker without a lease is remembered, with its failures.
 const FORGET_MS: Millis = Millis(60_000);
 
-/// Whether this leader ordered the start and no later report has shown that it did not happen.
-///
-/// A leader knows only its own orders: runs that an earlier leader placed may have been ordered.
-fn may_have_started(worker: &Worker, run: RunKey) -> bool {
-    worker.sent.get(&run).is_some_and(|sent| worker.sequence <= *sent)
-        || worker.inherited.contains(&run)
+/// Whether a placed run that is not listed may be at work, or still be started.
+fn may_run(worker: &Worker, run: RunKey, stop_ms: Millis) -> bool {
+    match worker.unlisted.get(&run) {
+        None => false,
+        Some(Unlisted::Inherited | Unlisted::Ran) => true,
+        Some(Unlisted::StartOrdered { sequence }) => worker.sequence <= *sequence,
+        Some(Unlisted::StopOrdered { since_ms }) => {
+            let stopped_ms = since_ms.saturating_add(stop_ms).saturating_add(STOP_SLACK_MS);
+            worker.heard_ms < stopped_ms
+        }
+    }
 }
 
 fn has_ended(state: &Workload, run: RunKey) -> bool {
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -30,7 +30,7 @@
         let mut child = Command::new(program)
             .arg("--settings")
             .arg(settings)
-            .stdout(Stdio::null())
+            .stderr(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program stands beside the test");
