--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -52,12 +52,11 @@
                 self.dirty = true;
                 break;
             }
-            let Some((spec, tasks)) = state.step(step.key) else {
+            let Some((_step, tasks)) = state.step(step.key) else {
                 continue;
             };
-            let all_placed = places >= tasks.waiting() as usize;
-            if step.priority == 0 && !all_placed {
-                self.reclaim(&step, spec, state, &slots, now);
+            if step.priority == 0 && places < tasks.waiting() as usize {
+                self.reclaim(&step, state, &mut slots, now, wall);
             }
         }
         transitions
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -1,108 +1,137 @@
-//! Who leaves for a team's guarantee: work of priority 0 that finds no room though its team is inside
-//! its guarantee.
+//! Who leaves for a team's guarantee: urgent work that finds no room though its team is inside its
+//! guarantee, while others hold all of the room.
+//!
+//! Each member of a gang goes where the least work is lost, in the rack where that is the least in
+//! all. The room that it waits for is kept from others meanwhile.
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use smol_str::SmolStr;
 use tracing::info;
 
+use super::Planner;
 use super::order::Waiting;
 use super::place::{Ask, Slots};
-use super::Planner;
-use crate::units::{Millis, TeamId};
-use crate::workload::{Amount, RunKey, Step, StepKey, Workload};
+use crate::units::{Millis, TeamId, WallMs};
+use crate::workload::{Amount, RunKey, StepKey, StepState, TaskKey, Workload};
 
 /// How long a reclaim waits for the room, beyond the time of a stop, before others must leave too.
 const RECLAIM_SLACK_MS: Millis = Millis(600);
 
-/// A run that may be made to leave.
+/// Runs that leave together: a gang, or one task.
 #[derive(Clone, Debug)]
 struct Victim {
-    run: RunKey,
-    slot: usize,
-    room: Amount,
-    /// What is lost, all members of a gang taken together.
-    lost: u64,
-    /// All members of its gang; itself alone where it is none.
     members: Vec<RunKey>,
+    /// The work that is lost with them, in thousandths of core-seconds.
+    lost: u64,
+}
+
+/// What may be taken from others.
+#[derive(Debug, Default)]
+struct Victims {
+    all: Vec<Victim>,
+    /// For each slot: the victims that hold room there, with how much.
+    on: Vec<Vec<(usize, Amount)>>,
+}
+
+/// A way to make room.
+#[derive(Clone, Debug, Default)]
+struct Clearing {
+    leaving: BTreeSet<usize>,
+    places: Vec<usize>,
+    lost: u64,
 }
 
 impl Planner {
-    /// Makes others leave where a step inside its team's guarantee finds no room.
+    /// Makes others leave where a step inside its team's guarantee has found no room for long enough,
+    /// and keeps what it waits for from those that come after it.
     pub(super) fn reclaim(
         &mut self,
         waiting: &Waiting,
-        step: &Step,
         state: &Workload,
-        slots: &Slots,
+        slots: &mut Slots,
         now: Millis,
+        wall: WallMs,
     ) {
-        let Some(job) = state.job(waiting.key.job) else {
+        let (Some(job), Some((step, tasks))) = (state.job(waiting.key.job), state.step(waiting.key))
+        else {
             return;
         };
-        let inside = job.team.as_ref().is_some_and(|team| is_inside(state, team));
-        if self.reclaims.contains_key(&waiting.key) || !inside {
+        if !job.team.as_ref().is_some_and(|team| is_inside(state, team)) {
             return;
         }
-        let tasks = state.step(waiting.key).map_or(0, |(_, tasks)| tasks.waiting());
         let mut ask = Ask {
             step,
             service: &job.terms.service,
-            tasks: if step.gang { step.tasks } else { 1 },
+            tasks: tasks.waiting(),
             held: BTreeMap::new(),
             anywhere: true,
         };
-        if let Some((_step, tasks)) = state.step(waiting.key) {
-            ask.count_held(tasks);
-        }
+        ask.count_held(tasks);
         let victims = self.victims(state, slots, now);
-        let mut wide = slots.clone();
-        for victim in &victims {
-            let slot = &mut wide.all[victim.slot];
-            slot.free = slot.free.plus(victim.room);
-        }
-        let Some(places) = places_for(&ask, &mut wide, if step.gang { 1 } else { tasks }) else {
+        let Some(clearing) = clear(&ask, slots, &victims) else {
             return;
         };
-        let leaving = self.choose(&places, slots, victims, step.room());
+        for at in &clearing.places {
+            slots.take(*at, step.room());
+        }
+        // A queue's target is the time that its jobs may take beyond their run time.
+        let waited = wall.since(job.due_ms(waiting.key.occurrence));
+        if self.reclaims.contains_key(&waiting.key) || waited < job.terms.target_ms {
+            return;
+        }
         let until = now
             .saturating_add(self.options.stop_ms)
-            .saturating_add(self.report_pause())
+            .saturating_add(self.options.report_after_ms)
             .saturating_add(RECLAIM_SLACK_MS);
         self.reclaims.insert(waiting.key, until);
-        info!(event = "reclaim", job = %job.id, step = waiting.key.step, tasks, leaving = leaving.len());
+        let leaving = clearing.leaving.iter().map(|at| &victims.all[*at]);
+        let leaving: Vec<RunKey> = leaving.flat_map(|victim| victim.members.clone()).collect();
+        info!(event = "reclaim", job = %job.id, step = waiting.key.step, tasks = ask.tasks,
+            leaving = leaving.len(), lost_core_ms = clearing.lost, waited_ms = waited.get());
         self.stopping.extend(leaving);
         self.dirty = true;
     }
 
-    /// The runs that may leave for guarantees, those that lose the least first.
-    fn victims(&self, state: &Workload, slots: &Slots, now: Millis) -> Vec<Victim> {
-        let mut victims = Vec::new();
-        for (at, slot) in slots.all.iter().enumerate() {
+    /// The runs that may leave for guarantees.
+    fn victims(&self, state: &Workload, slots: &Slots, now: Millis) -> Victims {
+        let mut victims = Victims::default();
+        let mut gangs: BTreeMap<(StepKey, u32), usize> = BTreeMap::new();
+        for slot in &slots.all {
+            let mut here = Vec::new();
             for (run, _life) in state.placed_on(&slot.worker) {
                 let job = state.job(run.task.step.job);
-                let may_leave = job.is_some_and(|job| job.terms.priority > 0 && !job.phase.is_ended());
-                if !may_leave || self.stopping.contains(&run) {
-                    continue;
-                }
+                let may_leave =
+                    job.is_some_and(|job| job.terms.priority > 0 && !job.phase.is_ended());
                 let Some((step, tasks)) = state.step(run.task.step) else {
                     continue;
                 };
-                let members = if step.gang {
-                    members(run, tasks)
-                } else {
-                    vec![run]
+                if !may_leave || self.stopping.contains(&run) {
+                    continue;
+                }
+                let gang = (run.task.step, run.run);
+                let at = match gangs.get(&gang).filter(|_at| step.gang) {
+                    Some(at) => *at,
+                    None => {
+                        let members = if step.gang {
+                            members(run, tasks)
+                        } else {
+                            vec![run]
+                        };
+                        let lost = members.iter().map(|run| self.lost_by(*run, state, now));
+                        let lost = lost.sum();
+                        victims.all.push(Victim { members, lost });
+                        let at = victims.all.len() - 1;
+                        if step.gang {
+                            gangs.insert(gang, at);
+                        }
+                        at
+                    }
                 };
-                let lost = members.iter().map(|member| self.lost_by(*member, state, now));
-                victims.push(Victim {
-                    run,
-                    slot: at,
-                    room: step.room(),
-                    lost: lost.sum(),
-                    members,
-                });
+                here.push((at, step.room()));
             }
+            victims.on.push(here);
         }
-        victims.sort_by_key(|victim| (victim.lost, victim.run));
         victims
     }
 
@@ -111,9 +140,9 @@
         let Some((step, tasks)) = state.step(run.task.step) else {
             return 0;
         };
-        let place = tasks.tasks.get(run.task.index as usize);
-        let worker = place.and_then(|task| task.place.as_ref());
-        let worker = worker.and_then(|place| self.workers.get(&place.worker));
+        let task = tasks.tasks.get(run.task.index as usize);
+        let place = task.and_then(|task| task.place.as_ref());
+        let worker = place.and_then(|place| self.workers.get(&place.worker));
         let Some(running) = worker.and_then(|worker| worker.running.get(&run)) else {
             return 0;
         };
@@ -123,77 +152,117 @@
         } else {
             now.since(running.first_seen_ms)
         };
-        step.demand.weight().saturating_mul(lost_ms.get()) / 1_000 + 1
+        let base = step.demand.weight() / 100;
+        base + step.demand.weight().saturating_mul(lost_ms.get()) / 1_000
     }
+}
 
-    /// The cheapest of the victims whose leaving makes room for all places.
-    fn choose(
-        &self,
-        places: &[usize],
-        slots: &Slots,
-        victims: Vec<Victim>,
-        demand: Amount,
-    ) -> BTreeSet<RunKey> {
-        let mut missing: BTreeMap<usize, (Amount, Amount)> = BTreeMap::new();
-        for at in places {
-            let free = slots.all[*at].free;
-            let (wanted, _free) = missing.entry(*at).or_insert((Amount::ZERO, free));
-            *wanted = wanted.plus(demand);
-        }
-        let mut leaving = BTreeSet::new();
-        for victim in victims {
-            let Some((wanted, free)) = missing.get_mut(&victim.slot) else {
-                continue;
-            };
-            if wanted.fits_in(*free) {
-                continue;
+/// The way that loses the least work: in one rack where the tasks want that, else anywhere.
+fn clear(ask: &Ask<'_>, slots: &Slots, victims: &Victims) -> Option<Clearing> {
+    let all: Vec<usize> = (0..slots.all.len()).collect();
+    if !ask.step.one_rack {
+        return clear_among(&all, ask, slots, victims);
+    }
+    let mut racks: BTreeMap<Option<SmolStr>, Vec<usize>> = BTreeMap::new();
+    for at in all.iter().copied() {
+        racks.entry(slots.all[at].rack.clone()).or_default().push(at);
+    }
+    let ways = racks.values().filter_map(|rack| {
+        let way = clear_among(rack, ask, slots, victims)?;
+        (way.places.len() == ask.tasks as usize).then_some(way)
+    });
+    let best = ways.min_by_key(|way| way.lost);
+    best.or_else(|| clear_among(&all, ask, slots, victims))
+}
+
+/// Adds place after place where the least more is lost; a gang needs all of its places.
+fn clear_among(
+    among: &[usize],
+    ask: &Ask<'_>,
+    slots: &Slots,
+    victims: &Victims,
+) -> Option<Clearing> {
+    let demand = ask.step.room();
+    let mut clearing = Clearing::default();
+    let mut taken: BTreeMap<usize, u32> = BTreeMap::new();
+    for _task in 0..ask.tasks {
+        let options = among.iter().filter_map(|at| {
+            let slot = &slots.all[*at];
+            let count = taken.get(at).copied().unwrap_or(0) + 1;
+            if ask.count_on(slot, slot.room) < count {
+                return None;
             }
-            *free = free.plus(victim.room);
-            leaving.extend(victim.members);
-        }
-        leaving
+            let needed = demand.times(u64::from(count));
+            let (more, lost, free) = more_victims(*at, needed, slots, victims, &clearing.leaving)?;
+            let left = free.minus(needed).accelerators;
+            Some((lost, left, *at, more))
+        });
+        let best = options.min_by_key(|(lost, left, at, _more)| (*lost, *left, *at));
+        let Some((lost, _left, at, more)) = best else {
+            break;
+        };
+        clearing.lost += lost;
+        clearing.leaving.extend(more);
+        clearing.places.push(at);
+        *taken.entry(at).or_default() += 1;
     }
+    let is_whole = clearing.places.len() == ask.tasks as usize;
+    let is_enough = is_whole || (!ask.step.gang && !clearing.places.is_empty());
+    is_enough.then_some(clearing)
+}
 
-    const fn report_pause(&self) -> Millis {
-        self.options.report_after_ms
+/// The cheapest further victims that free `needed` on a slot, what is lost, and what is free then.
+fn more_victims(
+    at: usize,
+    needed: Amount,
+    slots: &Slots,
+    victims: &Victims,
+    leaving: &BTreeSet<usize>,
+) -> Option<(Vec<usize>, u64, Amount)> {
+    let mut free = slots.all[at].free;
+    let mut holding: Vec<(usize, Amount)> = Vec::new();
+    for (victim, room) in &victims.on[at] {
+        if leaving.contains(victim) {
+            free = free.plus(*room);
+        } else {
+            holding.push((*victim, *room));
+        }
     }
+    holding.sort_by_key(|(victim, _room)| victims.all[*victim].lost);
+    let mut more = Vec::new();
+    let mut lost = 0;
+    for (victim, room) in holding {
+        if needed.fits_in(free) {
+            break;
+        }
+        free = free.plus(room);
+        if !more.contains(&victim) {
+            lost += victims.all[victim].lost;
+            more.push(victim);
+        }
+    }
+    needed.fits_in(free).then_some((more, lost, free))
 }
 
 /// Whether all that a team's open jobs of priority 0 need is inside its guarantee.
 fn is_inside(state: &Workload, team: &TeamId) -> bool {
     let declaration = state.declaration();
     let guaranteed = declaration.map_or(0, |declaration| declaration.guaranteed(team));
-    let jobs = state.open_jobs().filter(|(_number, job)| {
-        job.team.as_ref() == Some(team) && job.terms.priority == 0
-    });
-    let needed = jobs.flat_map(|(_number, job)| job.spec.steps.iter());
-    let needed = needed.map(|step| step.demand.accelerators * u64::from(step.tasks));
+    let jobs = state
+        .open_jobs()
+        .filter(|(_number, job)| job.team.as_ref() == Some(team) && job.terms.priority == 0);
+    let steps = jobs.flat_map(|(_number, job)| job.spec.steps.iter());
+    let needed = steps.map(|step| step.demand.accelerators * u64::from(step.tasks));
     needed.fold(0, u64::saturating_add) <= guaranteed
 }
 
-fn members(run: RunKey, tasks: &crate::workload::StepState) -> Vec<RunKey> {
-    let step: StepKey = run.task.step;
+fn members(run: RunKey, tasks: &StepState) -> Vec<RunKey> {
+    let step = run.task.step;
     let placed = tasks.tasks.iter().zip(0_u32..);
     let placed = placed.filter(|(task, _index)| task.place.is_some() && task.run == run.run);
     let key = |index| RunKey {
-        task: crate::workload::TaskKey { step, index },
+        task: TaskKey { step, index },
         run: run.run,
     };
     placed.map(|(_task, index)| key(index)).collect()
 }
-
-/// Places for a gang, or for as many single tasks as wait; none where nothing fits.
-fn places_for(ask: &Ask<'_>, slots: &mut Slots, units: u32) -> Option<Vec<usize>> {
-    if ask.step.gang {
-        return slots.for_gang(ask);
-    }
-    let mut places = Vec::new();
-    for _unit in 0..units {
-        let Some(at) = slots.for_task(ask) else {
-            break;
-        };
-        slots.take(at, ask.step.room());
-        places.push(at);
-    }
-    (!places.is_empty()).then_some(places)
-}
