Scheduler: a gang that misses a member is stopped as a whole before its workers give up

Also: one state is planned once a batch (tasks were placed twice within 3 ms, the second time without effect). Ruled out: lost answers, as all others had arrived.

--- a/src/control/work_loop.rs
+++ b/src/control/work_loop.rs
@@ -69,6 +69,8 @@
     commands: Vec<WorkloadCommand>,
     transitions: Vec<Transition>,
     waiting: Vec<Waiting>,
+    /// Whether the planner's decisions on the present state are in it.
+    planned: bool,
 }
 
 /// What a leadership knows.
@@ -330,9 +332,10 @@
             return;
         };
         let planner = &mut lead.planner;
-        if !planner.is_dirty() {
+        if !planner.is_dirty() || self.next.planned {
             return;
         }
+        self.next.planned = true;
         let transitions = &mut self.next.transitions;
         self.machine.read(|machine| {
             let state = machine.workload();
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -1,6 +1,7 @@
 //! What the leader decides about runs: which start where, which stop, and which are lost.
 
 mod fleet;
+mod gather;
 mod order;
 mod place;
 mod plan;
@@ -37,6 +38,9 @@
     /// How many times as long a task takes away from its data or its gang's rack.
     #[builder(default = 3)]
     pub far_factor: u64,
+    /// How long the members of a gang wait for each other on their workers.
+    #[builder(default = Millis(3_000))]
+    pub gang_wait_ms: Millis,
     /// How much earlier than due an occurrence may start.
     #[builder(default = Millis(0))]
     pub early_ms: Millis,
@@ -56,6 +60,8 @@
     stopping: BTreeSet<RunKey>,
     /// Steps for which others were made to leave, and until when to wait for the room.
     reclaims: BTreeMap<StepKey, Millis>,
+    /// Gangs of which not all members are known to run, and when they got their places.
+    gathering: BTreeMap<(StepKey, u32), Millis>,
     run_times: RunTimes,
     /// Whether something changed that may let a task start.
     dirty: bool,
@@ -81,6 +87,7 @@
             workers: BTreeMap::new(),
             stopping: BTreeSet::new(),
             reclaims: BTreeMap::new(),
+            gathering: BTreeMap::new(),
             run_times: RunTimes::default(),
             dirty: true,
         }
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -42,11 +42,12 @@
             let task = state.task(run.task);
             task.is_some_and(|task| task.run == run.run && task.place.is_some())
         });
+        self.stop_incomplete_gangs(state, now);
         let mut slots = self.slots(state, now);
         let mut transitions = Vec::new();
         let mut placed = 0;
         for step in waiting(state, &self.run_times, wall) {
-            let places = self.place_step(&step, state, &mut slots, wall, &mut transitions);
+            let places = self.place_step(&step, state, &mut slots, (now, wall), &mut transitions);
             placed += places;
             if placed >= PLACED_MAX {
                 self.dirty = true;
@@ -64,11 +65,11 @@
 
     /// Places what fits of a step; gives the number of tasks placed.
     fn place_step(
-        &self,
+        &mut self,
         waiting: &Waiting,
         state: &Workload,
         slots: &mut Slots,
-        wall: WallMs,
+        (now, wall): (Millis, WallMs),
         transitions: &mut Vec<Transition>,
     ) -> usize {
         let key = waiting.key;
@@ -84,7 +85,12 @@
         };
         ask.count_held(tasks);
         let placed = if step.gang {
-            place_gang(key, tasks, &ask, slots, transitions)
+            let run = tasks.next_run(step, 0);
+            let placed = place_gang(key, run, &ask, slots, transitions);
+            if placed > 0 {
+                self.gathering.insert((key, run), now);
+            }
+            placed
         } else {
             place_tasks(key, tasks, &mut ask, slots, transitions)
         };
@@ -110,7 +116,7 @@
 
 fn place_gang(
     key: StepKey,
-    tasks: &StepState,
+    run: u32,
     ask: &Ask<'_>,
     slots: &mut Slots,
     transitions: &mut Vec<Transition>,
@@ -125,7 +131,7 @@
     let places = places.into_iter().zip(0_u32..);
     transitions.push(Transition::Placed {
         step: key,
-        run: tasks.next_run(ask.step, 0),
+        run,
         places: places.map(|(at, index)| (index, place(slots, at))).collect(),
     });
     placed
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -336,10 +336,16 @@
     }
 }
 
+/// Whether a run that has a place is of no use any more: its job or task has ended, or a member of its
+/// gang is missing, for which the others would wait in vain.
 fn has_ended(state: &Workload, run: RunKey) -> bool {
     let job = state.job(run.task.step.job);
-    let task = state.task(run.task);
-    job.is_none_or(|job| job.phase.is_ended()) || task.is_none_or(|task| task.done)
+    let Some((step, tasks)) = state.step(run.task.step) else {
+        return true;
+    };
+    let task = tasks.tasks.get(run.task.index as usize);
+    let is_broken = step.gang && (tasks.placed as usize) < tasks.tasks.len();
+    job.is_none_or(|job| job.phase.is_ended()) || task.is_none_or(|task| task.done) || is_broken
 }
 
 fn start(state: &Workload, run: RunKey) -> Option<Start> {
