Control group: a lost voter is replaced within half of the repair time; a full disk makes the leader hand over

Ruled out: lost acknowledgements. Tests: standby, full disk (replica_core::open_group), unanswered worker (workload_runs).

--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -89,6 +89,7 @@
     ReplicaOptions::builder()
         .maybe_host_ports(seeded.map(|seeded| seeded.ports))
         .maybe_voters_wanted(seeded.map(SeedSettings::voters_wanted))
+        .maybe_replace_after_ms(seeded.map(SeedSettings::replace_after_ms))
         .may_found(seeded.is_none_or(SeedSettings::may_found))
         .name(settings.name.clone())
         .listen(own.peers)
--- a/src/replica/core/election.rs
+++ b/src/replica/core/election.rs
@@ -264,6 +264,33 @@
         }
     }
 
+    /// The disk takes no more, or does again.
+    pub(super) fn disk_is_full(&mut self, full: bool, now: Millis) {
+        self.disk_full = full;
+        self.disk_full_ms = full.then_some(self.disk_full_ms.unwrap_or(now));
+        if let Role::Leader(state) = &mut self.role
+            && !full
+            && !self.leaving
+        {
+            state.transfer = None;
+        }
+    }
+
+    /// A leader whose disk stays full hands over, as the others can still take changes.
+    pub(super) fn leave_full_disk(&mut self, now: Millis) {
+        let patience = Millis(self.config.election_min_ms.get() / 2);
+        let Some(full_ms) = self.disk_full_ms else {
+            return;
+        };
+        if now.since(full_ms) < patience || self.alone() {
+            return;
+        }
+        let until_ms = now.saturating_add(self.config.election_min_ms);
+        if let Role::Leader(state) = &mut self.role {
+            state.transfer.get_or_insert(Transfer { until_ms });
+        }
+    }
+
     /// Hands over once all is committed and applied and a voter holds all of it.
     ///
     /// The leader acts no more from then on, as the next one does not wait for its lease to end.
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -70,6 +70,8 @@
     /// When the leader last got an answer that did not wait for the disk.
     answered_ms: Millis,
     disk_full: bool,
+    /// Since when the disk takes no more.
+    disk_full_ms: Option<Millis>,
     leaving: bool,
     unsaved: Save,
     sequence: u64,
@@ -115,6 +117,7 @@
                 ..Formation::default()
             },
             disk_full: false,
+            disk_full_ms: None,
             leaving: false,
             unsaved: Save::default(),
             sequence: 0,
@@ -141,7 +144,7 @@
             Event::Received(message) => self.receive(*message, now),
             Event::Persisted { sequence } => self.saved(sequence, now),
             Event::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
-            Event::DiskFull(full) => self.disk_full = full,
+            Event::DiskFull(full) => self.disk_is_full(full, now),
             Event::HandOver => self.hand_over(now),
         }
         self.flush(now)
@@ -186,7 +189,10 @@
 
     fn tick(&mut self, now: Millis) {
         match &self.role {
-            Role::Leader(_) => self.check_quorum(now),
+            Role::Leader(_) => {
+                self.leave_full_disk(now);
+                self.check_quorum(now);
+            }
             _ if self.group.is_none() => self.ask_blank_peers(now),
             _ if !self.is_voter() => self.ask_to_join(now),
             _ if now >= self.election_at_ms && !self.leaving => {
--- a/src/replica/options.rs
+++ b/src/replica/options.rs
@@ -84,6 +84,9 @@
     /// Whether this replica may form a new group together with its peers.
     #[builder(default = true)]
     pub may_found: bool,
+    /// How long a voter is silent before a replica that stands by takes its place.
+    #[builder(default = Millis(8_000))]
+    pub replace_after_ms: Millis,
     /// The data folder, used by no other process.
     pub data_folder: PathBuf,
     /// Seed of the election times; replicas should differ in it.
--- a/src/replica/start.rs
+++ b/src/replica/start.rs
@@ -159,6 +159,7 @@
         .peers(peers.iter().map(|p| p.name.clone()).collect())
         .seed(options.seed)
         .may_found(options.may_found)
+        .replace_after_ms(options.replace_after_ms)
         .maybe_voters_wanted(options.voters_wanted)
         .election_min_ms(options.election_min_ms)
         .election_max_ms(options.election_max_ms)
--- a/src/settings/seeds.rs
+++ b/src/settings/seeds.rs
@@ -3,7 +3,7 @@
 use super::control::ReplicaAddresses;
 use super::fields::Fields;
 use crate::replica::HostPorts;
-use crate::units::ReplicaId;
+use crate::units::{Millis, ReplicaId};
 
 /// What an IP address looks like, for messages.
 const HOST: &str = "an IP address, such as \"10.0.0.5\"";
@@ -11,6 +11,8 @@
 pub(super) const SEED: &str = "the address of a control replica, such as \"10.0.0.5:7000\"";
 /// Most seeds.
 const SEEDS_MAX: usize = 9;
+/// How soon a lost replica is made good where the settings do not say.
+const REPAIR_S: u64 = 16;
 /// Most lost replicas that a group can be asked to bear.
 const LOSSES_MAX: u64 = 3;
 
@@ -27,6 +29,8 @@
     pub bootstrap: bool,
     /// How many replicas may be lost at once, which decides how many vote.
     pub losses_borne: u32,
+    /// How soon after the start of its successor a lost replica must be made good.
+    pub repair_s: u64,
 }
 
 impl SeedSettings {
@@ -37,6 +41,7 @@
         let seeds = fields.list("seeds", 1..=SEEDS_MAX, SEED);
         let bootstrap = fields.flag("bootstrap", false);
         let losses = fields.number("losses_borne", 1, 0..=LOSSES_MAX);
+        let repair_s = fields.number("repair_s", REPAIR_S, 1..=3_600);
         fields.close();
         Some(Self {
             host: host?,
@@ -47,6 +52,7 @@
             seeds,
             bootstrap,
             losses_borne: u32::try_from(losses).unwrap_or_default(),
+            repair_s,
         })
     }
 
@@ -80,6 +86,13 @@
         self.bootstrap && self.seeds.iter().any(|seed| seed.ip() == self.host)
     }
 
+    /// How long a voter may be silent before another takes its place: half of the time for repair, as
+    /// the change itself takes time too.
+    #[must_use]
+    pub const fn replace_after_ms(&self) -> Millis {
+        Millis(self.repair_s * 500)
+    }
+
     /// How many replicas vote, so that a majority is left after the losses to be borne.
     #[must_use]
     pub const fn voters_wanted(&self) -> usize {
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -188,7 +188,12 @@
             .placed_workers()
             .filter(|id| {
                 let worker = self.workers.get(*id);
-                now > worker.map_or(unheard, |worker| worker.lease_until_ms)
+                // A worker that reports tells itself what has ended, also where no answer reached it.
+                let until = worker.map_or(unheard, |worker| {
+                    let heard = worker.heard_ms.saturating_add(SILENCE_MS);
+                    worker.lease_until_ms.max(heard)
+                });
+                now > until
             })
             .cloned()
             .collect();
@@ -323,6 +328,9 @@
     }
 }
 
+/// How long a worker that reports may be silent before it counts as silent: two reports and a lost
+/// answer.
+const SILENCE_MS: Millis = Millis(3_000);
 /// What is added to the time of a stop before a worker's silence about a run means that it is over.
 const STOP_SLACK_MS: Millis = Millis(1_000);
 /// How long a worker without a lease is remembered, with its failures.
--- a/tests/replica_core/open_group.rs
+++ b/tests/replica_core/open_group.rs
@@ -1,3 +1,5 @@
+use marjoramknot::replica::core::Event;
+
 use crate::world::World;
 
 /// How long a change of the voters may take beyond the time after which a voter counts as gone.
@@ -104,3 +106,16 @@
     world.run_until(3_000, "a leader", |w| w.leader().is_some());
     commit(&mut world);
 }
+
+/// A leader that can write no more makes way for one that can.
+#[test]
+fn leader_with_a_full_disk_hands_over() {
+    for seed in 0..20 {
+        let (mut world, leader) = with_leader(3, seed);
+        world.replicas[leader].disk_full = true;
+        world.event(leader, Event::DiskFull(true));
+        world.run_until(3_000, "another leader", |w| w.leader().is_some_and(|l| l != leader));
+        commit(&mut world);
+        assert!(world.leader() != Some(leader), "seed {seed}");
+    }
+}
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -357,3 +357,18 @@
     plan(&mut planner, &mut state, 20_010);
     assert_eq!(state.placed_workers().count(), 1);
 }
+
+/// While a full disk kept a leader from committing, it could not answer; what a worker had listed as
+/// done was given up then, and ran again.
+#[test]
+fn unanswered_worker_is_not_given_up_while_it_reports() {
+    let (state, mut planner) = started(step(1, 1));
+    let mut listed = report(1, 3);
+    listed.ended.push(ended(1, 0, 1, RunEnd::Done));
+    for (sequence, now) in (3..).zip((1_000..9_000).step_by(500)) {
+        listed.sequence = Sequence(sequence);
+        let reported = planner.report(&listed, &state, Millis(now));
+        assert_eq!(reported.transitions.len(), 1);
+        assert_eq!(planner.lapsed(&state, Millis(now + 100)), []);
+    }
+}
