--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -13,6 +13,8 @@
 /// How long a task waits for room beside its data before it runs elsewhere, in percent of the time
 /// that it would lose there.
 const DATA_PATIENCE_PERCENT: u64 = 50;
+/// Most gangs that are not urgent for which room is made in one look.
+const YIELDS_MAX: usize = 4;
 /// Most tasks that get a place in one look, so that no look takes long.
 const PLACED_MAX: usize = 2_000;
 
@@ -46,6 +48,7 @@
         let mut slots = self.slots(state, now);
         let mut transitions = Vec::new();
         let mut placed = 0;
+        let mut yields = 0;
         for step in waiting(state, &self.run_times, wall) {
             let places = self.place_step(&step, state, &mut slots, (now, wall), &mut transitions);
             placed += places;
@@ -53,10 +56,13 @@
                 self.dirty = true;
                 break;
             }
-            let Some((_step, tasks)) = state.step(step.key) else {
+            let Some((spec, tasks)) = state.step(step.key) else {
                 continue;
             };
-            if step.priority == 0 && places < tasks.waiting() as usize {
+            let is_blocked = places < tasks.waiting() as usize;
+            let is_gang = spec.gang && !step.is_hopeless && yields < YIELDS_MAX;
+            if is_blocked && (step.priority == 0 || is_gang) {
+                yields += usize::from(step.priority > 0);
                 self.reclaim(&step, state, &mut slots, now, wall);
             }
         }
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -1,5 +1,5 @@
-//! Who leaves for a team's guarantee: urgent work that finds no room though its team is inside its
-//! guarantee, while others hold all of the room.
+//! Who leaves for whom: urgent work that finds no room though its team is inside its guarantee, and
+//! gangs that find none while small tasks that save their progress fill every gap.
 //!
 //! Each member of a gang goes where the least work is lost, in the rack where that is the least in
 //! all. The room that it waits for is kept from others meanwhile.
@@ -13,7 +13,7 @@
 use super::order::Waiting;
 use super::place::{Ask, Slots};
 use crate::units::{Millis, TeamId, WallMs};
-use crate::workload::{Amount, RunKey, StepKey, StepState, TaskKey, Workload};
+use crate::workload::{Amount, Job, RunKey, Step, StepKey, StepState, TaskKey, Workload};
 
 /// How long a reclaim waits for the room, beyond the time of a stop, before others must leave too.
 const RECLAIM_SLACK_MS: Millis = Millis(600);
@@ -43,8 +43,8 @@
 }
 
 impl Planner {
-    /// Makes others leave where a step inside its team's guarantee has found no room for long enough,
-    /// and keeps what it waits for from those that come after it.
+    /// Makes others leave for a step that has found no room for long enough, and keeps what it waits
+    /// for from those that come after it.
     pub(super) fn reclaim(
         &mut self,
         waiting: &Waiting,
@@ -57,7 +57,9 @@
         else {
             return;
         };
-        if !job.team.as_ref().is_some_and(|team| is_inside(state, team)) {
+        let is_urgent = waiting.priority == 0;
+        let team = job.team.as_ref();
+        if is_urgent && !team.is_some_and(|team| is_inside(state, team)) {
             return;
         }
         let mut ask = Ask {
@@ -68,7 +70,14 @@
             anywhere: true,
         };
         ask.count_held(tasks);
-        let victims = self.victims(state, slots, now);
+        let victims = self.victims(state, slots, now, |other, of| {
+            if is_urgent {
+                other.terms.priority > 0
+            } else {
+                // A stop costs work that saves its progress next to nothing.
+                other.terms.priority > waiting.priority && of.checkpoints && !of.gang
+            }
+        });
         let Some(clearing) = clear(&ask, slots, &victims) else {
             return;
         };
@@ -93,20 +102,25 @@
         self.dirty = true;
     }
 
-    /// The runs that may leave for guarantees.
-    fn victims(&self, state: &Workload, slots: &Slots, now: Millis) -> Victims {
+    /// The runs that may leave.
+    fn victims(
+        &self,
+        state: &Workload,
+        slots: &Slots,
+        now: Millis,
+        may_leave: impl Fn(&Job, &Step) -> bool,
+    ) -> Victims {
         let mut victims = Victims::default();
         let mut gangs: BTreeMap<(StepKey, u32), usize> = BTreeMap::new();
         for slot in &slots.all {
             let mut here = Vec::new();
             for (run, _life) in state.placed_on(&slot.worker) {
                 let job = state.job(run.task.step.job);
-                let may_leave =
-                    job.is_some_and(|job| job.terms.priority > 0 && !job.phase.is_ended());
-                let Some((step, tasks)) = state.step(run.task.step) else {
+                let job = job.filter(|job| !job.phase.is_ended());
+                let (Some(job), Some((step, tasks))) = (job, state.step(run.task.step)) else {
                     continue;
                 };
-                if !may_leave || self.stopping.contains(&run) {
+                if !may_leave(job, step) || self.stopping.contains(&run) {
                     continue;
                 }
                 let gang = (run.task.step, run.run);
