--- a/benches/control_group/group.rs
+++ b/benches/control_group/group.rs
@@ -173,7 +173,7 @@
         Reply::Note(answer) => matches!(answer, NoteAnswer::Accepted { .. }),
         Reply::Submit(answer) => matches!(answer, SubmitAnswer::Accepted),
         Reply::Job { applied } => *applied,
-        Reply::Begin(_) | Reply::Finish(_) | Reply::Done => true,
+        Reply::Begin(_) | Reply::Finish(_) | Reply::Workload(_) | Reply::Done => true,
     }
 }
 
--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -11,10 +11,10 @@
 use crate::scheduler::{
     Explanation, JobKey, JobOutcome, JobSpec, SubmitAnswer, TeamStatus, WorkerStatus,
 };
-use crate::workload::{WorkAnswer, WorkRequest};
 use crate::units::{
     Attempt, FolderId, LogIndex, Millis, ReplicaId, Revision, ServiceName, TeamId, Term, ZoneId,
 };
+use crate::workload::{WorkAnswer, WorkRequest};
 
 /// Result of a call to the control group.
 pub type Result<T> = std::result::Result<T, ControlError>;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod note_history;
 mod order_book;
 mod service;
+mod work_calls;
 mod work_loop;
 
 pub use api::{
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -88,7 +88,9 @@
         let stop = watch::Sender::new(false);
         let close = watch::Sender::new(false);
         let (asks, taken) = mpsc::channel(ASKS_MAX);
-        let planner = options.planner.unwrap_or_else(|| PlannerOptions::builder().build());
+        let planner = options
+            .planner
+            .unwrap_or_else(|| PlannerOptions::builder().build());
         let work = WorkLoop::new(handle.clone(), machine.clone(), planner, Clock::start());
         let (work, work_loop) = work.start(stop.subscribe());
         let server = ControlServer {
--- /dev/null
+++ b/src/control/work_calls.rs
@@ -0,0 +1,101 @@
+//! How callers' calls are decided on the applied state, apart from how they arrive.
+
+use std::sync::Arc;
+
+use tracing::info;
+
+use crate::units::Millis;
+use crate::workload::{
+    CallerAnswer, CallerCall, CallerRequest, JobNumber, Phase, Queue, WorkAnswer, Workload,
+    WorkloadCommand, WorkloadReply,
+};
+
+/// When a caller comes again where too much waits.
+const OVERLOAD_RETRY_MS: Millis = Millis(2_000);
+
+/// How a caller's call goes on.
+pub(super) enum Decided {
+    /// It is answered at once.
+    Answer(CallerAnswer),
+    /// It needs a change, whose reply decides.
+    Change(WorkloadCommand),
+}
+
+/// Decides a call on the applied state: what needs no change is answered at once.
+pub(super) fn decide(call: &CallerCall, state: &Workload) -> Decided {
+    let Some(declaration) = state.declaration() else {
+        return Decided::Answer(CallerAnswer::NotConfigured);
+    };
+    let Some(queue) = declaration.queue_of(&call.host, &call.path) else {
+        return Decided::Answer(CallerAnswer::NoQueue);
+    };
+    let team = call.key.as_deref().and_then(|key| declaration.team_of(key));
+    if team.is_none() && !queue.public {
+        return Decided::Answer(CallerAnswer::BadKey);
+    }
+    let team = team.map(|team| team.name.clone());
+    let rest = &call.path[queue.path.prefix.len()..];
+    if rest.is_empty() && call.request == CallerRequest::Show {
+        let jobs = waiting_jobs(state, queue);
+        return Decided::Answer(CallerAnswer::Waiting { jobs });
+    }
+    let Ok(id) = rest.parse() else {
+        return Decided::Answer(CallerAnswer::NoId);
+    };
+    let known = state.number_of(&id).and_then(|number| {
+        let job = state.job(number)?;
+        (job.queue == queue.path && job.team == team).then_some((number, job.phase))
+    });
+    match (&call.request, known) {
+        (CallerRequest::Submit(spec), _) => Decided::Change(WorkloadCommand::Submit {
+            id,
+            host: call.host.clone(),
+            path: call.path.clone(),
+            team,
+            spec: Arc::clone(spec),
+        }),
+        (CallerRequest::Show, Some((_number, phase))) => {
+            Decided::Answer(CallerAnswer::Phase(phase))
+        }
+        (CallerRequest::Cancel, Some((number, phase))) => cancel(number, phase),
+        (CallerRequest::Show | CallerRequest::Cancel, None) => Decided::Answer(CallerAnswer::NoJob),
+    }
+}
+
+fn cancel(job: JobNumber, phase: Phase) -> Decided {
+    if phase.is_ended() {
+        return Decided::Answer(CallerAnswer::Cancelled);
+    }
+    Decided::Change(WorkloadCommand::Cancel { job })
+}
+
+fn waiting_jobs(state: &Workload, queue: &Queue) -> u64 {
+    let waiting = state
+        .open_jobs()
+        .filter(|(_number, job)| job.phase == Phase::Queued && job.queue == queue.path);
+    u64::try_from(waiting.count()).unwrap_or(u64::MAX)
+}
+
+pub(super) fn answer_of(reply: &WorkloadReply) -> WorkAnswer {
+    let call = match reply {
+        WorkloadReply::Done => return WorkAnswer::Done,
+        WorkloadReply::Invalid(fault) => return WorkAnswer::Invalid(fault.clone()),
+        WorkloadReply::NoQueue => CallerAnswer::NoQueue,
+        WorkloadReply::BadJob(fault) => CallerAnswer::BadJob(*fault),
+        WorkloadReply::OtherJob => CallerAnswer::OtherJob,
+        WorkloadReply::TooManyJobs => CallerAnswer::Overloaded {
+            retry_after_ms: OVERLOAD_RETRY_MS,
+        },
+    };
+    WorkAnswer::Call(call)
+}
+
+pub(super) fn log_refusal(call: &CallerCall, answer: &CallerAnswer) {
+    let is_refusal = matches!(
+        answer,
+        CallerAnswer::NotConfigured | CallerAnswer::NoQueue | CallerAnswer::BadKey
+    );
+    if is_refusal {
+        info!(event = "call_refused", host = %call.host, path = %call.path, cause = ?answer);
+    }
+}
--- a/src/control/work_loop.rs
+++ b/src/control/work_loop.rs
@@ -14,14 +14,14 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tracing::{info, warn};
 
+use super::work_calls::{Decided, answer_of, decide, log_refusal};
 use super::{Command, CommandBody, ControlError, Reply, Result, SharedMachine};
 use crate::kernel::Clock;
 use crate::replica::{Applied, Handle, Leadership, ProposeError};
 use crate::units::{Millis, Term, WorkerId};
 use crate::workload::{
-    CallerAnswer, CallerCall, CallerRequest, Declaration, JobNumber, Phase, Planner, PlannerOptions,
-    Queue, Transition, WorkAnswer, WorkRequest, WorkerOrders, WorkerReport, Workload,
-    WorkloadCommand, WorkloadReply,
+    CallerCall, Declaration, Planner, PlannerOptions, Transition, WorkAnswer, WorkRequest,
+    WorkerOrders, WorkerReport, WorkloadCommand, WorkloadReply,
 };
 
 /// How often time passes for the planner.
@@ -30,8 +30,6 @@
 const REVIEW_MS: Millis = Millis(250);
 /// Calls that wait for the loop.
 const ASKS_MAX: usize = 4_096;
-/// When a caller comes again where too much waits.
-const OVERLOAD_RETRY_MS: Millis = Millis(2_000);
 
 /// The way to the loop inside a process.
 #[derive(Clone, Debug)]
@@ -167,7 +165,11 @@
             self.refuse_waiting();
             return;
         }
-        if self.lead.as_ref().is_some_and(|lead| lead.term == seen.term) {
+        if self
+            .lead
+            .as_ref()
+            .is_some_and(|lead| lead.term == seen.term)
+        {
             return;
         }
         let now = self.clock.now();
@@ -237,7 +239,9 @@
     }
 
     fn take_call(&mut self, call: &CallerCall, reply: Answer) {
-        let decided = self.machine.read(|machine| decide(call, machine.workload()));
+        let decided = self
+            .machine
+            .read(|machine| decide(call, machine.workload()));
         match decided {
             Decided::Answer(answer) => {
                 log_refusal(call, &answer);
@@ -307,7 +311,9 @@
         let mut batch = std::mem::take(&mut self.next);
         if !batch.transitions.is_empty() {
             let transitions = std::mem::take(&mut batch.transitions);
-            batch.commands.push(WorkloadCommand::Transitions(transitions));
+            batch
+                .commands
+                .push(WorkloadCommand::Transitions(transitions));
         }
         if batch.commands.is_empty() {
             for waiting in batch.waiting {
@@ -425,109 +431,27 @@
 impl Waiting {
     fn into_reply(self) -> Answer {
         match self {
-            Self::Change { reply, .. } | Self::Report { reply, .. } | Self::Plain { reply } => reply,
+            Self::Change { reply, .. } | Self::Report { reply, .. } | Self::Plain { reply } => {
+                reply
+            }
         }
     }
 }
 
 impl Batch {
     fn workers_placed_on(&self) -> BTreeSet<WorkerId> {
-        let placed = self.transitions.iter().filter_map(|transition| match transition {
-            Transition::Placed { places, .. } => Some(places),
-            Transition::Due { .. } | Transition::Ended { .. } => None,
-        });
+        let placed = self
+            .transitions
+            .iter()
+            .filter_map(|transition| match transition {
+                Transition::Placed { places, .. } => Some(places),
+                Transition::Due { .. } | Transition::Ended { .. } => None,
+            });
         let workers = placed.flatten().map(|(_index, place)| place.worker.clone());
         workers.collect()
     }
 }
 
-/// How a caller's call goes on.
-enum Decided {
-    Answer(CallerAnswer),
-    Change(WorkloadCommand),
-}
-
-/// Decides a call on the applied state: what needs no change is answered at once.
-fn decide(call: &CallerCall, state: &Workload) -> Decided {
-    let Some(declaration) = state.declaration() else {
-        return Decided::Answer(CallerAnswer::NotConfigured);
-    };
-    let Some(queue) = declaration.queue_of(&call.host, &call.path) else {
-        return Decided::Answer(CallerAnswer::NoQueue);
-    };
-    let team = call.key.as_deref().and_then(|key| declaration.team_of(key));
-    if team.is_none() && !queue.public {
-        return Decided::Answer(CallerAnswer::BadKey);
-    }
-    let team = team.map(|team| team.name.clone());
-    let rest = &call.path[queue.path.prefix.len()..];
-    if rest.is_empty() && call.request == CallerRequest::Show {
-        let jobs = waiting_jobs(state, queue);
-        return Decided::Answer(CallerAnswer::Waiting { jobs });
-    }
-    let Ok(id) = rest.parse() else {
-        return Decided::Answer(CallerAnswer::NoId);
-    };
-    let known = state.number_of(&id).and_then(|number| {
-        let job = state.job(number)?;
-        (job.queue == queue.path && job.team == team).then_some((number, job.phase))
-    });
-    match (&call.request, known) {
-        (CallerRequest::Submit(spec), _) => Decided::Change(WorkloadCommand::Submit {
-            id,
-            host: call.host.clone(),
-            path: call.path.clone(),
-            team,
-            spec: Arc::clone(spec),
-        }),
-        (CallerRequest::Show, Some((_number, phase))) => {
-            Decided::Answer(CallerAnswer::Phase(phase))
-        }
-        (CallerRequest::Cancel, Some((number, phase))) => cancel(number, phase),
-        (CallerRequest::Show | CallerRequest::Cancel, None) => {
-            Decided::Answer(CallerAnswer::NoJob)
-        }
-    }
-}
-
-fn cancel(job: JobNumber, phase: Phase) -> Decided {
-    if phase.is_ended() {
-        return Decided::Answer(CallerAnswer::Cancelled);
-    }
-    Decided::Change(WorkloadCommand::Cancel { job })
-}
-
-fn waiting_jobs(state: &Workload, queue: &Queue) -> u64 {
-    let waiting = state
-        .open_jobs()
-        .filter(|(_number, job)| job.phase == Phase::Queued && job.queue == queue.path);
-    u64::try_from(waiting.count()).unwrap_or(u64::MAX)
-}
-
-fn answer_of(reply: &WorkloadReply) -> WorkAnswer {
-    let call = match reply {
-        WorkloadReply::Done => return WorkAnswer::Done,
-        WorkloadReply::Invalid(fault) => return WorkAnswer::Invalid(fault.clone()),
-        WorkloadReply::NoQueue => CallerAnswer::NoQueue,
-        WorkloadReply::BadJob(fault) => CallerAnswer::BadJob(*fault),
-        WorkloadReply::OtherJob => CallerAnswer::OtherJob,
-        WorkloadReply::TooManyJobs => CallerAnswer::Overloaded {
-            retry_after_ms: OVERLOAD_RETRY_MS,
-        },
-    };
-    WorkAnswer::Call(call)
-}
-
-fn log_refusal(call: &CallerCall, answer: &CallerAnswer) {
-    let is_refusal = matches!(
-        answer,
-        CallerAnswer::NotConfigured | CallerAnswer::NoQueue | CallerAnswer::BadKey
-    );
-    if is_refusal {
-        info!(event = "call_refused", host = %call.host, path = %call.path, cause = ?answer);
-    }
-}
-
 /// The caller may have given up waiting.
 fn send(reply: Answer, answer: Result<WorkAnswer>) {
     drop(reply.send(answer));
--- a/src/replica/core/formation.rs
+++ b/src/replica/core/formation.rs
@@ -28,7 +28,11 @@
         let own = &self.config.node.name;
         let told = self.formation.told_members.iter();
         let names: BTreeSet<ReplicaId> = self.config.peers.iter().chain(told).cloned().collect();
-        for name in names.into_iter().filter(|name| name != own).collect::<Vec<_>>() {
+        for name in names
+            .into_iter()
+            .filter(|name| name != own)
+            .collect::<Vec<_>>()
+        {
             let message = self.message_by_name(name, body.clone());
             self.out.push(super::Action::Send(message));
         }
--- a/src/replica/core/repair.rs
+++ b/src/replica/core/repair.rs
@@ -74,7 +74,10 @@
         if members.voters.len() < wanted {
             return Some(members.with(learner.clone()));
         }
-        let dead = members.voters.iter().find(|voter| self.is_dead(voter, now))?;
+        let dead = members
+            .voters
+            .iter()
+            .find(|voter| self.is_dead(voter, now))?;
         Some(members.without(dead))
     }
 
--- a/src/replica/start.rs
+++ b/src/replica/start.rs
@@ -10,10 +10,10 @@
 
 use super::core::{Core, CoreConfig};
 use super::files::{Folder, Opened, open_store};
+use super::options::Addresses;
 use super::peer::{Links, serve};
 use super::runner::Runner;
 use super::writer::Writer;
-use super::options::Addresses;
 use super::{Handle, Leadership, MachineHooks, Node, Peer, ReplicaError, ReplicaOptions};
 use crate::control::GroupStatus;
 use crate::units::{FolderId, LogIndex, Millis, Term};
--- a/src/workload/declaration.rs
+++ b/src/workload/declaration.rs
@@ -196,7 +196,10 @@
     /// Whether the workers of a service refuse what does not fit.
     #[must_use]
     pub fn guards_room(&self, service: &ServiceName) -> bool {
-        let service = self.services.iter().find(|declared| declared.name == *service);
+        let service = self
+            .services
+            .iter()
+            .find(|declared| declared.name == *service);
         service.is_some_and(|service| service.guards_room)
     }
 }
--- a/src/workload/index.rs
+++ b/src/workload/index.rs
@@ -114,7 +114,9 @@
 
     pub(super) fn placed_on(&self, worker: &WorkerId) -> impl Iterator<Item = TaskKey> + '_ {
         let placed = self.workers.get(worker);
-        placed.into_iter().flat_map(|placed| placed.tasks.iter().copied())
+        placed
+            .into_iter()
+            .flat_map(|placed| placed.tasks.iter().copied())
     }
 
     pub(super) fn used_on(&self, worker: &WorkerId) -> Amount {
--- a/src/workload/job.rs
+++ b/src/workload/job.rs
@@ -164,12 +164,11 @@
             task.saved = saved.clone();
         }
         match end {
-            RunEnd::Done if step.lasting => false,
+            RunEnd::Done | RunEnd::Failed if step.lasting => false,
             RunEnd::Done => {
                 self.finish(step, index);
                 false
             }
-            RunEnd::Failed if step.lasting => false,
             RunEnd::Failed if step.gang => {
                 if self.failed_run != run {
                     self.failed_run = run;
@@ -230,7 +229,11 @@
         &self,
         occurrence: &Occurrence,
     ) -> impl Iterator<Item = (u16, &Step, usize)> {
-        let complete: Vec<bool> = occurrence.steps.iter().map(StepState::is_complete).collect();
+        let complete: Vec<bool> = occurrence
+            .steps
+            .iter()
+            .map(StepState::is_complete)
+            .collect();
         let steps = self.spec.steps.iter().enumerate().zip(0_u16..);
         steps.filter_map(move |((at, step), number)| {
             let open = !complete.get(at).copied().unwrap_or(true);
@@ -244,7 +247,10 @@
     #[must_use]
     pub fn due_ms(&self, occurrence: u32) -> WallMs {
         self.spec.schedule.map_or(self.accepted_ms, |schedule| {
-            let later = schedule.every_ms.get().saturating_mul(u64::from(occurrence));
+            let later = schedule
+                .every_ms
+                .get()
+                .saturating_mul(u64::from(occurrence));
             WallMs(schedule.first_ms.0.saturating_add(later))
         })
     }
--- a/src/workload/mod.rs
+++ b/src/workload/mod.rs
@@ -13,21 +13,18 @@
 mod run;
 mod spec;
 mod state;
+mod submit;
 
 pub use amount::Amount;
 pub use calls::{
-    CallerCall, CallerRequest, CallerAnswer, ListedEnd, ListedRun, Start, WorkAnswer, WorkRequest, WorkerOrders,
-    WorkerReport,
-};
-pub use declaration::{
-    Declaration, DeclarationFault, Queue, QueuePath, QueueTerms, Service, Team,
+    CallerAnswer, CallerCall, CallerRequest, ListedEnd, ListedRun, Start, WorkAnswer, WorkRequest,
+    WorkerOrders, WorkerReport,
 };
+pub use declaration::{Declaration, DeclarationFault, Queue, QueuePath, QueueTerms, Service, Team};
 pub use job::{Job, Occurrence, Phase, StepState, TaskState};
 pub use planner::{Planner, PlannerOptions, Reported};
-pub use run::{
-    JobNumber, Life, Place, RunEnd, RunKey, StepKey, TaskKey, TaskName, Transition,
-};
-pub use spec::{JobSpec, Schedule, SpecFault, Step, PAYLOAD_MAX_BYTES, STEPS_MAX, TASKS_MAX};
+pub use run::{JobNumber, Life, Place, RunEnd, RunKey, StepKey, TaskKey, TaskName, Transition};
+pub use spec::{JobSpec, PAYLOAD_MAX_BYTES, STEPS_MAX, Schedule, SpecFault, Step, TASKS_MAX};
 pub use state::{Workload, WorkloadCommand, WorkloadReply};
 
 /// Result of checking a declaration.
--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -45,13 +45,9 @@
     /// An earlier leader may have ordered its start.
     Inherited,
     /// It was told to stop at that time, and may have been started by an earlier leader.
-    StopOrdered {
-        since_ms: Millis,
-    },
+    StopOrdered { since_ms: Millis },
     /// Its start was ordered in the answer to that report.
-    StartOrdered {
-        sequence: Sequence,
-    },
+    StartOrdered { sequence: Sequence },
     /// It was listed as running before.
     Ran,
 }
@@ -63,7 +59,6 @@
     pub(super) saved: SmolStr,
     /// When its saved progress last changed, or it began.
     pub(super) saved_at_ms: Millis,
-    pub(super) percent: u32,
 }
 
 impl Worker {
@@ -97,10 +92,10 @@
             && self.service == report.service
             && self.zone == report.zone;
         if !same {
-            self.service = report.service.clone();
-            self.zone = report.zone.clone();
-            self.rack = report.rack.clone();
-            self.labels = report.labels.clone();
+            self.service.clone_from(&report.service);
+            self.zone.clone_from(&report.zone);
+            self.rack.clone_from(&report.rack);
+            self.labels.clone_from(&report.labels);
             self.room = report.room;
             self.leaving = report.leaving;
         }
--- a/src/workload/planner/gather.rs
+++ b/src/workload/planner/gather.rs
@@ -38,7 +38,10 @@
         let members = tasks.tasks.iter().zip(0_u32..);
         let missing = members.filter(|(task, index)| {
             let key = RunKey {
-                task: TaskKey { step, index: *index },
+                task: TaskKey {
+                    step,
+                    index: *index,
+                },
                 run,
             };
             let worker = task.place.as_ref().map(|place| &place.worker);
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod gather;
 mod order;
+mod orders;
 mod place;
 mod plan;
 mod reclaim;
--- /dev/null
+++ b/src/workload/planner/orders.rs
@@ -0,0 +1,164 @@
+//! What a worker is told: what its runs are to be, in full, with each answer.
+
+use smol_str::SmolStr;
+
+use super::Planner;
+use super::fleet::{Unlisted, Worker};
+use crate::units::Millis;
+use crate::workload::{RunEnd, RunKey, Start, Transition, WorkerOrders, WorkerReport, Workload};
+
+/// What is added to the time of a stop before a worker's silence about a run means that it is over.
+const STOP_SLACK_MS: Millis = Millis(1_000);
+
+impl Planner {
+    /// Answers a report whose transitions are committed.
+    pub fn answer(
+        &mut self,
+        report: &WorkerReport,
+        received_ms: Millis,
+        state: &Workload,
+    ) -> WorkerOrders {
+        let lease_until = self.lease_end(received_ms);
+        let report_after_ms = self.report_after_ms();
+        let Some(worker) = self.workers.get_mut(&report.worker) else {
+            return WorkerOrders::default();
+        };
+        if worker.life != report.life || worker.sequence != report.sequence {
+            return WorkerOrders::default();
+        }
+        worker.lease_until_ms = worker.lease_until_ms.max(lease_until);
+        let placed: Vec<RunKey> = state
+            .placed_on(&report.worker)
+            .filter(|(_run, life)| *life == report.life)
+            .map(|(run, _life)| run)
+            .collect();
+        let may_start = !worker.leaving && state.is_open(&worker.zone);
+        let mut orders = WorkerOrders {
+            lease_ms: Some(self.options.lease_ms),
+            acknowledged: report.ended.iter().map(|end| end.number).max().unwrap_or(0),
+            term: self.term,
+            report_after_ms,
+            ..WorkerOrders::default()
+        };
+        for run in &placed {
+            let before = worker.unlisted.get(run).copied();
+            if worker.running.contains_key(run) || before == Some(Unlisted::Ran) {
+                continue;
+            }
+            let wanted = may_start && !self.stopping.contains(run) && !has_ended(state, *run);
+            let start = start(state, *run).filter(|_start| wanted);
+            let sequence = report.sequence;
+            let next = if let Some(start) = start {
+                orders.starts.push(start);
+                Unlisted::StartOrdered { sequence }
+            } else {
+                // A start that is still on its way is refused after this, and so is any later one.
+                self.stopping.insert(*run);
+                let task = state.name_of(run.task);
+                orders.stops.extend(task.map(|task| (task, run.run)));
+                let since_ms = received_ms;
+                match before {
+                    Some(Unlisted::Inherited) => Unlisted::StopOrdered { since_ms },
+                    Some(before) => before,
+                    None => continue,
+                }
+            };
+            worker.unlisted.insert(*run, next);
+        }
+        for listed in &report.running {
+            let task = state.key_of(&listed.task);
+            let run = task.map(|task| RunKey {
+                task,
+                run: listed.run,
+            });
+            let goes_on = run.is_some_and(|run| {
+                placed.contains(&run) && !self.stopping.contains(&run) && !has_ended(state, run)
+            });
+            if !goes_on {
+                orders.stops.push((listed.task.clone(), listed.run));
+            }
+        }
+        orders
+    }
+
+    /// Runs that have a place but were never ordered, and are not wanted any more.
+    ///
+    /// A start that went out is withdrawn only after a later report shows that it did not happen.
+    pub fn withdrawn(&mut self, state: &Workload) -> Vec<Transition> {
+        let mut transitions = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let barred = worker.leaving || !state.is_open(&worker.zone);
+            for (run, life) in state.placed_on(id) {
+                let wanted = !barred && !self.stopping.contains(&run) && !has_ended(state, run);
+                let is_former = life < worker.life;
+                if is_former {
+                    transitions.push((run, RunEnd::Withdrawn));
+                }
+                if is_former || wanted || worker.running.contains_key(&run) {
+                    continue;
+                }
+                if may_run(worker, run, self.options.stop_ms) {
+                    continue;
+                }
+                worker.unlisted.remove(&run);
+                transitions.push((run, RunEnd::Withdrawn));
+            }
+        }
+        let withdrawn = transitions.into_iter().map(|(run, end)| {
+            // No start goes out while the withdrawal is on its way.
+            self.stopping.insert(run);
+            self.dirty = true;
+            Transition::Ended {
+                run,
+                end,
+                saved: SmolStr::default(),
+            }
+        });
+        withdrawn.collect()
+    }
+
+    /// The pause between a worker's reports: longer where there are many workers.
+    fn report_after_ms(&self) -> Millis {
+        let count = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
+        let spread = Millis(count.saturating_mul(self.options.report_spread_us) / 1_000);
+        self.options.report_after_ms.max(spread)
+    }
+}
+
+/// Whether a placed run that is not listed may be at work, or still be started.
+fn may_run(worker: &Worker, run: RunKey, stop_ms: Millis) -> bool {
+    match worker.unlisted.get(&run) {
+        None => false,
+        Some(Unlisted::Inherited | Unlisted::Ran) => true,
+        Some(Unlisted::StartOrdered { sequence }) => worker.sequence <= *sequence,
+        Some(Unlisted::StopOrdered { since_ms }) => {
+            let stopped_ms = since_ms
+                .saturating_add(stop_ms)
+                .saturating_add(STOP_SLACK_MS);
+            worker.heard_ms < stopped_ms
+        }
+    }
+}
+
+/// Whether a run that has a place is of no use any more: its job or task has ended, or a member of its
+/// gang is missing, for which the others would wait in vain.
+fn has_ended(state: &Workload, run: RunKey) -> bool {
+    let job = state.job(run.task.step.job);
+    let Some((step, tasks)) = state.step(run.task.step) else {
+        return true;
+    };
+    let task = tasks.tasks.get(run.task.index as usize);
+    let is_broken = step.gang && (tasks.placed as usize) < tasks.tasks.len();
+    job.is_none_or(|job| job.phase.is_ended()) || task.is_none_or(|task| task.done) || is_broken
+}
+
+fn start(state: &Workload, run: RunKey) -> Option<Start> {
+    let job = state.job(run.task.step.job)?;
+    let (step, step_state) = state.step(run.task.step)?;
+    Some(Start {
+        task: state.name_of(run.task)?,
+        run: run.run,
+        payload: job.spec.payload.clone(),
+        saved: step_state.saved_of(step, run.task.index),
+    })
+}
--- a/src/workload/planner/place.rs
+++ b/src/workload/planner/place.rs
@@ -198,5 +198,4 @@
         let slot = &mut self.all[at];
         slot.free = slot.free.minus(demand);
     }
-
 }
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -4,9 +4,9 @@
 
 use tracing::info;
 
+use super::Planner;
 use super::order::{Waiting, waiting};
 use super::place::{Ask, Slots};
-use super::Planner;
 use crate::units::{Millis, WallMs};
 use crate::workload::{Job, Place, Step, StepKey, StepState, Transition, Workload};
 
@@ -50,8 +50,8 @@
         let mut placed = 0;
         let mut yields = 0;
         for step in waiting(state, &self.run_times, wall) {
-            let places = self.place_step(&step, state, &mut slots, (now, wall), &mut transitions);
-            placed += places;
+            let found = self.place_step(&step, state, &mut slots, (now, wall), &mut transitions);
+            placed += found;
             if placed >= PLACED_MAX {
                 self.dirty = true;
                 break;
@@ -59,7 +59,7 @@
             let Some((spec, tasks)) = state.step(step.key) else {
                 continue;
             };
-            let is_blocked = places < tasks.waiting() as usize;
+            let is_blocked = found < tasks.waiting() as usize;
             let is_gang = spec.gang && !step.is_hopeless && yields < YIELDS_MAX;
             if is_blocked && (step.priority == 0 || is_gang) {
                 yields += usize::from(step.priority > 0);
@@ -133,14 +133,16 @@
     for at in &places {
         slots.take(*at, ask.step.room());
     }
-    let placed = places.len();
+    let members = places.len();
     let places = places.into_iter().zip(0_u32..);
     transitions.push(Transition::Placed {
         step: key,
         run,
-        places: places.map(|(at, index)| (index, place(slots, at))).collect(),
+        places: places
+            .map(|(at, index)| (index, place(slots, at)))
+            .collect(),
     });
-    placed
+    members
 }
 
 fn place_tasks(
@@ -151,7 +153,11 @@
     transitions: &mut Vec<Transition>,
 ) -> usize {
     let mut by_run: BTreeMap<u32, Vec<(u32, Place)>> = BTreeMap::new();
-    let idle = tasks.tasks.iter().zip(0_u32..).filter(|(task, _index)| task.waits());
+    let idle = tasks
+        .tasks
+        .iter()
+        .zip(0_u32..)
+        .filter(|(task, _index)| task.waits());
     let mut placed = 0;
     for (_task, index) in idle {
         let Some(at) = slots.for_task(ask) else {
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -53,7 +53,8 @@
         now: Millis,
         wall: WallMs,
     ) {
-        let (Some(job), Some((step, tasks))) = (state.job(waiting.key.job), state.step(waiting.key))
+        let (Some(job), Some((step, tasks))) =
+            (state.job(waiting.key.job), state.step(waiting.key))
         else {
             return;
         };
@@ -124,24 +125,21 @@
                     continue;
                 }
                 let gang = (run.task.step, run.run);
-                let at = match gangs.get(&gang).filter(|_at| step.gang) {
-                    Some(at) => *at,
-                    None => {
-                        let members = if step.gang {
-                            members(run, tasks)
-                        } else {
-                            vec![run]
-                        };
-                        let lost = members.iter().map(|run| self.lost_by(*run, state, now));
-                        let lost = lost.sum();
-                        victims.all.push(Victim { members, lost });
-                        let at = victims.all.len() - 1;
-                        if step.gang {
-                            gangs.insert(gang, at);
-                        }
-                        at
-                    }
-                };
+                let known = gangs.get(&gang).copied().filter(|_at| step.gang);
+                let at = known.unwrap_or_else(|| {
+                    let members = if step.gang {
+                        members(run, tasks)
+                    } else {
+                        vec![run]
+                    };
+                    let lost = members.iter().map(|run| self.lost_by(*run, state, now));
+                    let lost = lost.sum();
+                    victims.all.push(Victim { members, lost });
+                    victims.all.len() - 1
+                });
+                if step.gang {
+                    gangs.insert(gang, at);
+                }
                 here.push((at, step.room()));
             }
             victims.on.push(here);
@@ -179,7 +177,10 @@
     }
     let mut racks: BTreeMap<Option<SmolStr>, Vec<usize>> = BTreeMap::new();
     for at in all.iter().copied() {
-        racks.entry(slots.all[at].rack.clone()).or_default().push(at);
+        racks
+            .entry(slots.all[at].rack.clone())
+            .or_default()
+            .push(at);
     }
     let ways = racks.values().filter_map(|rack| {
         let way = clear_among(rack, ask, slots, victims)?;
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -6,9 +6,7 @@
 use super::fleet::{Running, Unlisted, Worker};
 use super::{Planner, Reported};
 use crate::units::{Millis, WorkerId};
-use crate::workload::{
-    Life, ListedEnd, RunEnd, RunKey, Start, Transition, WorkerOrders, WorkerReport, Workload,
-};
+use crate::workload::{Life, ListedEnd, RunEnd, RunKey, Transition, WorkerReport, Workload};
 
 /// How much slower a worker's clock may be, in percent; from the platform's description of leases.
 const CLOCK_MARGIN_PERCENT: u64 = 3;
@@ -17,7 +15,7 @@
 
 impl Planner {
     /// Until when a lease that was granted for a report received at `now` may last.
-    fn lease_end(&self, now: Millis) -> Millis {
+    pub(super) fn lease_end(&self, now: Millis) -> Millis {
         let lease = self.options.lease_ms.get();
         let margin = lease.saturating_mul(CLOCK_MARGIN_PERCENT) / 100;
         now.saturating_add(Millis(lease + margin))
@@ -38,9 +36,8 @@
         let lease_until = self.unheard_lease_end();
         let worker = self.workers.get(&report.worker);
         let known = worker.map_or(newest, |worker| worker.life.max(newest));
-        let is_late = worker.is_some_and(|worker| {
-            worker.life == report.life && report.sequence <= worker.sequence
-        });
+        let is_late = worker
+            .is_some_and(|worker| worker.life == report.life && report.sequence <= worker.sequence);
         if report.life < known || is_late {
             return Reported::default();
         }
@@ -127,7 +124,8 @@
                 until_ms = worker.quarantined_until_ms.get());
         }
         if let (RunEnd::Done, Some(seen)) = (end.end, earlier.get(&run)) {
-            self.run_times.learn(state, task, now.since(seen.first_seen_ms));
+            self.run_times
+                .learn(state, task, now.since(seen.first_seen_ms));
         }
         transitions.push(Transition::Ended {
             run,
@@ -166,13 +164,17 @@
     fn saved_of(&self, worker: &WorkerId, run: RunKey) -> SmolStr {
         let worker = self.workers.get(worker);
         let running = worker.and_then(|worker| worker.running.get(&run));
-        running.map(|running| running.saved.clone()).unwrap_or_default()
+        running
+            .map(|running| running.saved.clone())
+            .unwrap_or_default()
     }
 
     /// A worker said goodbye: all that it ran has ended.
     pub fn left(&mut self, worker: &WorkerId, state: &Workload) -> Vec<Transition> {
         let runs: Vec<RunKey> = state.placed_on(worker).map(|(run, _life)| run).collect();
-        let lost = runs.into_iter().map(|run| self.lost(worker, run, RunEnd::Lapsed));
+        let lost = runs
+            .into_iter()
+            .map(|run| self.lost(worker, run, RunEnd::Lapsed));
         let lost = lost.collect();
         info!(event = "worker_left", worker = %worker);
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -209,169 +211,19 @@
                 worker.unlisted.clear();
             }
         }
-        self.workers
-            .retain(|_id, worker| now <= worker.lease_until_ms || now.since(worker.heard_ms) < FORGET_MS);
-        transitions
-    }
-
-    /// Answers a report whose transitions are committed.
-    pub fn answer(
-        &mut self,
-        report: &WorkerReport,
-        received_ms: Millis,
-        state: &Workload,
-    ) -> WorkerOrders {
-        let lease_until = self.lease_end(received_ms);
-        let report_after_ms = self.report_after_ms();
-        let Some(worker) = self.workers.get_mut(&report.worker) else {
-            return WorkerOrders::default();
-        };
-        if worker.life != report.life || worker.sequence != report.sequence {
-            return WorkerOrders::default();
-        }
-        worker.lease_until_ms = worker.lease_until_ms.max(lease_until);
-        let placed: Vec<RunKey> = state
-            .placed_on(&report.worker)
-            .filter(|(_run, life)| *life == report.life)
-            .map(|(run, _life)| run)
-            .collect();
-        let may_start = !worker.leaving && state.is_open(&worker.zone);
-        let mut orders = WorkerOrders {
-            lease_ms: Some(self.options.lease_ms),
-            acknowledged: report.ended.iter().map(|end| end.number).max().unwrap_or(0),
-            term: self.term,
-            report_after_ms,
-            ..WorkerOrders::default()
-        };
-        for run in &placed {
-            let before = worker.unlisted.get(run).copied();
-            if worker.running.contains_key(run) || before == Some(Unlisted::Ran) {
-                continue;
-            }
-            let wanted = may_start && !self.stopping.contains(run) && !has_ended(state, *run);
-            let start = start(state, *run).filter(|_start| wanted);
-            let sequence = report.sequence;
-            let next = if let Some(start) = start {
-                orders.starts.push(start);
-                Unlisted::StartOrdered { sequence }
-            } else {
-                // A start that is still on its way is refused after this, and so is any later one.
-                self.stopping.insert(*run);
-                let task = state.name_of(run.task);
-                orders.stops.extend(task.map(|task| (task, run.run)));
-                let since_ms = received_ms;
-                match before {
-                    Some(Unlisted::Inherited) => Unlisted::StopOrdered { since_ms },
-                    Some(before) => before,
-                    None => continue,
-                }
-            };
-            worker.unlisted.insert(*run, next);
-        }
-        for listed in &report.running {
-            let task = state.key_of(&listed.task);
-            let run = task.map(|task| RunKey {
-                task,
-                run: listed.run,
-            });
-            let goes_on = run.is_some_and(|run| {
-                placed.contains(&run) && !self.stopping.contains(&run) && !has_ended(state, run)
-            });
-            if !goes_on {
-                orders.stops.push((listed.task.clone(), listed.run));
-            }
-        }
-        orders
-    }
-
-    /// Runs that have a place but were never ordered, and are not wanted any more.
-    ///
-    /// A start that went out is withdrawn only after a later report shows that it did not happen.
-    pub fn withdrawn(&mut self, state: &Workload) -> Vec<Transition> {
-        let mut transitions = Vec::new();
-        for (id, worker) in &mut self.workers {
-            let barred = worker.leaving || !state.is_open(&worker.zone);
-            for (run, life) in state.placed_on(id) {
-                let wanted = !barred && !self.stopping.contains(&run) && !has_ended(state, run);
-                let is_former = life < worker.life;
-                if is_former {
-                    transitions.push((run, RunEnd::Withdrawn));
-                }
-                if is_former || wanted || worker.running.contains_key(&run) {
-                    continue;
-                }
-                if may_run(worker, run, self.options.stop_ms) {
-                    continue;
-                }
-                worker.unlisted.remove(&run);
-                transitions.push((run, RunEnd::Withdrawn));
-            }
-        }
-        let withdrawn = transitions.into_iter().map(|(run, end)| {
-            // No start goes out while the withdrawal is on its way.
-            self.stopping.insert(run);
-            self.dirty = true;
-            Transition::Ended {
-                run,
-                end,
-                saved: SmolStr::default(),
-            }
+        self.workers.retain(|_id, worker| {
+            now <= worker.lease_until_ms || now.since(worker.heard_ms) < FORGET_MS
         });
-        withdrawn.collect()
-    }
-
-    /// The pause between a worker's reports: longer where there are many workers.
-    fn report_after_ms(&self) -> Millis {
-        let count = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
-        let spread = Millis(count.saturating_mul(self.options.report_spread_us) / 1_000);
-        self.options.report_after_ms.max(spread)
+        transitions
     }
 }
 
 /// How long a worker that reports may be silent before it counts as silent: two reports and a lost
 /// answer.
 const SILENCE_MS: Millis = Millis(3_000);
-/// What is added to the time of a stop before a worker's silence about a run means that it is over.
-const STOP_SLACK_MS: Millis = Millis(1_000);
 /// How long a worker without a lease is remembered, with its failures.
 const FORGET_MS: Millis = Millis(60_000);
 
-/// Whether a placed run that is not listed may be at work, or still be started.
-fn may_run(worker: &Worker, run: RunKey, stop_ms: Millis) -> bool {
-    match worker.unlisted.get(&run) {
-        None => false,
-        Some(Unlisted::Inherited | Unlisted::Ran) => true,
-        Some(Unlisted::StartOrdered { sequence }) => worker.sequence <= *sequence,
-        Some(Unlisted::StopOrdered { since_ms }) => {
-            let stopped_ms = since_ms.saturating_add(stop_ms).saturating_add(STOP_SLACK_MS);
-            worker.heard_ms < stopped_ms
-        }
-    }
-}
-
-/// Whether a run that has a place is of no use any more: its job or task has ended, or a member of its
-/// gang is missing, for which the others would wait in vain.
-fn has_ended(state: &Workload, run: RunKey) -> bool {
-    let job = state.job(run.task.step.job);
-    let Some((step, tasks)) = state.step(run.task.step) else {
-        return true;
-    };
-    let task = tasks.tasks.get(run.task.index as usize);
-    let is_broken = step.gang && (tasks.placed as usize) < tasks.tasks.len();
-    job.is_none_or(|job| job.phase.is_ended()) || task.is_none_or(|task| task.done) || is_broken
-}
-
-fn start(state: &Workload, run: RunKey) -> Option<Start> {
-    let job = state.job(run.task.step.job)?;
-    let (step, step_state) = state.step(run.task.step)?;
-    Some(Start {
-        task: state.name_of(run.task)?,
-        run: run.run,
-        payload: job.spec.payload.clone(),
-        saved: step_state.saved_of(step, run.task.index),
-    })
-}
-
 /// The listed runs that have a place on this life of the worker.
 fn running(
     report: &WorkerReport,
@@ -387,9 +239,10 @@
         };
         let place = state.task(task)?;
         let is_here = place.run == listed.run
-            && place.place.as_ref().is_some_and(|place| {
-                place.worker == report.worker && place.life == report.life
-            });
+            && place
+                .place
+                .as_ref()
+                .is_some_and(|place| place.worker == report.worker && place.life == report.life);
         if !is_here {
             return None;
         }
@@ -399,7 +252,6 @@
             first_seen_ms: before.map_or(now, |before| before.first_seen_ms),
             saved: listed.saved.clone(),
             saved_at_ms: same.map_or(now, |same| same.saved_at_ms),
-            percent: listed.percent,
         };
         Some((run, seen))
     });
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -1,13 +1,14 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use tracing::info;
 
 use super::index::Index;
-use super::job::{Job, Occurrence, Phase, StepState};
+use super::job::{Job, Phase, StepState};
+use super::submit::add_occurrence;
 use super::{
-    Declaration, DeclarationFault, JobNumber, JobSpec, Place, Queue, RunEnd, RunKey, SpecFault,
+    Declaration, DeclarationFault, JobNumber, JobSpec, Life, Place, RunEnd, RunKey, SpecFault,
     StepKey, TaskKey, TaskName, Transition,
 };
 use crate::units::{JobId, Millis, TeamId, WallMs, WorkerId, ZoneId};
@@ -16,18 +17,16 @@
 const ENDED_KEPT_MS: Millis = Millis(600_000);
 /// How many ended jobs are known at most.
 const ENDED_MAX: usize = 50_000;
-/// How many jobs may be open at once.
-const OPEN_MAX: usize = 20_000;
 
 /// The replicated state of declared queues, their jobs and closed availability zones.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Workload {
-    declaration: Option<Arc<Declaration>>,
+    pub(super) declaration: Option<Arc<Declaration>>,
     closed_zones: BTreeSet<ZoneId>,
-    jobs: std::collections::BTreeMap<JobNumber, Job>,
-    last_number: JobNumber,
+    pub(super) jobs: BTreeMap<JobNumber, Job>,
+    pub(super) last_number: JobNumber,
     #[serde(skip)]
-    index: Index,
+    pub(super) index: Index,
 }
 
 /// A change of the workload.
@@ -237,7 +236,11 @@
         if current.is_some_and(|version| declaration.version <= version) {
             return WorkloadReply::Done;
         }
-        info!(event = "declaration_in_force", version = declaration.version, queues = declaration.queues.len());
+        info!(
+            event = "declaration_in_force",
+            version = declaration.version,
+            queues = declaration.queues.len()
+        );
         self.declaration = Some(Arc::clone(declaration));
         for number in self.index.open().collect::<Vec<_>>() {
             let Some(job) = self.jobs.get_mut(&number) else {
@@ -250,67 +253,6 @@
         WorkloadReply::Done
     }
 
-    fn submit(
-        &mut self,
-        id: &JobId,
-        (host, path): (&str, &str),
-        team: Option<&TeamId>,
-        spec: &Arc<JobSpec>,
-        now: WallMs,
-    ) -> WorkloadReply {
-        let declaration = self.declaration.clone();
-        let queue = declaration.as_ref().and_then(|d| d.queue_of(host, path));
-        let Some(queue) = queue else {
-            return WorkloadReply::NoQueue;
-        };
-        if let Some(known) = self.number_of(id).and_then(|number| self.jobs.get(&number)) {
-            let same = known.queue == queue.path && known.team.as_ref() == team;
-            return if same {
-                WorkloadReply::Done
-            } else {
-                WorkloadReply::OtherJob
-            };
-        }
-        if let Err(fault) = spec.check() {
-            return WorkloadReply::BadJob(fault);
-        }
-        if self.index.open().count() >= OPEN_MAX {
-            return WorkloadReply::TooManyJobs;
-        }
-        self.accept(id, queue, team, spec, now);
-        WorkloadReply::Done
-    }
-
-    fn accept(
-        &mut self,
-        id: &JobId,
-        queue: &Queue,
-        team: Option<&TeamId>,
-        spec: &Arc<JobSpec>,
-        now: WallMs,
-    ) {
-        self.last_number = JobNumber(self.last_number.0 + 1);
-        let number = self.last_number;
-        let mut job = Job {
-            id: id.clone(),
-            queue: queue.path.clone(),
-            team: team.cloned(),
-            terms: queue.terms.clone(),
-            spec: Arc::clone(spec),
-            accepted_ms: now,
-            phase: Phase::Queued,
-            ended_ms: None,
-            occurrences: std::collections::BTreeMap::new(),
-            due: 0,
-            complete: 0,
-        };
-        if spec.schedule.is_none() {
-            add_occurrence(&mut job);
-        }
-        self.index.accepted(id, number);
-        self.jobs.insert(number, job);
-    }
-
     fn change(&mut self, transition: &Transition, now: WallMs) {
         match transition {
             Transition::Due { job, occurrence } => {
@@ -443,15 +385,3 @@
         }
     }
 }
-
-use super::Life;
-
-fn add_occurrence(job: &mut Job) {
-    let steps = job.spec.steps.iter().map(StepState::new).collect();
-    let occurrence = Occurrence {
-        steps,
-        complete: false,
-    };
-    job.occurrences.insert(job.due, occurrence);
-    job.due += 1;
-}
--- a/tests/declaration_faults.rs
+++ b/tests/declaration_faults.rs
@@ -1,7 +1,7 @@
 //! Declarations that are refused as a whole.
 
-#[path = "support/worker_model.rs"]
-mod worker_model;
+#[path = "support/workload_parts.rs"]
+mod workload_parts;
 
 use std::sync::Arc;
 
@@ -11,7 +11,7 @@
 };
 use rstest::rstest;
 
-use worker_model::{declaration, job, path, step};
+use workload_parts::{declaration, job, path, step};
 
 #[rstest]
 #[case::unknown_service(|d: &mut Declaration| d.services.clear(), "queue /urgent/ names the unknown service ponds")]
@@ -56,7 +56,10 @@
 #[case::later(|job: &mut JobSpec| job.steps[0].after = vec![1], Err(SpecFault::BadDependency))]
 #[case::no_interval(|job: &mut JobSpec| job.schedule = Some(Schedule { first_ms: WallMs(0), every_ms: Millis::ZERO, occurrences: 2 }), Err(SpecFault::NoInterval))]
 fn job_faults(#[case] spoil: fn(&mut JobSpec), #[case] expected: Result<(), SpecFault>) {
-    let second = Step { after: vec![0], ..step(1, 1) };
+    let second = Step {
+        after: vec![0],
+        ..step(1, 1)
+    };
     let mut spec = job(vec![step(1, 1), second]);
     spoil(&mut spec);
     assert_eq!(spec.check(), expected);
--- a/tests/replica_core/main.rs
+++ b/tests/replica_core/main.rs
@@ -3,9 +3,9 @@
 mod checks;
 mod failures;
 mod note_race;
-mod open_group;
 #[path = "../support/notes.rs"]
 mod notes;
+mod open_group;
 mod protocol;
 mod schedules;
 mod world;
--- a/tests/replica_core/open_group.rs
+++ b/tests/replica_core/open_group.rs
@@ -43,7 +43,9 @@
         world.run_until(GONE_MS + CHANGE_MS, "the standby votes", |w| w.votes(3));
         assert!(!world.votes(lost));
         // A second loss is borne now.
-        let other = (0..3).find(|p| *p != lost && *p != leader).expect("there are three");
+        let other = (0..3)
+            .find(|p| *p != lost && *p != leader)
+            .expect("there are three");
         world.crash(other);
         world.run_until(3_000, "a leader", |w| w.leader().is_some());
         commit(&mut world);
@@ -114,7 +116,9 @@
         let (mut world, leader) = with_leader(3, seed);
         world.replicas[leader].disk_full = true;
         world.event(leader, Event::DiskFull(true));
-        world.run_until(3_000, "another leader", |w| w.leader().is_some_and(|l| l != leader));
+        world.run_until(3_000, "another leader", |w| {
+            w.leader().is_some_and(|l| l != leader)
+        });
         commit(&mut world);
         assert!(world.leader() != Some(leader), "seed {seed}");
     }
--- a/tests/support/worker_model.rs
+++ b/tests/support/worker_model.rs
@@ -3,14 +3,16 @@
 //! Everything follows from the seed. The checks run while the model moves: no two runs of one task at
 //! once, nothing again after an acknowledged end, no start without a place, no overfull worker.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use marjoramknot::units::{JobId, Millis, Sequence, Term, WallMs, WorkerId};
+use super::model_worker::{ModelWorker, Work};
+use super::planner_parts::{GANG_WAIT_MS, STOP_MS, options};
+use super::workload_parts::declaration;
+use marjoramknot::units::{JobId, Millis, Term, WallMs};
 use marjoramknot::workload::{
-    Amount, Declaration, JobSpec, Life, ListedEnd, ListedRun, Phase, Planner, PlannerOptions, Queue,
-    QueuePath, QueueTerms, RunEnd, Service, Start, Step, TaskName, Team, Transition, WorkerOrders,
-    WorkerReport, Workload, WorkloadCommand,
+    JobSpec, Phase, Planner, RunEnd, Start, TaskName, Transition, WorkerOrders, WorkerReport,
+    Workload, WorkloadCommand,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -18,45 +20,9 @@
 const STEP_MS: u64 = 10;
 /// An answer later than this is dropped by the worker.
 const ANSWER_MAX_MS: u64 = 1_000;
-const STOP_MS: u64 = 300;
-const GANG_WAIT_MS: u64 = 3_000;
 /// By how many parts in a thousand a worker's clock may be slow.
 const SLOW_PARTS: u64 = 20;
 
-/// One run on a worker.
-#[derive(Clone, Debug)]
-struct Work {
-    run: u32,
-    since_ms: u64,
-    worked_ms: u64,
-    stops_at_ms: Option<u64>,
-}
-
-/// A worker.
-#[derive(Debug)]
-pub struct ModelWorker {
-    pub id: WorkerId,
-    pub life: u64,
-    pub zone: &'static str,
-    pub rack: String,
-    pub leaving: bool,
-    pub up: bool,
-    /// Whether its reports and their answers are lost.
-    pub cut: bool,
-    /// Whether all that it starts fails.
-    pub broken: bool,
-    sequence: u64,
-    next_report_ms: u64,
-    /// When the outstanding report was sent.
-    asked_ms: Option<u64>,
-    lease_until_ms: u64,
-    term: Term,
-    runs: BTreeMap<TaskName, Work>,
-    refused_up_to: BTreeMap<TaskName, u32>,
-    ended: Vec<ListedEnd>,
-    end_number: u64,
-}
-
 /// What the network does to reports and answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Losses {
@@ -87,171 +53,6 @@
     rng: StdRng,
 }
 
-pub fn options() -> PlannerOptions {
-    PlannerOptions::builder()
-        .lease_ms(Millis(4_000))
-        .stop_ms(Millis(STOP_MS))
-        .gang_wait_ms(Millis(GANG_WAIT_MS))
-        .build()
-}
-
-pub fn room(cores: u64, accelerators: u64) -> Amount {
-    Amount {
-        cpu_millicores: cores * 1_000,
-        memory_mb: cores * 100,
-        accelerators,
-    }
-}
-
-pub fn step(tasks: u32, accelerators: u64) -> Step {
-    Step {
-        tasks,
-        demand: room(1, accelerators),
-        estimate_ms: Millis(1_000),
-        ..Step::default()
-    }
-}
-
-pub fn job(steps: Vec<Step>) -> JobSpec {
-    JobSpec {
-        payload: "work".into(),
-        steps,
-        schedule: None,
-    }
-}
-
-/// Two queues, urgent and not, and two teams of which one has a guarantee.
-pub fn declaration() -> Declaration {
-    let queue = |prefix: &str, priority| Queue {
-        name: prefix.into(),
-        path: path(prefix),
-        terms: QueueTerms {
-            service: "ponds".parse().expect("an id"),
-            priority,
-            attempts_max: 3,
-            stretch_percent: 150,
-            target_ms: Millis(800),
-        },
-        timeout_ms: Millis(3_000),
-        public: false,
-    };
-    let team = |name: &str, guaranteed| Team {
-        name: name.parse().expect("an id"),
-        keys: vec![format!("key-{name}").into()],
-        guaranteed_accelerators: guaranteed,
-    };
-    Declaration {
-        version: 1,
-        queues: vec![queue("/urgent/", 0), queue("/batch/", 2)],
-        services: vec![Service {
-            name: "ponds".parse().expect("an id"),
-            guards_room: true,
-        }],
-        teams: vec![team("judges", 16), team("clubs", 0)],
-        text: b"{}".to_vec(),
-    }
-}
-
-pub fn path(prefix: &str) -> QueuePath {
-    QueuePath {
-        host: "ponds.example".into(),
-        prefix: prefix.into(),
-    }
-}
-
-impl ModelWorker {
-    fn new(number: usize) -> Self {
-        Self {
-            id: format!("w{number}").parse().expect("an id"),
-            life: 1,
-            zone: if number.is_multiple_of(2) { "senec" } else { "trnava" },
-            rack: format!("r{}", number / 4),
-            leaving: false,
-            up: true,
-            cut: false,
-            broken: false,
-            sequence: 0,
-            next_report_ms: number as u64 * 7,
-            asked_ms: None,
-            lease_until_ms: 0,
-            term: Term::ZERO,
-            runs: BTreeMap::new(),
-            refused_up_to: BTreeMap::new(),
-            ended: Vec::new(),
-            end_number: 0,
-        }
-    }
-
-    fn report(&mut self) -> WorkerReport {
-        self.sequence += 1;
-        let running = self.runs.iter().filter(|(_task, work)| work.stops_at_ms.is_none());
-        let running = running.map(|(task, work)| ListedRun {
-            task: task.clone(),
-            run: work.run,
-            saved: "".into(),
-            percent: 0,
-        });
-        WorkerReport {
-            worker: self.id.clone(),
-            life: Life(self.life),
-            sequence: Sequence(self.sequence),
-            service: "ponds".parse().expect("an id"),
-            zone: self.zone.parse().expect("an id"),
-            rack: Some(self.rack.as_str().into()),
-            labels: vec!["a".into(), self.rack.as_str().into()],
-            room: room(8, 8),
-            leaving: self.leaving,
-            stays_ms: None,
-            running: running.collect(),
-            ended: self.ended.clone(),
-        }
-    }
-
-    fn end(&mut self, task: &TaskName, end: RunEnd) {
-        let Some(work) = self.runs.remove(task) else {
-            return;
-        };
-        self.list_end(task, work.run, end);
-    }
-
-    fn list_end(&mut self, task: &TaskName, run: u32, end: RunEnd) {
-        self.end_number += 1;
-        let highest = self.refused_up_to.entry(task.clone()).or_default();
-        *highest = run.max(*highest);
-        self.ended.push(ListedEnd {
-            number: self.end_number,
-            task: task.clone(),
-            run,
-            end,
-            saved: "".into(),
-        });
-    }
-
-    /// The process is gone; the next one knows nothing.
-    pub fn crash(&mut self) {
-        self.up = false;
-        self.runs.clear();
-        self.ended.clear();
-        self.refused_up_to.clear();
-        self.term = Term::ZERO;
-        self.asked_ms = None;
-    }
-
-    pub fn restart(&mut self, now_ms: u64) {
-        self.up = true;
-        self.cut = false;
-        self.life += 1;
-        self.sequence = 0;
-        self.end_number = 0;
-        self.next_report_ms = now_ms + 20;
-        self.lease_until_ms = 0;
-    }
-
-    pub fn running(&self) -> usize {
-        self.runs.len()
-    }
-}
-
 impl Model {
     pub fn new(workers: usize, seed: u64) -> Self {
         let mut model = Self {
@@ -338,7 +139,11 @@
     pub fn run_until(&mut self, most_ms: u64, what: &str, done: impl Fn(&Self) -> bool) {
         let until = self.now_ms + most_ms;
         while !done(self) {
-            assert!(self.now_ms < until, "seed {}: not in time: {what}", self.seed);
+            assert!(
+                self.now_ms < until,
+                "seed {}: not in time: {what}",
+                self.seed
+            );
             self.step();
         }
     }
@@ -360,7 +165,10 @@
 
     fn send_report(&mut self, at: usize) {
         let worker = &mut self.workers[at];
-        if worker.asked_ms.is_some_and(|sent| self.now_ms >= sent + ANSWER_MAX_MS) {
+        if worker
+            .asked_ms
+            .is_some_and(|sent| self.now_ms >= sent + ANSWER_MAX_MS)
+        {
             worker.asked_ms = None;
             worker.next_report_ms = self.now_ms;
         }
@@ -388,12 +196,15 @@
     }
 
     fn answer(&mut self, (at, report, received_ms): Held) {
-        let orders = self.planner.answer(&report, Millis(received_ms), &self.state);
+        let orders = self
+            .planner
+            .answer(&report, Millis(received_ms), &self.state);
         let late = self.chance(self.losses.late_percent);
         let delay = if late { 1_200 } else { 10 };
         if !self.chance(self.losses.lost_percent) {
             let (life, sequence) = (report.life.0, report.sequence.get());
-            self.answers.push((self.now_ms + delay, at, life, sequence, orders));
+            self.answers
+                .push((self.now_ms + delay, at, life, sequence, orders));
         }
     }
 
@@ -446,25 +257,41 @@
 
     fn start(&mut self, at: usize, start: &Start) {
         let seed = self.seed;
-        assert!(!self.acknowledged.contains(&start.task), "seed {seed}: {} again", start.task);
+        assert!(
+            !self.acknowledged.contains(&start.task),
+            "seed {seed}: {} again",
+            start.task
+        );
         let worker = &mut self.workers[at];
         let refused = worker.refused_up_to.get(&start.task).copied().unwrap_or(0);
         if worker.runs.contains_key(&start.task) || start.run <= refused {
             return;
         }
         self.starts += 1;
-        worker.runs.insert(start.task.clone(), Work {
-            run: start.run,
-            since_ms: self.now_ms,
-            worked_ms: 0,
-            stops_at_ms: None,
-        });
+        worker.runs.insert(
+            start.task.clone(),
+            Work {
+                run: start.run,
+                since_ms: self.now_ms,
+                worked_ms: 0,
+                stops_at_ms: None,
+            },
+        );
         worker.next_report_ms = worker.next_report_ms.min(self.now_ms + 200);
-        let used: u64 = worker.runs.keys().map(|task| self.state.key_of(task)).map(|key| {
-            let step = key.and_then(|key| self.state.step(key.step));
-            step.map_or(0, |(step, _tasks)| step.demand.accelerators)
-        }).sum();
-        assert!(used <= 8, "seed {seed}: {} holds {used} accelerators", self.workers[at].id);
+        let used: u64 = worker
+            .runs
+            .keys()
+            .map(|task| self.state.key_of(task))
+            .map(|key| {
+                let step = key.and_then(|key| self.state.step(key.step));
+                step.map_or(0, |(step, _tasks)| step.demand.accelerators)
+            })
+            .sum();
+        assert!(
+            used <= 8,
+            "seed {seed}: {} holds {used} accelerators",
+            self.workers[at].id
+        );
     }
 
     /// Members of a gang work only while all of them are present.
@@ -479,7 +306,10 @@
             return true;
         }
         let works = |index| {
-            let member = TaskName { index, ..task.clone() };
+            let member = TaskName {
+                index,
+                ..task.clone()
+            };
             self.workers.iter().any(|worker| {
                 worker.up && worker.runs.get(&member).is_some_and(|work| work.run == run)
             })
@@ -526,7 +356,10 @@
     }
 
     fn commit(&mut self) {
-        let is_due = self.in_flight.as_ref().is_some_and(|(due, ..)| *due <= self.now_ms);
+        let is_due = self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(due, ..)| *due <= self.now_ms);
         if !is_due {
             return;
         }
--- /dev/null
+++ b/tests/support/workload_parts.rs
@@ -0,0 +1,70 @@
+//! A declaration and jobs that the workload's tests share.
+
+use marjoramknot::units::Millis;
+use marjoramknot::workload::{
+    Amount, Declaration, JobSpec, Queue, QueuePath, QueueTerms, Service, Step, Team,
+};
+
+pub fn room(cores: u64, accelerators: u64) -> Amount {
+    Amount {
+        cpu_millicores: cores * 1_000,
+        memory_mb: cores * 100,
+        accelerators,
+    }
+}
+
+pub fn step(tasks: u32, accelerators: u64) -> Step {
+    Step {
+        tasks,
+        demand: room(1, accelerators),
+        estimate_ms: Millis(1_000),
+        ..Step::default()
+    }
+}
+
+pub fn job(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        payload: "work".into(),
+        steps,
+        schedule: None,
+    }
+}
+
+/// Two queues, urgent and not, and two teams of which one has a guarantee.
+pub fn declaration() -> Declaration {
+    let queue = |prefix: &str, priority| Queue {
+        name: prefix.into(),
+        path: path(prefix),
+        terms: QueueTerms {
+            service: "ponds".parse().expect("an id"),
+            priority,
+            attempts_max: 3,
+            stretch_percent: 150,
+            target_ms: Millis(800),
+        },
+        timeout_ms: Millis(3_000),
+        public: false,
+    };
+    let team = |name: &str, guaranteed| Team {
+        name: name.parse().expect("an id"),
+        keys: vec![format!("key-{name}").into()],
+        guaranteed_accelerators: guaranteed,
+    };
+    Declaration {
+        version: 1,
+        queues: vec![queue("/urgent/", 0), queue("/batch/", 2)],
+        services: vec![Service {
+            name: "ponds".parse().expect("an id"),
+            guards_room: true,
+        }],
+        teams: vec![team("judges", 16), team("clubs", 0)],
+        text: b"{}".to_vec(),
+    }
+}
+
+pub fn path(prefix: &str) -> QueuePath {
+    QueuePath {
+        host: "ponds.example".into(),
+        prefix: prefix.into(),
+    }
+}
--- a/tests/workload_histories.rs
+++ b/tests/workload_histories.rs
@@ -1,11 +1,18 @@
 //! Seeded histories of workers, losses and leader changes round the pure planner.
 
+#[path = "support/model_worker.rs"]
+mod model_worker;
+#[path = "support/planner_parts.rs"]
+mod planner_parts;
 #[path = "support/worker_model.rs"]
 mod worker_model;
+#[path = "support/workload_parts.rs"]
+mod workload_parts;
 
 use marjoramknot::workload::{JobSpec, Phase, Step, WorkloadCommand};
 
-use worker_model::{Losses, Model, job, step};
+use worker_model::{Losses, Model};
+use workload_parts::{job, step};
 
 fn any_job(model: &mut Model) -> JobSpec {
     let accelerators = [1, 2, 4, 8][model.pick(4)];
@@ -35,7 +42,10 @@
     let now_ms = model.now_ms;
     match model.pick(12) {
         0 => model.workers[at].cut = true,
-        1 => model.workers.iter_mut().for_each(|worker| worker.cut = false),
+        1 => model
+            .workers
+            .iter_mut()
+            .for_each(|worker| worker.cut = false),
         2 if model.workers[at].up => model.workers[at].crash(),
         2 | 3 if !model.workers[at].up => model.workers[at].restart(now_ms),
         4 => model.change_leader(),
@@ -47,7 +57,11 @@
         }
         7 => model.workers[at].leaving = !model.workers[at].leaving,
         8 => {
-            let open: Vec<_> = model.state.open_jobs().map(|(number, _job)| number).collect();
+            let open: Vec<_> = model
+                .state
+                .open_jobs()
+                .map(|(number, _job)| number)
+                .collect();
             if !open.is_empty() {
                 let job = open[model.pick(open.len())];
                 model.command(WorkloadCommand::Cancel { job });
@@ -69,7 +83,10 @@
         }
     }
     let zone = "senec".parse().expect("an id");
-    model.command(WorkloadCommand::SetZone { zone, closed: false });
+    model.command(WorkloadCommand::SetZone {
+        zone,
+        closed: false,
+    });
 }
 
 /// Whatever happens, no task runs twice at once or again after its end, and all jobs end at last.
@@ -102,7 +119,10 @@
         assert_eq!(model.state.placed_workers().count(), 0, "seed {seed}");
         for id in &jobs {
             let phase = model.phase(id);
-            assert!(phase.is_some_and(Phase::is_ended), "seed {seed}: {id} is {phase:?}");
+            assert!(
+                phase.is_some_and(Phase::is_ended),
+                "seed {seed}: {id} is {phase:?}"
+            );
         }
         model.check_snapshot();
     }
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -1,27 +1,43 @@
 //! What the planner orders, and when it gives a run up: one failure a test.
 
-#[path = "support/worker_model.rs"]
-mod worker_model;
+#[path = "support/planner_parts.rs"]
+mod planner_parts;
+#[path = "support/workload_parts.rs"]
+mod workload_parts;
+
+use std::sync::Arc;
 
 use assert_matches::assert_matches;
 use marjoramknot::units::{Millis, Sequence, Term, WallMs};
 use marjoramknot::workload::{
     Life, ListedEnd, ListedRun, Phase, Planner, RunEnd, Step, TaskName, Transition, WorkerOrders,
-    WorkerReport, Workload, WorkloadCommand,
+    WorkerReport, Workload, WorkloadCommand, WorkloadReply,
 };
 use rstest::rstest;
 
-use worker_model::{Model, job, options, room, step};
+use planner_parts::options;
+use workload_parts::{declaration, job, room, step};
 
 /// How long a lease of the model's options may last at most, by the leader's clock.
 const LEASE_MAX_MS: u64 = 4_000 * 103 / 100 + 20;
 
 /// A state with one accepted job of single tasks, and a planner that has just begun.
 fn one_job(tasks: Step) -> (Workload, Planner) {
-    let mut model = Model::new(0, 0);
-    model.submit("/batch/", "clubs", job(vec![tasks]));
-    model.run(100);
-    (model.state, Planner::new(options(), Term(3), Millis::ZERO))
+    let mut state = Workload::default();
+    let submit = WorkloadCommand::Submit {
+        id: name(0).job,
+        host: "ponds.example".into(),
+        path: "/batch/job1".into(),
+        team: Some("clubs".parse().expect("an id")),
+        spec: Arc::new(job(vec![tasks])),
+    };
+    for command in [WorkloadCommand::Declare(Arc::new(declaration())), submit] {
+        assert_eq!(
+            state.apply(&command, WallMs(1_000_000)),
+            WorkloadReply::Done
+        );
+    }
+    (state, Planner::new(options(), Term(3), Millis::ZERO))
 }
 
 fn report(worker: u32, sequence: u64) -> WorkerReport {
@@ -109,7 +125,7 @@
     let (mut state, mut planner) = one_job(step(2, 1));
     tell(&mut planner, &mut state, &report(1, 1), 10);
     let decided = planner.plan(&state, Millis(20), WallMs(1_000_020));
-    assert_matches!(&decided[..], [Transition::Placed { run: 1, places, .. }] if places.len() == 2);
+    assert_matches!( &*decided, [Transition::Placed { run: 1, places, .. }] if places.len() == 2);
     let orders = tell(&mut planner, &mut state, &report(1, 2), 30);
     assert_eq!(orders.starts, []);
     commit(&mut state, decided);
@@ -225,11 +241,26 @@
     tell(&mut planner, &mut state, &report(1, 1), 10);
     plan(&mut planner, &mut state, 20);
     let zone = "senec".parse().expect("an id");
-    state.apply(&WorkloadCommand::SetZone { zone, closed: true }, WallMs(6_000));
+    state.apply(
+        &WorkloadCommand::SetZone { zone, closed: true },
+        WallMs(6_000),
+    );
     let withdrawn = planner.withdrawn(&state);
-    assert_matches!(&withdrawn[..], [Transition::Ended { end: RunEnd::Withdrawn, .. }]);
+    assert_matches!(
+        &*withdrawn,
+        [Transition::Ended {
+            end: RunEnd::Withdrawn,
+            ..
+        }]
+    );
     let zone = "senec".parse().expect("an id");
-    state.apply(&WorkloadCommand::SetZone { zone, closed: false }, WallMs(6_000));
+    state.apply(
+        &WorkloadCommand::SetZone {
+            zone,
+            closed: false,
+        },
+        WallMs(6_000),
+    );
     let orders = tell(&mut planner, &mut state, &report(1, 2), 30);
     assert_eq!(orders.starts, []);
 }
@@ -261,7 +292,10 @@
     back.ended.push(ended(1, 0, 1, RunEnd::Done));
     tell(&mut planner, &mut state, &back, 9_100);
     let number = state.number_of(&name(0).job).expect("the job is known");
-    assert_eq!(state.job(number).map(|job| job.phase), Some(Phase::Completed));
+    assert_eq!(
+        state.job(number).map(|job| job.phase),
+        Some(Phase::Completed)
+    );
 }
 
 #[rstest]
@@ -308,7 +342,11 @@
     let withdrawn = planner.withdrawn(&state);
     commit(&mut state, withdrawn);
     let mut first = report(1, 3);
-    let member = state.placed_on(&first.worker).next().expect("it has a place").0;
+    let member = state
+        .placed_on(&first.worker)
+        .next()
+        .expect("it has a place")
+        .0;
     first.running.push(running(member.task.index, 1));
     let orders = tell(&mut planner, &mut state, &first, 300);
     assert_eq!(orders.stops.len(), 1);
@@ -324,7 +362,11 @@
 fn gang_with_a_silent_member_is_stopped() {
     let (mut state, mut planner) = half_started();
     let mut first = report(1, 3);
-    let member = state.placed_on(&first.worker).next().expect("it has a place").0;
+    let member = state
+        .placed_on(&first.worker)
+        .next()
+        .expect("it has a place")
+        .0;
     first.running.push(running(member.task.index, 1));
     let orders = tell(&mut planner, &mut state, &first, 1_000);
     assert_eq!(orders.stops, []);
@@ -342,14 +384,19 @@
     listed.running = vec![running(0, 1), running(2, 1)];
     tell(&mut planner, &mut state, &listed, 900);
     let number = state.number_of(&name(0).job).expect("the job is known");
-    assert_eq!(state.job(number).map(|job| job.phase), Some(Phase::Completed));
+    assert_eq!(
+        state.job(number).map(|job| job.phase),
+        Some(Phase::Completed)
+    );
 }
 
 #[test]
 fn failing_worker_gets_no_more_work_for_a_while() {
     let (mut state, mut planner) = started(step(4, 1));
     let mut listed = report(1, 3);
-    listed.ended = (0..4).map(|index| ended(u64::from(index) + 1, index, 1, RunEnd::Failed)).collect();
+    listed.ended = (0..4)
+        .map(|index| ended(u64::from(index) + 1, index, 1, RunEnd::Failed))
+        .collect();
     tell(&mut planner, &mut state, &listed, 300);
     plan(&mut planner, &mut state, 310);
     assert_eq!(state.placed_workers().count(), 0);
--- a/tests/workload_state.rs
+++ b/tests/workload_state.rs
@@ -1,7 +1,7 @@
 //! The replicated state of jobs: what changes it, and what does not.
 
-#[path = "support/worker_model.rs"]
-mod worker_model;
+#[path = "support/workload_parts.rs"]
+mod workload_parts;
 
 use std::sync::Arc;
 
@@ -12,7 +12,7 @@
 };
 use rstest::rstest;
 
-use worker_model::{declaration, job, step};
+use workload_parts::{declaration, job, step};
 
 const NOW: WallMs = WallMs(1_000_000);
 
@@ -36,7 +36,10 @@
 
 fn with_job(spec: JobSpec) -> Workload {
     let mut state = declared();
-    assert_eq!(submit(&mut state, "j1", "/batch/", "clubs", spec), WorkloadReply::Done);
+    assert_eq!(
+        submit(&mut state, "j1", "/batch/", "clubs", spec),
+        WorkloadReply::Done
+    );
     state
 }
 
@@ -59,7 +62,10 @@
         worker: worker(),
         life: Life(1),
     };
-    let places = indices.iter().map(|index| (*index, place.clone())).collect();
+    let places = indices
+        .iter()
+        .map(|index| (*index, place.clone()))
+        .collect();
     change(state, Transition::Placed { step, run, places });
 }
 
@@ -90,7 +96,10 @@
 #[case::no_queue("/nowhere/", "clubs", WorkloadReply::NoQueue)]
 fn foreign_submissions(#[case] path: &str, #[case] team: &str, #[case] reply: WorkloadReply) {
     let mut state = with_job(job(vec![step(1, 1)]));
-    assert_eq!(submit(&mut state, "j1", path, team, job(vec![step(1, 1)])), reply);
+    assert_eq!(
+        submit(&mut state, "j1", path, team, job(vec![step(1, 1)])),
+        reply
+    );
     assert_eq!(state.open_jobs().count(), 1);
 }
 
@@ -104,7 +113,9 @@
     let ready = |state: &Workload| {
         let job = state.job(JobNumber(1)).expect("it is known");
         let occurrence = &job.occurrences[&0];
-        job.ready_steps(occurrence).map(|(step, ..)| step).collect::<Vec<_>>()
+        job.ready_steps(occurrence)
+            .map(|(step, ..)| step)
+            .collect::<Vec<_>>()
     };
     assert_eq!(ready(&state), [0]);
     place(&mut state, FIRST, 1, &[0, 1]);
@@ -194,7 +205,10 @@
     });
     let mut state = with_job(spec);
     for occurrence in 0..2 {
-        let step = StepKey { occurrence, ..FIRST };
+        let step = StepKey {
+            occurrence,
+            ..FIRST
+        };
         place(&mut state, step, 1, &[0]);
         assert_eq!(state.placed_workers().count(), 0, "it is not due");
         let job = JobNumber(1);
@@ -247,6 +261,9 @@
         let declare = WorkloadCommand::Declare(Arc::new(next));
         assert_eq!(state.apply(&declare, NOW), WorkloadReply::Done);
         let held = state.declaration().expect("one is in force");
-        assert_eq!((held.version, held.text[0]), (in_force, u8::try_from(in_force).expect("small")));
+        assert_eq!(
+            (held.version, held.text[0]),
+            (in_force, u8::try_from(in_force).expect("small"))
+        );
     }
 }
