--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -92,7 +92,7 @@
         .maybe_replace_after_ms(seeded.map(SeedSettings::replace_after_ms))
         .may_found(seeded.is_none_or(SeedSettings::may_found))
         .name(settings.name.clone())
-        .listen(own.peers)
+        .listen(seeded.map_or(own.peers, |seeded| seeded.listen().0))
         .control_address(own.entries)
         .peers(peers.collect())
         .data_folder(settings.data_folder.clone())
@@ -104,7 +104,8 @@
     Service::new("control", &["replica"], move |registry| async move {
         let replica = find::<Handle>(&registry, "replica")?;
         let machine = find::<SharedMachine>(&registry, "machine")?;
-        let address = settings.own().entries;
+        let seeded = settings.seeded.as_ref();
+        let address = seeded.map_or(settings.own().entries, |seeded| seeded.listen().1);
         let bound = TcpListener::bind(address).await;
         let listener = bound.map_err(|cause| format!("cannot listen on {address}: {cause}"))?;
         let options = ControlOptions::builder()
--- a/src/settings/seeds.rs
+++ b/src/settings/seeds.rs
@@ -1,4 +1,4 @@
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use super::control::ReplicaAddresses;
 use super::fields::Fields;
@@ -21,6 +21,8 @@
 pub struct SeedSettings {
     /// This replica's IP address, by which the others know it.
     pub host: IpAddr,
+    /// Where this replica listens, where that differs from the address by which others reach it.
+    pub listen_host: IpAddr,
     /// The ports of all replicas.
     pub ports: HostPorts,
     /// Some replicas of the group; only the IP addresses count.
@@ -36,6 +38,8 @@
 impl SeedSettings {
     pub(super) fn take(mut fields: Fields) -> Option<Self> {
         let host: Option<IpAddr> = fields.required("host", HOST);
+        let unset = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+        let listen_host = fields.optional("listen_host", host.unwrap_or(unset), HOST);
         let peers = take_port(&mut fields, "peers_port");
         let entries = take_port(&mut fields, "entries_port");
         let seeds = fields.list("seeds", 1..=SEEDS_MAX, SEED);
@@ -45,6 +49,7 @@
         fields.close();
         Some(Self {
             host: host?,
+            listen_host,
             ports: HostPorts {
                 peers: peers?,
                 entries: entries?,
@@ -80,6 +85,15 @@
         addresses.collect()
     }
 
+    /// Where this replica listens for the others, and for entries.
+    #[must_use]
+    pub const fn listen(&self) -> (SocketAddr, SocketAddr) {
+        (
+            SocketAddr::new(self.listen_host, self.ports.peers),
+            SocketAddr::new(self.listen_host, self.ports.entries),
+        )
+    }
+
     /// Whether this replica may form the group together with the other seeds.
     #[must_use]
     pub fn may_found(&self) -> bool {
--- a/tests/workload_state.rs
+++ b/tests/workload_state.rs
@@ -204,6 +204,8 @@
         occurrences: 2,
     });
     let mut state = with_job(spec);
+    let due = state.job(JobNumber(1)).expect("it is known").due_ms(1);
+    assert_eq!(due, WallMs(1_001_500));
     for occurrence in 0..2 {
         let step = StepKey {
             occurrence,
@@ -218,8 +220,6 @@
         end(&mut state, step, 0, 1, RunEnd::Done);
     }
     assert_eq!(phase(&state), Some(Phase::Completed));
-    let due = state.job(JobNumber(1)).expect("it is known").due_ms(1);
-    assert_eq!(due, WallMs(1_001_500));
 }
 
 #[test]
