--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod order_book;
 mod service;
 mod work_calls;
+mod work_log;
 mod work_loop;
 
 pub use api::{
--- /dev/null
+++ b/src/control/work_log.rs
@@ -0,0 +1,113 @@
+//! What is told of committed changes of the workload: one line a decision, and histograms of waits and
+//! completion times for each team and queue.
+
+use std::collections::BTreeSet;
+
+use tracing::info;
+
+use crate::telemetry::{record_job_completion, record_queue_wait};
+use crate::units::{ClassName, JobId, TeamId, WallMs};
+use crate::workload::{
+    Job, JobNumber, Phase, Transition, Workload, WorkloadCommand, WorkloadReply,
+};
+
+/// What of a batch is told once it is committed.
+#[derive(Debug, Default)]
+pub(super) struct BatchNotes {
+    submitted: Vec<(usize, JobId)>,
+    cancelled: Vec<JobNumber>,
+    began: BTreeSet<JobNumber>,
+    ended: BTreeSet<JobNumber>,
+}
+
+impl BatchNotes {
+    /// Notes what the commands may change; jobs that have ended before are passed over.
+    pub(super) fn of(commands: &[WorkloadCommand], state: &Workload) -> Self {
+        let mut notes = Self::default();
+        for (at, command) in commands.iter().enumerate() {
+            match command {
+                WorkloadCommand::Submit { id, .. } if state.number_of(id).is_none() => {
+                    notes.submitted.push((at, id.clone()));
+                }
+                WorkloadCommand::Cancel { job } => {
+                    notes.cancelled.push(*job);
+                    notes.ended.insert(*job);
+                }
+                WorkloadCommand::Transitions(transitions) => {
+                    notes.note_transitions(transitions, state);
+                }
+                WorkloadCommand::Submit { .. }
+                | WorkloadCommand::Declare(_)
+                | WorkloadCommand::SetZone { .. } => {}
+            }
+        }
+        notes.ended.retain(|job| is_open(state, *job));
+        notes
+    }
+
+    fn note_transitions(&mut self, transitions: &[Transition], state: &Workload) {
+        for transition in transitions {
+            match transition {
+                Transition::Placed { step, .. } if is_queued(state, step.job) => {
+                    self.began.insert(step.job);
+                }
+                Transition::Ended { run, .. } => {
+                    self.ended.insert(run.task.step.job);
+                }
+                Transition::Placed { .. } | Transition::Due { .. } => {}
+            }
+        }
+    }
+
+    /// Tells what the batch changed.
+    pub(super) fn tell(&self, replies: &[WorkloadReply], state: &Workload, now: WallMs) {
+        let version = state.declaration().map_or(0, |held| held.version);
+        for (at, id) in &self.submitted {
+            let reply = replies.get(*at);
+            info!(event = "job_submitted", job = %id, outcome = ?reply, declaration = version);
+        }
+        for job in self.cancelled.iter().filter_map(|job| state.job(*job)) {
+            info!(event = "job_cancel_committed", job = %job.id);
+        }
+        for job in self.began.iter().filter_map(|job| state.job(*job)) {
+            if let (Some(team), Some(class)) = labels(job, state) {
+                record_queue_wait(&team, &class, now.since(job.accepted_ms));
+            }
+        }
+        for job in self.ended.iter().filter_map(|job| state.job(*job)) {
+            if let Some(ended_ms) = job.ended_ms {
+                tell_end(job, ended_ms, state);
+            }
+        }
+    }
+}
+
+fn tell_end(job: &Job, ended_ms: WallMs, state: &Workload) {
+    let took = ended_ms.since(job.accepted_ms);
+    let outcome = match job.phase {
+        Phase::Completed => "completed",
+        Phase::Failed => "failed",
+        Phase::Cancelled => "cancelled",
+        Phase::Queued | Phase::Running => return,
+    };
+    info!(event = "job_ended", job = %job.id, outcome, took_ms = took.get(),
+        priority = job.terms.priority);
+    if let (Some(team), Some(class)) = labels(job, state) {
+        record_job_completion(&team, &class, outcome, took);
+    }
+}
+
+/// The team and queue under which a job is counted.
+fn labels(job: &Job, state: &Workload) -> (Option<TeamId>, Option<ClassName>) {
+    let queue = state.declaration().and_then(|held| held.queue(&job.queue));
+    let class = queue.and_then(|queue| queue.name.parse().ok());
+    (job.team.clone(), class)
+}
+
+fn is_open(state: &Workload, job: JobNumber) -> bool {
+    state.job(job).is_some_and(|job| !job.phase.is_ended())
+}
+
+fn is_queued(state: &Workload, job: JobNumber) -> bool {
+    state.job(job).is_some_and(|job| job.phase == Phase::Queued)
+}
--- a/src/control/work_loop.rs
+++ b/src/control/work_loop.rs
@@ -15,6 +15,7 @@
 use tracing::{info, warn};
 
 use super::work_calls::{Decided, answer_of, decide, log_refusal};
+use super::work_log::BatchNotes;
 use super::{Command, CommandBody, ControlError, Reply, Result, SharedMachine};
 use crate::kernel::Clock;
 use crate::replica::{Applied, Handle, Leadership, ProposeError};
@@ -46,6 +47,7 @@
 
 type Answer = oneshot::Sender<Result<WorkAnswer>>;
 type Proposed = std::result::Result<Applied, ProposeError>;
+type Landed = (Proposed, Vec<Waiting>, BatchNotes);
 
 /// A call that is answered after a commit.
 enum Waiting {
@@ -71,6 +73,13 @@
     planned: bool,
 }
 
+/// A batch on its way to the disks of a quorum.
+struct InFlight {
+    proposal: BoxFuture<'static, Proposed>,
+    waiting: Vec<Waiting>,
+    notes: BatchNotes,
+}
+
 /// What a leadership knows.
 struct Lead {
     term: Term,
@@ -86,7 +95,7 @@
     clock: Clock,
     lead: Option<Lead>,
     next: Batch,
-    in_flight: Option<(BoxFuture<'static, Proposed>, Vec<Waiting>)>,
+    in_flight: Option<InFlight>,
     reviewed_ms: Millis,
     stopping: bool,
 }
@@ -156,6 +165,10 @@
             self.send_batch();
         }
         self.refuse_waiting();
+        asks.close();
+        while let Ok(ask) = asks.try_recv() {
+            send(ask.reply, Err(self.not_leader()));
+        }
     }
 
     fn follow_leadership(&mut self) {
@@ -321,6 +334,9 @@
             }
             return;
         }
+        let notes = self
+            .machine
+            .read(|machine| BatchNotes::of(&batch.commands, machine.workload()));
         let command = Command {
             wall_ms: self.clock.wall(),
             body: CommandBody::Workload(batch.commands),
@@ -328,7 +344,11 @@
         let bytes = postcard::to_allocvec(&command).expect("a command always encodes");
         let handle = self.handle.clone();
         let proposal = async move { handle.propose(bytes).await }.boxed();
-        self.in_flight = Some((proposal, batch.waiting));
+        self.in_flight = Some(InFlight {
+            proposal,
+            waiting: batch.waiting,
+            notes,
+        });
     }
 
     /// Adds what the planner decides to the next batch.
@@ -352,7 +372,7 @@
         });
     }
 
-    fn finish(&mut self, (result, waiting): (Proposed, Vec<Waiting>)) {
+    fn finish(&mut self, (result, waiting, notes): Landed) {
         let applied = match result {
             Ok(applied) => applied,
             Err(cause) => {
@@ -368,6 +388,9 @@
             Ok(Reply::Workload(replies)) => replies,
             _ => Vec::new(),
         };
+        let wall = self.clock.wall();
+        self.machine
+            .read(|machine| notes.tell(&replies, machine.workload(), wall));
         if let Some(lead) = &mut self.lead {
             lead.planner.touch();
         }
@@ -458,15 +481,15 @@
 }
 
 /// Waits for the batch on its way; for ever where there is none.
-async fn landed(
-    in_flight: &mut Option<(BoxFuture<'static, Proposed>, Vec<Waiting>)>,
-) -> (Proposed, Vec<Waiting>) {
-    let Some((proposal, _waiting)) = in_flight else {
+async fn landed(in_flight: &mut Option<InFlight>) -> Landed {
+    let Some(batch) = in_flight else {
         return pending().await;
     };
-    let result = proposal.await;
-    let waiting = in_flight.take().map(|(_proposal, waiting)| waiting);
-    (result, waiting.unwrap_or_default())
+    let result = batch.proposal.as_mut().await;
+    let (waiting, notes) = in_flight
+        .take()
+        .map_or_else(Default::default, |batch| (batch.waiting, batch.notes));
+    (result, waiting, notes)
 }
 
 async fn until_true(receiver: &mut watch::Receiver<bool>) {
