--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -57,8 +57,10 @@
 pub(super) struct Running {
     pub(super) first_seen_ms: Millis,
     pub(super) saved: SmolStr,
-    /// When its saved progress last changed, or it began.
-    pub(super) saved_at_ms: Millis,
+    /// How much of its work is done, in percent.
+    pub(super) percent: u32,
+    /// When that last changed, or it began.
+    pub(super) moved_ms: Millis,
 }
 
 impl Worker {
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod reclaim;
 mod reports;
+mod stall;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +16,7 @@
 
 use self::fleet::Worker;
 use self::order::RunTimes;
+use self::stall::Avoided;
 use super::{RunKey, StepKey, Transition};
 use crate::units::{Millis, Term, WorkerId};
 
@@ -64,6 +66,7 @@
     /// Gangs of which not all members are known to run, and when they got their places.
     gathering: BTreeMap<(StepKey, u32), Millis>,
     run_times: RunTimes,
+    avoided: Avoided,
     /// Whether something changed that may let a task start.
     dirty: bool,
 }
@@ -90,6 +93,7 @@
             reclaims: BTreeMap::new(),
             gathering: BTreeMap::new(),
             run_times: RunTimes::default(),
+            avoided: Avoided::default(),
             dirty: true,
         }
     }
--- a/src/workload/planner/place.rs
+++ b/src/workload/planner/place.rs
@@ -1,6 +1,6 @@
 //! Where tasks go: best fit, as close to their data and each other as they ask.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use smol_str::SmolStr;
 
@@ -34,6 +34,8 @@
     pub(super) tasks: u32,
     /// How many tasks of the step each worker holds, where that is limited.
     pub(super) held: BTreeMap<WorkerId, u32>,
+    /// Workers on which the step stood still.
+    pub(super) avoided: BTreeSet<WorkerId>,
     /// Whether a place far from the data will do.
     pub(super) anywhere: bool,
 }
@@ -74,7 +76,10 @@
 
     pub(super) fn allows(&self, slot: &Slot) -> bool {
         let label = self.step.label.as_ref();
-        slot.service == *self.service && label.is_none_or(|label| slot.labels.contains(label))
+        let avoided = self.avoided.contains(&slot.worker);
+        !avoided
+            && slot.service == *self.service
+            && label.is_none_or(|label| slot.labels.contains(label))
     }
 
     /// How many more tasks a worker may hold.
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -45,6 +45,7 @@
             task.is_some_and(|task| task.run == run.run && task.place.is_some())
         });
         self.stop_incomplete_gangs(state, now);
+        self.stop_stalled(state, now);
         let mut slots = self.slots(state, now);
         let mut transitions = Vec::new();
         let mut placed = 0;
@@ -87,6 +88,7 @@
             service: &job.terms.service,
             tasks: if step.gang { step.tasks } else { 1 },
             held: BTreeMap::new(),
+            avoided: self.avoided.of(key),
             anywhere: self.takes_any_rack(job, step, key, wall),
         };
         ask.count_held(tasks);
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -68,6 +68,7 @@
             service: &job.terms.service,
             tasks: tasks.waiting(),
             held: BTreeMap::new(),
+            avoided: self.avoided.of(waiting.key),
             anywhere: true,
         };
         ask.count_held(tasks);
@@ -121,7 +122,8 @@
                 let (Some(job), Some((step, tasks))) = (job, state.step(run.task.step)) else {
                     continue;
                 };
-                if !may_leave(job, step) || self.stopping.contains(&run) {
+                // Lasting tasks serve their own users, who notice each stop.
+                if step.lasting || !may_leave(job, step) || self.stopping.contains(&run) {
                     continue;
                 }
                 let gang = (run.task.step, run.run);
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -247,11 +247,12 @@
             return None;
         }
         let before = earlier.get(&run);
-        let same = before.filter(|before| before.saved == listed.saved);
+        let still = before.filter(|before| before.percent == listed.percent);
         let seen = Running {
             first_seen_ms: before.map_or(now, |before| before.first_seen_ms),
             saved: listed.saved.clone(),
-            saved_at_ms: same.map_or(now, |same| same.saved_at_ms),
+            percent: listed.percent,
+            moved_ms: still.map_or(now, |still| still.moved_ms),
         };
         Some((run, seen))
     });
--- a/tests/settings_seeded.rs
+++ b/tests/settings_seeded.rs
@@ -71,7 +71,11 @@
 #[rstest]
 #[case::host("host = \"10.0.0.5\"", "host = \"here\"", "seeded.host")]
 #[case::port("peers_port = 7000", "", "seeded.peers_port")]
-#[case::seeds("seeds = [\"10.0.0.5:9\", \"10.0.0.6:9\", \"10.0.0.7:9\"]", "seeds = []", "seeded.seeds")]
+#[case::seeds(
+    "seeds = [\"10.0.0.5:9\", \"10.0.0.6:9\", \"10.0.0.7:9\"]",
+    "seeds = []",
+    "seeded.seeds"
+)]
 #[case::flag("bootstrap = true", "bootstrap = \"yes\"", "seeded.bootstrap")]
 #[case::losses("losses_borne = 2", "losses_borne = 9", "seeded.losses_borne")]
 #[case::lease("lease_ms = 6000", "lease_ms = 1", "planner.lease_ms")]
--- a/tests/support/model_worker.rs
+++ b/tests/support/model_worker.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    pub fn report(&mut self) -> WorkerReport {
+    pub fn report(&mut self, work_ms: u64) -> WorkerReport {
         self.sequence += 1;
         let running = self
             .runs
@@ -82,7 +82,7 @@
             task: task.clone(),
             run: work.run,
             saved: "".into(),
-            percent: 0,
+            percent: u32::try_from(work.worked_ms * 100 / work_ms).unwrap_or(100),
         });
         WorkerReport {
             worker: self.id.clone(),
--- a/tests/support/worker_model.rs
+++ b/tests/support/worker_model.rs
@@ -176,7 +176,7 @@
             return;
         }
         worker.asked_ms = Some(self.now_ms);
-        let report = worker.report();
+        let report = worker.report(self.work_ms);
         let is_lost = worker.cut;
         if is_lost || self.chance(self.losses.lost_percent) {
             return;
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -419,3 +419,20 @@
         assert_eq!(planner.lapsed(&state, Millis(now + 100)), []);
     }
 }
+
+#[rstest]
+#[case::moving(11, 0)]
+#[case::still(10, 1)]
+fn task_that_stands_still_is_moved(#[case] percent: u32, #[case] stops: usize) {
+    let (mut state, mut planner) = started(step(1, 1));
+    let mut listed = report(1, 3);
+    listed.running.push(running(0, 1));
+    tell(&mut planner, &mut state, &listed, 300);
+    listed.sequence = Sequence(4);
+    listed.running[0].percent = percent;
+    tell(&mut planner, &mut state, &listed, 1_900);
+    plan(&mut planner, &mut state, 1_910);
+    listed.sequence = Sequence(5);
+    let orders = tell(&mut planner, &mut state, &listed, 2_000);
+    assert_eq!(orders.stops.len(), stops);
+}
