Scheduler: what a worker listed before its goodbye still counts

Ruled out: a lease that ran out (the worker had been heard 8 s before), stalled tasks (those are stopped, not given up). Test first: workload_runs::end_listed_before_a_goodbye_counts.

--- a/src/control/work_loop.rs
+++ b/src/control/work_loop.rs
@@ -59,8 +59,6 @@
         received_ms: Millis,
         reply: Answer,
     },
-    /// The answer only says that the batch is committed.
-    Plain { reply: Answer },
 }
 
 /// Changes that are committed together, and who waits for them.
@@ -293,15 +291,11 @@
     }
 
     fn take_left(&mut self, worker: &WorkerId, reply: Answer) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let planner = &mut lead.planner;
-        let lost = self
-            .machine
-            .read(|machine| planner.left(worker, machine.workload()));
-        self.next.transitions.extend(lost);
-        self.next.waiting.push(Waiting::Plain { reply });
+        let now = self.clock.now();
+        if let Some(lead) = &mut self.lead {
+            lead.planner.left(worker, now);
+        }
+        send(reply, Ok(WorkAnswer::Done));
     }
 
     fn tick(&mut self) {
@@ -420,7 +414,6 @@
     /// Answers under the quorum lease; what was committed is also told after it was lost.
     fn answer(&mut self, waiting: Waiting, replies: &[WorkloadReply]) {
         match waiting {
-            Waiting::Plain { reply } => send(reply, Ok(WorkAnswer::Done)),
             Waiting::Change { at, reply } => {
                 let answer = replies.get(at).map(answer_of);
                 send(reply, answer.ok_or(ControlError::Uncertain));
@@ -454,9 +447,7 @@
 impl Waiting {
     fn into_reply(self) -> Answer {
         match self {
-            Self::Change { reply, .. } | Self::Report { reply, .. } | Self::Plain { reply } => {
-                reply
-            }
+            Self::Change { reply, .. } | Self::Report { reply, .. } => reply,
         }
     }
 }
--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -23,6 +23,8 @@
     pub(super) labels: Vec<SmolStr>,
     pub(super) room: Amount,
     pub(super) leaving: bool,
+    /// When it said goodbye.
+    pub(super) left_ms: Option<Millis>,
     pub(super) heard_ms: Millis,
     /// Until when something may run there that it was told by any leader.
     pub(super) lease_until_ms: Millis,
@@ -74,6 +76,7 @@
             labels: Vec::new(),
             room: Amount::ZERO,
             leaving: false,
+            left_ms: None,
             heard_ms: Millis::ZERO,
             lease_until_ms,
             running: BTreeMap::new(),
--- a/src/workload/planner/place.rs
+++ b/src/workload/planner/place.rs
@@ -45,6 +45,7 @@
     pub(super) fn slots(&self, state: &Workload, now: Millis) -> Slots {
         let usable = self.workers.iter().filter(|(_id, worker)| {
             !worker.leaving
+                && worker.left_ms.is_none()
                 && !worker.runs_others
                 && state.is_open(&worker.zone)
                 && now.since(worker.heard_ms) <= self.options.fresh_ms
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -169,18 +169,15 @@
             .unwrap_or_default()
     }
 
-    /// A worker said goodbye: all that it ran has ended.
-    pub fn left(&mut self, worker: &WorkerId, state: &Workload) -> Vec<Transition> {
-        let runs: Vec<RunKey> = state.placed_on(worker).map(|(run, _life)| run).collect();
-        let lost = runs
-            .into_iter()
-            .map(|run| self.lost(worker, run, RunEnd::Lapsed));
-        let lost = lost.collect();
+    /// A worker said goodbye: all that it ran has ended, and how is told by reports that may still be
+    /// on their way through other replicas.
+    pub fn left(&mut self, worker: &WorkerId, now: Millis) {
         info!(event = "worker_left", worker = %worker);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.leaving = true;
+            worker.left_ms.get_or_insert(now);
+            self.dirty = true;
         }
-        lost
     }
 
     /// Runs on workers whose lease has surely ended, and starts that will not be carried out.
@@ -192,6 +189,9 @@
                 let worker = self.workers.get(*id);
                 // A worker that reports tells itself what has ended, also where no answer reached it.
                 let until = worker.map_or(unheard, |worker| {
+                    if let Some(left_ms) = worker.left_ms {
+                        return left_ms.saturating_add(GOODBYE_MS);
+                    }
                     let heard = worker.heard_ms.saturating_add(SILENCE_MS);
                     worker.lease_until_ms.max(heard)
                 });
@@ -218,6 +218,8 @@
     }
 }
 
+/// How long reports that a worker sent before its goodbye may still arrive.
+const GOODBYE_MS: Millis = Millis(1_000);
 /// How long a worker that reports may be silent before it counts as silent: two reports and a lost
 /// answer.
 const SILENCE_MS: Millis = Millis(3_000);
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -436,3 +436,27 @@
     let orders = tell(&mut planner, &mut state, &listed, 2_000);
     assert_eq!(orders.stops.len(), stops);
 }
+
+/// A report may travel through another replica than the goodbye that followed it: once what it listed
+/// as done was given up, and ran again.
+#[test]
+fn end_listed_before_a_goodbye_counts() {
+    let (mut state, mut planner) = started(step(1, 1));
+    let mut last = report(1, 3);
+    last.ended.push(ended(1, 0, 1, RunEnd::Done));
+    planner.left(&last.worker, Millis(800));
+    assert_eq!(planner.lapsed(&state, Millis(850)), []);
+    tell(&mut planner, &mut state, &last, 900);
+    let number = state.number_of(&name(0).job).expect("the job is known");
+    assert_eq!(
+        state.job(number).map(|job| job.phase),
+        Some(Phase::Completed)
+    );
+}
+
+#[test]
+fn worker_that_left_is_not_waited_for() {
+    let (state, mut planner) = started(step(1, 1));
+    planner.left(&report(1, 1).worker, Millis(800));
+    assert_eq!(planner.lapsed(&state, Millis(1_801)).len(), 1);
+}
