Scheduler: what runs on a worker that leaves is stopped before its last moments

Ruled out with a line for each report and goodbye: a lost, late or reordered report (none was sent). Test first: workload_runs:: task_is_stopped_before_its_worker_leaves.

--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -23,6 +23,8 @@
     pub(super) labels: Vec<SmolStr>,
     pub(super) room: Amount,
     pub(super) leaving: bool,
+    /// Until when it stays at least, where it leaves.
+    pub(super) stays_until_ms: Option<Millis>,
     /// When it said goodbye.
     pub(super) left_ms: Option<Millis>,
     pub(super) heard_ms: Millis,
@@ -76,6 +78,7 @@
             labels: Vec::new(),
             room: Amount::ZERO,
             leaving: false,
+            stays_until_ms: None,
             left_ms: None,
             heard_ms: Millis::ZERO,
             lease_until_ms,
--- /dev/null
+++ b/src/workload/planner/leave.rs
@@ -0,0 +1,35 @@
+//! Workers that leave while tasks run there: what cannot end in time is stopped early enough that its end
+//! and its progress are still told.
+
+use tracing::info;
+
+use super::Planner;
+use crate::units::Millis;
+
+/// How long the end of a stopped run takes to be listed and acknowledged.
+const TOLD_MS: Millis = Millis(300);
+
+impl Planner {
+    /// Stops what still runs on workers that are about to leave.
+    ///
+    /// An end in a worker's last moments is never listed, and nobody could tell whether the task is done.
+    pub(super) fn stop_before_leave(&mut self, now: Millis) {
+        let needed = self
+            .options
+            .stop_ms
+            .saturating_add(self.report_after_ms())
+            .saturating_add(TOLD_MS);
+        for (id, worker) in &self.workers {
+            let leaves = worker.stays_until_ms.filter(|_until| worker.leaving);
+            let is_due = leaves.is_some_and(|until| now.saturating_add(needed) >= until);
+            if !is_due || worker.left_ms.is_some() {
+                continue;
+            }
+            for run in worker.running.keys() {
+                if self.stopping.insert(*run) {
+                    info!(event = "run_stopped_before_leave", run = %run, worker = %id);
+                }
+            }
+        }
+    }
+}
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod gather;
+mod leave;
 mod order;
 mod orders;
 mod place;
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -118,7 +118,7 @@
     }
 
     /// The pause between a worker's reports: longer where there are many workers.
-    fn report_after_ms(&self) -> Millis {
+    pub(super) fn report_after_ms(&self) -> Millis {
         let count = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
         let spread = Millis(count.saturating_mul(self.options.report_spread_us) / 1_000);
         self.options.report_after_ms.max(spread)
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -46,6 +46,7 @@
         });
         self.stop_incomplete_gangs(state, now);
         self.stop_stalled(state, now);
+        self.stop_before_leave(now);
         let mut slots = self.slots(state, now);
         let mut transitions = Vec::new();
         let mut placed = 0;
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -72,6 +72,7 @@
         };
         worker.sequence = report.sequence;
         worker.heard_ms = now;
+        worker.stays_until_ms = report.stays_ms.map(|stays| now.saturating_add(stays));
         self.dirty |= worker.describe(report);
         let earlier = std::mem::take(&mut worker.running);
         worker.running = running(report, state, &earlier, now);
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -460,3 +460,20 @@
     planner.left(&report(1, 1).worker, Millis(800));
     assert_eq!(planner.lapsed(&state, Millis(1_801)).len(), 1);
 }
+
+/// A worker that leaves never lists what ends in its last moments: once such a task ran again.
+#[rstest]
+#[case::early(2_000, 0)]
+#[case::about_to_leave(700, 1)]
+fn task_is_stopped_before_its_worker_leaves(#[case] stays_ms: u64, #[case] stops: usize) {
+    let (mut state, mut planner) = started(step(1, 1));
+    let mut leaving = report(1, 3);
+    leaving.running.push(running(0, 1));
+    leaving.leaving = true;
+    leaving.stays_ms = Some(Millis(stays_ms));
+    tell(&mut planner, &mut state, &leaving, 300);
+    plan(&mut planner, &mut state, 310);
+    leaving.sequence = Sequence(4);
+    let orders = tell(&mut planner, &mut state, &leaving, 500);
+    assert_eq!(orders.stops.len(), stops);
+}
