--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod note_history;
 mod order_book;
 mod service;
+mod work_batch;
 mod work_calls;
 mod work_log;
 mod work_loop;
@@ -39,7 +40,7 @@
 pub use machine::Machine;
 pub use note_history::VERSIONS_KEPT;
 pub use service::{ControlOptions, ControlService, JOBS_IN_CALL};
-pub use work_loop::WorkDoor;
+pub use work_batch::WorkHandle;
 
 use crate::units::Millis;
 
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -17,7 +17,8 @@
 use super::ask::Ask;
 use super::job_table::is_ended;
 use super::lead_loop::LeadLoop;
-use super::work_loop::{WorkDoor, WorkLoop};
+use super::work_batch::WorkHandle;
+use super::work_loop::WorkLoop;
 use super::{
     CommandBody, ControlApi, ControlApiRequest, ControlApiResponse, ControlError, ExchangeAnswer,
     ExchangeRequest, JobFilter, JobView, Machine, Reply, ReportAnswer, ReportBatch, Result,
@@ -69,7 +70,7 @@
     close: watch::Sender<bool>,
     lead_loop: JoinHandle<()>,
     work_loop: JoinHandle<()>,
-    work: WorkDoor,
+    work: WorkHandle,
     accepts: JoinHandle<()>,
 }
 
@@ -118,7 +119,7 @@
 
     /// The way to the workload inside this process.
     #[must_use]
-    pub fn work(&self) -> WorkDoor {
+    pub fn work(&self) -> WorkHandle {
         self.work.clone()
     }
 
@@ -236,7 +237,7 @@
     asks: mpsc::Sender<Ask>,
     machine: SharedMachine,
     handle: Handle,
-    work: WorkDoor,
+    work: WorkHandle,
     /// Turns true when connections are to finish their calls and close.
     close: watch::Receiver<bool>,
 }
--- /dev/null
+++ b/src/control/work_batch.rs
@@ -0,0 +1,112 @@
+//! Changes of the workload that share a commit, and the calls that wait for them.
+
+use std::collections::BTreeSet;
+use std::future::pending;
+
+use futures::future::BoxFuture;
+use tokio::sync::{mpsc, oneshot};
+
+use super::work_log::BatchNotes;
+use super::{ControlError, Result};
+use crate::replica::{Applied, ProposeError};
+use crate::units::{Millis, WorkerId};
+use crate::workload::{Transition, WorkAnswer, WorkRequest, WorkerReport, WorkloadCommand};
+
+/// The way to the loop inside a process.
+#[derive(Clone, Debug)]
+pub struct WorkHandle {
+    pub(super) asks: mpsc::Sender<Ask>,
+}
+
+/// A call with where its answer goes.
+#[derive(Debug)]
+pub(super) struct Ask {
+    pub(super) request: WorkRequest,
+    pub(super) reply: Answer,
+}
+
+pub(super) type Answer = oneshot::Sender<Result<WorkAnswer>>;
+pub(super) type Proposed = std::result::Result<Applied, ProposeError>;
+pub(super) type Landed = (Proposed, Vec<Waiting>, BatchNotes);
+
+/// A call that is answered after a commit.
+pub(super) enum Waiting {
+    /// The answer follows from the reply to a command of the batch.
+    Change { at: usize, reply: Answer },
+    /// The answer holds a worker's orders.
+    Report {
+        report: Box<WorkerReport>,
+        received_ms: Millis,
+        reply: Answer,
+    },
+}
+
+/// Changes that are committed together, and who waits for them.
+#[derive(Default)]
+pub(super) struct Batch {
+    pub(super) commands: Vec<WorkloadCommand>,
+    pub(super) transitions: Vec<Transition>,
+    pub(super) waiting: Vec<Waiting>,
+    /// Whether the planner's decisions on the present state are in it.
+    pub(super) planned: bool,
+}
+
+/// A batch on its way to the disks of a quorum.
+pub(super) struct InFlight {
+    pub(super) proposal: BoxFuture<'static, Proposed>,
+    pub(super) waiting: Vec<Waiting>,
+    pub(super) notes: BatchNotes,
+}
+
+impl WorkHandle {
+    /// Asks the leader's loop.
+    ///
+    /// # Errors
+    /// [`ControlError::NotLeader`] where this replica does not lead, [`ControlError::Uncertain`]
+    /// where a change may have been made.
+    pub async fn ask(&self, request: WorkRequest) -> Result<WorkAnswer> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.asks.send(Ask { request, reply }).await;
+        sent.map_err(|_closed| ControlError::NotLeader { leader: None })?;
+        answer.await.map_err(|_closed| ControlError::Uncertain)?
+    }
+}
+
+impl Waiting {
+    pub(super) fn into_reply(self) -> Answer {
+        match self {
+            Self::Change { reply, .. } | Self::Report { reply, .. } => reply,
+        }
+    }
+}
+
+impl Batch {
+    pub(super) fn workers_placed_on(&self) -> BTreeSet<WorkerId> {
+        let placed = self
+            .transitions
+            .iter()
+            .filter_map(|transition| match transition {
+                Transition::Placed { places, .. } => Some(places),
+                Transition::Due { .. } | Transition::Ended { .. } => None,
+            });
+        let workers = placed.flatten().map(|(_index, place)| place.worker.clone());
+        workers.collect()
+    }
+}
+
+/// The caller may have given up waiting.
+pub(super) fn send(reply: Answer, answer: Result<WorkAnswer>) {
+    drop(reply.send(answer));
+}
+
+/// Waits for the batch on its way; for ever where there is none.
+pub(super) async fn landed(in_flight: &mut Option<InFlight>) -> Landed {
+    let Some(batch) = in_flight else {
+        return pending().await;
+    };
+    let result = batch.proposal.as_mut().await;
+    let (waiting, notes) = in_flight
+        .take()
+        .map_or_else(Default::default, |batch| (batch.waiting, batch.notes));
+    (result, waiting, notes)
+}
--- a/src/control/work_log.rs
+++ b/src/control/work_log.rs
@@ -1,4 +1,4 @@
-//! What is told of committed changes of the workload: one line a decision, and histograms of waits and
+//! What is logged of committed changes of the workload: one line a decision, and histograms of waits and
 //! completion times for each team and queue.
 
 use std::collections::BTreeSet;
@@ -11,7 +11,7 @@
     Job, JobNumber, Phase, Transition, Workload, WorkloadCommand, WorkloadReply,
 };
 
-/// What of a batch is told once it is committed.
+/// What of a batch is logged once it is committed.
 #[derive(Debug, Default)]
 pub(super) struct BatchNotes {
     submitted: Vec<(usize, JobId)>,
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Tells what the batch changed.
-    pub(super) fn tell(&self, replies: &[WorkloadReply], state: &Workload, now: WallMs) {
+    /// Logs what the batch changed.
+    pub(super) fn log(&self, replies: &[WorkloadReply], state: &Workload, now: WallMs) {
         let version = state.declaration().map_or(0, |held| held.version);
         for (at, id) in &self.submitted {
             let reply = replies.get(*at);
@@ -76,13 +76,13 @@
         }
         for job in self.ended.iter().filter_map(|job| state.job(*job)) {
             if let Some(ended_ms) = job.ended_ms {
-                tell_end(job, ended_ms, state);
+                log_end(job, ended_ms, state);
             }
         }
     }
 }
 
-fn tell_end(job: &Job, ended_ms: WallMs, state: &Workload) {
+fn log_end(job: &Job, ended_ms: WallMs, state: &Workload) {
     let took = ended_ms.since(job.accepted_ms);
     let outcome = match job.phase {
         Phase::Completed => "completed",
--- a/src/control/work_loop.rs
+++ b/src/control/work_loop.rs
@@ -3,26 +3,25 @@
 //! One batch of changes is on its way at a time and shares a commit; what arrives meanwhile waits for
 //! the next. Decisions so always stand on the applied state.
 
-use std::collections::BTreeSet;
 use std::future::pending;
 use std::sync::Arc;
 
 use futures::FutureExt;
-use futures::future::BoxFuture;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 use tracing::{info, warn};
 
+use super::work_batch::{Answer, Ask, Batch, InFlight, Landed, Waiting, WorkHandle, landed, send};
 use super::work_calls::{Decided, answer_of, decide, log_refusal};
 use super::work_log::BatchNotes;
-use super::{Command, CommandBody, ControlError, Reply, Result, SharedMachine};
+use super::{Command, CommandBody, ControlError, Reply, SharedMachine};
 use crate::kernel::Clock;
-use crate::replica::{Applied, Handle, Leadership, ProposeError};
+use crate::replica::{Handle, Leadership, ProposeError};
 use crate::units::{Millis, Term, WorkerId};
 use crate::workload::{
-    CallerCall, Declaration, Planner, PlannerOptions, Transition, WorkAnswer, WorkRequest,
-    WorkerOrders, WorkerReport, WorkloadCommand, WorkloadReply,
+    CallerCall, Declaration, Planner, PlannerOptions, WorkAnswer, WorkRequest, WorkerOrders,
+    WorkerReport, WorkloadCommand, WorkloadReply,
 };
 
 /// How often time passes for the planner.
@@ -32,52 +31,6 @@
 /// Calls that wait for the loop.
 const ASKS_MAX: usize = 4_096;
 
-/// The way to the loop inside a process.
-#[derive(Clone, Debug)]
-pub struct WorkDoor {
-    asks: mpsc::Sender<Ask>,
-}
-
-/// A call with where its answer goes.
-#[derive(Debug)]
-struct Ask {
-    request: WorkRequest,
-    reply: Answer,
-}
-
-type Answer = oneshot::Sender<Result<WorkAnswer>>;
-type Proposed = std::result::Result<Applied, ProposeError>;
-type Landed = (Proposed, Vec<Waiting>, BatchNotes);
-
-/// A call that is answered after a commit.
-enum Waiting {
-    /// The answer follows from the reply to a command of the batch.
-    Change { at: usize, reply: Answer },
-    /// The answer holds a worker's orders.
-    Report {
-        report: Box<WorkerReport>,
-        received_ms: Millis,
-        reply: Answer,
-    },
-}
-
-/// Changes that are committed together, and who waits for them.
-#[derive(Default)]
-struct Batch {
-    commands: Vec<WorkloadCommand>,
-    transitions: Vec<Transition>,
-    waiting: Vec<Waiting>,
-    /// Whether the planner's decisions on the present state are in it.
-    planned: bool,
-}
-
-/// A batch on its way to the disks of a quorum.
-struct InFlight {
-    proposal: BoxFuture<'static, Proposed>,
-    waiting: Vec<Waiting>,
-    notes: BatchNotes,
-}
-
 /// What a leadership knows.
 struct Lead {
     term: Term,
@@ -98,20 +51,6 @@
     stopping: bool,
 }
 
-impl WorkDoor {
-    /// Asks the leader's loop.
-    ///
-    /// # Errors
-    /// [`ControlError::NotLeader`] where this replica does not lead, [`ControlError::Uncertain`]
-    /// where a change may have been made.
-    pub async fn ask(&self, request: WorkRequest) -> Result<WorkAnswer> {
-        let (reply, answer) = oneshot::channel();
-        let sent = self.asks.send(Ask { request, reply }).await;
-        sent.map_err(|_closed| ControlError::NotLeader { leader: None })?;
-        answer.await.map_err(|_closed| ControlError::Uncertain)?
-    }
-}
-
 impl WorkLoop {
     pub(super) fn new(
         handle: Handle,
@@ -134,10 +73,10 @@
     }
 
     /// Starts the task; it ends once `stop` is true and the batch on its way is done.
-    pub(super) fn start(self, stop: watch::Receiver<bool>) -> (WorkDoor, JoinHandle<()>) {
+    pub(super) fn start(self, stop: watch::Receiver<bool>) -> (WorkHandle, JoinHandle<()>) {
         let (asks, taken) = mpsc::channel(ASKS_MAX);
         let task = tokio::spawn(self.run(taken, stop));
-        (WorkDoor { asks }, task)
+        (WorkHandle { asks }, task)
     }
 
     async fn run(mut self, mut asks: mpsc::Receiver<Ask>, mut stop: watch::Receiver<bool>) {
@@ -384,7 +323,7 @@
         };
         let wall = self.clock.wall();
         self.machine
-            .read(|machine| notes.tell(&replies, machine.workload(), wall));
+            .read(|machine| notes.log(&replies, machine.workload(), wall));
         if let Some(lead) = &mut self.lead {
             lead.planner.touch();
         }
@@ -411,7 +350,7 @@
         }
     }
 
-    /// Answers under the quorum lease; what was committed is also told after it was lost.
+    /// Answers under the quorum lease; what was committed is also answered after the lease was lost.
     fn answer(&mut self, waiting: Waiting, replies: &[WorkloadReply]) {
         match waiting {
             Waiting::Change { at, reply } => {
@@ -444,45 +383,6 @@
     }
 }
 
-impl Waiting {
-    fn into_reply(self) -> Answer {
-        match self {
-            Self::Change { reply, .. } | Self::Report { reply, .. } => reply,
-        }
-    }
-}
-
-impl Batch {
-    fn workers_placed_on(&self) -> BTreeSet<WorkerId> {
-        let placed = self
-            .transitions
-            .iter()
-            .filter_map(|transition| match transition {
-                Transition::Placed { places, .. } => Some(places),
-                Transition::Due { .. } | Transition::Ended { .. } => None,
-            });
-        let workers = placed.flatten().map(|(_index, place)| place.worker.clone());
-        workers.collect()
-    }
-}
-
-/// The caller may have given up waiting.
-fn send(reply: Answer, answer: Result<WorkAnswer>) {
-    drop(reply.send(answer));
-}
-
-/// Waits for the batch on its way; for ever where there is none.
-async fn landed(in_flight: &mut Option<InFlight>) -> Landed {
-    let Some(batch) = in_flight else {
-        return pending().await;
-    };
-    let result = batch.proposal.as_mut().await;
-    let (waiting, notes) = in_flight
-        .take()
-        .map_or_else(Default::default, |batch| (batch.waiting, batch.notes));
-    (result, waiting, notes)
-}
-
 async fn until_true(receiver: &mut watch::Receiver<bool>) {
     if receiver.wait_for(|stop| *stop).await.is_err() {
         pending::<()>().await;
--- a/src/workload/planner/fleet.rs
+++ b/src/workload/planner/fleet.rs
@@ -25,10 +25,10 @@
     pub(super) leaving: bool,
     /// Until when it stays at least, where it leaves.
     pub(super) stays_until_ms: Option<Millis>,
-    /// When it said goodbye.
+    /// When it deregistered.
     pub(super) left_ms: Option<Millis>,
     pub(super) heard_ms: Millis,
-    /// Until when something may run there that it was told by any leader.
+    /// Until when something may run there that any leader ordered.
     pub(super) lease_until_ms: Millis,
     /// What its last report lists as running.
     pub(super) running: BTreeMap<RunKey, Running>,
--- a/src/workload/planner/leave.rs
+++ b/src/workload/planner/leave.rs
@@ -1,5 +1,5 @@
 //! Workers that leave while tasks run there: what cannot end in time is stopped early enough that its end
-//! and its progress are still told.
+//! and its progress are still reported.
 
 use tracing::info;
 
@@ -7,7 +7,7 @@
 use crate::units::Millis;
 
 /// How long the end of a stopped run takes to be listed and acknowledged.
-const TOLD_MS: Millis = Millis(300);
+const ACKNOWLEDGED_MS: Millis = Millis(300);
 
 impl Planner {
     /// Stops what still runs on workers that are about to leave.
@@ -18,7 +18,7 @@
             .options
             .stop_ms
             .saturating_add(self.report_after_ms())
-            .saturating_add(TOLD_MS);
+            .saturating_add(ACKNOWLEDGED_MS);
         for (id, worker) in &self.workers {
             let leaves = worker.stays_until_ms.filter(|_until| worker.leaving);
             let is_due = leaves.is_some_and(|until| now.saturating_add(needed) >= until);
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -170,8 +170,8 @@
             .unwrap_or_default()
     }
 
-    /// A worker said goodbye: all that it ran has ended, and how is told by reports that may still be
-    /// on their way through other replicas.
+    /// A worker deregistered: all that it ran has ended. Reports that it sent before may still arrive
+    /// through other replicas and list how.
     pub fn left(&mut self, worker: &WorkerId, now: Millis) {
         info!(event = "worker_left", worker = %worker);
         if let Some(worker) = self.workers.get_mut(worker) {
@@ -191,7 +191,7 @@
                 // A worker that reports tells itself what has ended, also where no answer reached it.
                 let until = worker.map_or(unheard, |worker| {
                     if let Some(left_ms) = worker.left_ms {
-                        return left_ms.saturating_add(GOODBYE_MS);
+                        return left_ms.saturating_add(DEREGISTER_GRACE_MS);
                     }
                     let heard = worker.heard_ms.saturating_add(SILENCE_MS);
                     worker.lease_until_ms.max(heard)
@@ -219,8 +219,8 @@
     }
 }
 
-/// How long reports that a worker sent before its goodbye may still arrive.
-const GOODBYE_MS: Millis = Millis(1_000);
+/// How long reports that a worker sent before it deregistered may still arrive.
+const DEREGISTER_GRACE_MS: Millis = Millis(1_000);
 /// How long a worker that reports may be silent before it counts as silent: two reports and a lost
 /// answer.
 const SILENCE_MS: Millis = Millis(3_000);
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -437,10 +437,10 @@
     assert_eq!(orders.stops.len(), stops);
 }
 
-/// A report may travel through another replica than the goodbye that followed it: once what it listed
+/// A report may travel through another replica than the deregistration that followed it: once what it listed
 /// as done was given up, and ran again.
 #[test]
-fn end_listed_before_a_goodbye_counts() {
+fn end_listed_before_deregistration_counts() {
     let (mut state, mut planner) = started(step(1, 1));
     let mut last = report(1, 3);
     last.ended.push(ended(1, 0, 1, RunEnd::Done));
