Control group: shorter elections by setting, ties broken, pauses doubled

Cause: nothing is accepted, ordered or acknowledged between the loss of a leader and the next one, and each worker and caller notices. Ruled out: the restart itself (10 ms), replay of the log (1 ms).

A voter that grants a pre-vote waits, and of two pre-candidates the one with the larger name does too, so that votes are not split; the pause after an election that was not won doubles twice at most.

--- a/src/replica/core/election.rs
+++ b/src/replica/core/election.rs
@@ -91,10 +91,14 @@
             self.leader = Some(leader.clone());
         }
         self.heard_leader_ms = Some(now);
+        self.elections_lost = 0;
         self.reset_election(now);
     }
 
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
+        if matches!(self.role, Role::Candidate { .. }) {
+            self.elections_lost = self.elections_lost.saturating_add(1);
+        }
         self.leader = None;
         self.retry_election(now);
         let own = self.config.node.clone();
@@ -167,6 +171,16 @@
     ) {
         let possible = next_term > self.hard.term && self.up_to_date(last);
         let granted = possible && !self.keeps_leader(now);
+        let yields = match self.role {
+            Role::Follower => true,
+            Role::PreCandidate { .. } => *from < self.config.node,
+            Role::Candidate { .. } | Role::Leader(_) => false,
+        };
+        if granted && yields {
+            // Two candidates at once would split the votes.
+            self.role = Role::Follower;
+            self.retry_election(now);
+        }
         self.send(from, Body::PreVoteAnswer { next_term, granted });
     }
 
@@ -245,6 +259,7 @@
         let others = self.voters().into_iter().filter(|node| *node != own);
         let progress: BTreeMap<_, _> = others.map(|node| (node, Progress::new(next))).collect();
         self.leader = Some(own);
+        self.elections_lost = 0;
         self.role = Role::Leader(Box::new(LeaderState {
             progress,
             first_own: next,
--- a/src/replica/core/mod.rs
+++ b/src/replica/core/mod.rs
@@ -66,6 +66,8 @@
     /// When the leader was last heard; a restart counts, as the promise to it may still stand.
     heard_leader_ms: Option<Millis>,
     election_at_ms: Millis,
+    /// Elections that this replica has not won since it last heard a leader.
+    elections_lost: u32,
     formation: Formation,
     /// When the leader last got an answer that did not wait for the disk.
     answered_ms: Millis,
@@ -110,6 +112,7 @@
             snapshot_asked: false,
             heard_leader_ms: formed.then_some(now),
             election_at_ms: now,
+            elections_lost: 0,
             answered_ms: now,
             formation: Formation {
                 ask_at_ms: now,
@@ -328,9 +331,13 @@
         self.election_at_ms = now.saturating_add(Millis(wait));
     }
 
-    /// Tries again soon where an election was not won: nobody has to be heard before that.
+    /// Tries again soon where an election was not won: nobody has to be heard before that. The pause doubles
+    /// with each election that was not won, as on slow disks and links the votes may be on their way.
     fn retry_election(&mut self, now: Millis) {
-        let longest = self.config.election_min_ms.get() / 2;
+        /// The most doublings of the pause.
+        const DOUBLINGS_MAX: u32 = 2;
+        let doublings = self.elections_lost.min(DOUBLINGS_MAX);
+        let longest = (self.config.election_min_ms.get() / 2) << doublings;
         let wait = self.rng.random_range(longest / 4..=longest);
         self.election_at_ms = now.saturating_add(Millis(wait));
     }
--- a/src/settings/seeds.rs
+++ b/src/settings/seeds.rs
@@ -13,6 +13,8 @@
 const SEEDS_MAX: usize = 9;
 /// How soon a lost replica is made good where the settings do not say.
 const REPAIR_S: u64 = 16;
+/// Shortest time without a leader after which an election starts, where the settings do not say.
+const ELECTION_MS: Millis = Millis(1_000);
 /// Most lost replicas that a group can be asked to bear.
 const LOSSES_MAX: u64 = 3;
 
@@ -33,6 +35,8 @@
     pub losses_borne: u32,
     /// How soon after the start of its successor a lost replica must be made good.
     pub repair_s: u64,
+    /// Shortest time without a leader after which an election starts: a few round trips and syncs.
+    pub election_ms: Millis,
 }
 
 impl SeedSettings {
@@ -46,6 +50,7 @@
         let bootstrap = fields.flag("bootstrap", false);
         let losses = fields.number("losses_borne", 1, 0..=LOSSES_MAX);
         let repair_s = fields.number("repair_s", REPAIR_S, 1..=3_600);
+        let election_ms = fields.millis("election_ms", ELECTION_MS, 100..=60_000);
         fields.close();
         Some(Self {
             host: host?,
@@ -58,6 +63,7 @@
             bootstrap,
             losses_borne: u32::try_from(losses).unwrap_or_default(),
             repair_s,
+            election_ms,
         })
     }
 
@@ -107,6 +113,19 @@
         Millis(self.repair_s * 500)
     }
 
+    /// Longest time without a leader after which an election starts; the span keeps replicas from asking for
+    /// votes at the same moment.
+    #[must_use]
+    pub const fn election_max_ms(&self) -> Millis {
+        Millis(self.election_ms.get() * 7 / 5)
+    }
+
+    /// How often a leader sends to each follower at least: a few messages may be lost before an election.
+    #[must_use]
+    pub const fn heartbeat_ms(&self) -> Millis {
+        Millis(self.election_ms.get() / 5)
+    }
+
     /// How many replicas vote, so that a majority is left after the losses to be borne.
     #[must_use]
     pub const fn voters_wanted(&self) -> usize {
--- a/tests/replica_core/main.rs
+++ b/tests/replica_core/main.rs
@@ -8,4 +8,5 @@
 mod open_group;
 mod protocol;
 mod schedules;
+mod short_elections;
 mod world;
--- a/tests/replica_core/schedules.rs
+++ b/tests/replica_core/schedules.rs
@@ -35,7 +35,8 @@
 /// A group that has formed, under faults that the seed chooses.
 fn troubled(seed: u64) -> World {
     let count = if seed.is_multiple_of(3) { 5 } else { 3 };
-    let mut world = World::started(count, seed);
+    let election_ms = if seed.is_multiple_of(2) { 600 } else { 1_000 };
+    let mut world = World::with_elections(election_ms, count, seed);
     world.run_until(10_000, "a group", |w| w.leader().is_some());
     world.faults = Faults {
         drop_percent: [0, 5, 20][world.pick(3)],
--- a/tests/replica_core/world.rs
+++ b/tests/replica_core/world.rs
@@ -64,6 +64,8 @@
     pub kill_after: Option<(usize, u32)>,
     rng: StdRng,
     pub seed: u64,
+    /// The shortest time to an election.
+    pub election_ms: u64,
     /// Where the group is open: how many of the replicas found it, and how many vote.
     pub open: Option<(usize, usize)>,
     flying: BTreeMap<(u64, u64), Message>,
@@ -102,6 +104,7 @@
             kill_after: None,
             rng,
             seed,
+            election_ms: 1_000,
             open: None,
             flying: BTreeMap::new(),
             next_message: 0,
@@ -111,7 +114,13 @@
 
     /// A group of which all replicas run.
     pub fn started(count: usize, seed: u64) -> Self {
+        Self::with_elections(1_000, count, seed)
+    }
+
+    /// The same with another time to an election.
+    pub fn with_elections(election_ms: u64, count: usize, seed: u64) -> Self {
         let mut world = Self::new(count, seed);
+        world.election_ms = election_ms;
         for position in 0..count {
             world.start(position);
         }
@@ -165,6 +174,9 @@
             .node(replica.node.clone())
             .peers(peers.map(|other| node(other, 0).name).collect())
             .seed(seed)
+            .election_min_ms(Millis(self.election_ms))
+            .election_max_ms(Millis(self.election_ms * 7 / 5))
+            .heartbeat_ms(Millis(self.election_ms / 5))
             .snapshot_records(12)
             .retained_records(4)
             .window_records(16)
