Scheduler: what can be in time goes before what is late anyway

Cause: in the worst windows more urgent work waits than there is room for. The order was by the time when a job has to be done, so a job that had just become late kept its place before all that could still be in time, and made those late as well. Ruled out: nothing else was tried for this.

Change: waiting steps stand in three groups, in time, late and hopeless, each by its time, see `Outlook`.

Test: job_that_can_be_in_time_goes_first failed first.

--- a/src/workload/planner/order.rs
+++ b/src/workload/planner/order.rs
@@ -33,13 +33,48 @@
     }
 }
 
+/// By when a job has to be done.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Objective {
+    /// Done by then it is in time.
+    pub(super) due_ms: WallMs,
+    /// Done later than this it is of no use any more.
+    pub(super) late_ms: WallMs,
+}
+
+impl RunTimes {
+    /// The objective of one occurrence of a job.
+    pub(super) fn objective(&self, job: &Job, occurrence: u32) -> Objective {
+        let chain = job.spec.chain_ms(|step| self.of(job, step)).get();
+        let stretched = chain.saturating_mul(job.terms.stretch_percent) / 100;
+        let span = stretched.saturating_add(job.terms.target_ms.get());
+        let from = job.due_ms(occurrence).0;
+        Objective {
+            due_ms: WallMs(from.saturating_add(span)),
+            late_ms: WallMs(from.saturating_add(span.saturating_mul(LATE_FACTOR))),
+        }
+    }
+}
+
+/// What a job that waits can still reach.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Outlook {
+    /// It can be done in time.
+    InTime,
+    /// It can be done, but late.
+    Late,
+    /// It is of no use any more.
+    Hopeless,
+}
+
 /// A step with tasks that wait, in the order in which room is given out.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct Waiting {
     /// The queue's priority.
     pub(super) priority: u32,
-    /// Whether the job can earn its caller nothing any more.
-    pub(super) is_hopeless: bool,
+    /// What the job can still reach: under more load than there is room for, those that can be in time
+    /// go before those that are late anyway.
+    pub(super) outlook: Outlook,
     /// When the job has to be done.
     pub(super) due_ms: WallMs,
     /// The step.
@@ -50,13 +85,8 @@
 pub(super) fn waiting(state: &Workload, times: &RunTimes, now: WallMs) -> Vec<Waiting> {
     let mut all = Vec::new();
     for (number, job) in state.open_jobs() {
-        let target = job.terms.target_ms.get();
-        let chain = job.spec.chain_ms(|step| times.of(job, step)).get();
-        let objective = target + chain.saturating_mul(job.terms.stretch_percent) / 100;
         for (occurrence, of) in &job.occurrences {
-            let from = job.due_ms(*occurrence);
-            let due_ms = WallMs(from.0.saturating_add(objective));
-            let late_ms = from.0.saturating_add(objective.saturating_mul(LATE_FACTOR));
+            let objective = times.objective(job, *occurrence);
             for (step, spec, at) in job.ready_steps(of) {
                 let tasks = &of.steps[at];
                 let idle = tasks.waiting();
@@ -67,8 +97,8 @@
                 }
                 all.push(Waiting {
                     priority: job.terms.priority,
-                    is_hopeless: now.0 > late_ms,
-                    due_ms,
+                    outlook: outlook(&objective, now, times.of(job, spec)),
+                    due_ms: objective.due_ms,
                     key: StepKey {
                         job: number,
                         occurrence: *occurrence,
@@ -81,3 +111,15 @@
     all.sort_unstable();
     all
 }
+
+/// What a job reaches whose step starts now and is its last.
+fn outlook(objective: &Objective, now: WallMs, run_ms: Millis) -> Outlook {
+    let done_ms = WallMs(now.0.saturating_add(run_ms.get()));
+    if done_ms <= objective.due_ms {
+        Outlook::InTime
+    } else if now <= objective.late_ms {
+        Outlook::Late
+    } else {
+        Outlook::Hopeless
+    }
+}
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -5,7 +5,7 @@
 use tracing::info;
 
 use super::Planner;
-use super::order::{Waiting, waiting};
+use super::order::{Outlook, Waiting, waiting};
 use super::place::{Ask, Slots};
 use crate::units::{Millis, WallMs};
 use crate::workload::{Job, Place, Step, StepKey, StepState, Transition, Workload};
@@ -62,7 +62,7 @@
                 continue;
             };
             let is_blocked = found < tasks.waiting() as usize;
-            let is_gang = spec.gang && !step.is_hopeless && yields < YIELDS_MAX;
+            let is_gang = spec.gang && step.outlook != Outlook::Hopeless && yields < YIELDS_MAX;
             if is_blocked && (step.priority == 0 || is_gang) {
                 yields += usize::from(step.priority > 0);
                 self.reclaim(&step, state, &mut slots, now, wall);
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -477,3 +477,27 @@
     let orders = tell(&mut planner, &mut state, &leaving, 500);
     assert_eq!(orders.stops.len(), stops);
 }
+
+/// Two urgent jobs wait for one place: the first is late whatever happens, the second can be in time.
+#[test]
+fn job_that_can_be_in_time_goes_first() {
+    let (mut state, mut planner) = one_job(step(1, 8));
+    let submit = |id: &str| WorkloadCommand::Submit {
+        id: id.parse().expect("an id"),
+        host: "ponds.example".into(),
+        path: format!("/urgent/{id}").into(),
+        team: Some("clubs".parse().expect("an id")),
+        spec: Arc::new(job(vec![step(1, 8)])),
+    };
+    // 150% of a second and 800 ms are asked.
+    state.apply(&submit("late"), WallMs(1_000_000));
+    state.apply(&submit("new"), WallMs(1_002_000));
+    tell(&mut planner, &mut state, &report(1, 1), 2_000);
+    plan(&mut planner, &mut state, 2_010);
+    let phase = |id: &str| {
+        let number = state.number_of(&id.parse().expect("an id"));
+        number.and_then(|number| Some(state.job(number)?.phase))
+    };
+    assert_eq!(phase("new"), Some(Phase::Running));
+    assert_eq!(phase("late"), Some(Phase::Queued));
+}
