Scheduler: room that others leave is reserved; urgent work makes others leave at once

Cause: urgent gangs made others leave again and again and never got the room. Two faults: (1) a gang that wants one rack cleared room in all racks where none could be cleared as a whole, and was then refused a place there; (2) the room came free task by task and went to whatever stood before the gang. Besides, urgent work outside its guarantee never made others leave, and all urgent work waited for its queue's target first, a third of the time that it has.

Change: room is made only where the step would be placed (`clear`); it is reserved until it has come free (`reserve`); urgent work makes others leave at once, where they lose no more than its own work; inside the guarantee at any cost after a quarter of the time to an urgent start, and after half of it from urgent work beyond others' guarantees, and in several racks (`guarantee`).

--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -117,6 +117,7 @@
     let fresh_ms = span("fresh_ms", defaults.fresh_ms, 100..=60_000);
     let stop_ms = span("stop_ms", defaults.stop_ms, 10..=600_000);
     let gang_wait_ms = span("gang_wait_ms", defaults.gang_wait_ms, 100..=600_000);
+    let urgent_start_ms = span("urgent_start_ms", defaults.urgent_start_ms, 500..=600_000);
     let early_ms = span("early_ms", defaults.early_ms, 0..=60_000);
     let far_factor = fields.number("far_factor", defaults.far_factor, 1..=100);
     let spread = fields.number("report_spread_us", defaults.report_spread_us, 0..=1_000_000);
@@ -129,6 +130,7 @@
         .stop_ms(stop_ms)
         .far_factor(far_factor)
         .gang_wait_ms(gang_wait_ms)
+        .urgent_start_ms(urgent_start_ms)
         .early_ms(early_ms)
         .build()
 }
--- a/src/workload/amount.rs
+++ b/src/workload/amount.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// The smaller of each kind.
+    #[must_use]
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.min(other.cpu_millicores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// This amount `count` times.
     #[must_use]
     pub const fn times(self, count: u64) -> Self {
--- /dev/null
+++ b/src/workload/planner/guarantee.rs
@@ -0,0 +1,47 @@
+//! Which urgent jobs can claim room: those of teams that ask for no more than they are guaranteed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::units::TeamId;
+use crate::workload::{Job, Workload};
+
+/// The teams whose open urgent jobs are all inside the guarantee.
+#[derive(Debug, Default)]
+pub(super) struct Guarantees {
+    covered: BTreeSet<TeamId>,
+}
+
+impl Guarantees {
+    pub(super) fn of(state: &Workload) -> Self {
+        let Some(declaration) = state.declaration() else {
+            return Self::default();
+        };
+        let mut needed: BTreeMap<&TeamId, u64> = BTreeMap::new();
+        for (_number, job) in state.open_jobs() {
+            let Some(team) = job.team.as_ref().filter(|_team| is_urgent(job)) else {
+                continue;
+            };
+            let steps = job.spec.steps.iter();
+            let accelerators = steps.map(|step| step.demand.accelerators * u64::from(step.tasks));
+            let of_team = needed.entry(team).or_default();
+            *of_team = of_team.saturating_add(accelerators.fold(0, u64::saturating_add));
+        }
+        let covered = needed
+            .into_iter()
+            .filter(|(team, needed)| *needed <= declaration.guaranteed(team));
+        Self {
+            covered: covered.map(|(team, _needed)| team.clone()).collect(),
+        }
+    }
+
+    /// Whether a job's team can claim room for it.
+    pub(super) fn covers(&self, job: &Job) -> bool {
+        let team = job.team.as_ref();
+        is_urgent(job) && team.is_some_and(|team| self.covered.contains(team))
+    }
+}
+
+/// Whether a job's queue comes first.
+pub(super) const fn is_urgent(job: &Job) -> bool {
+    job.terms.priority == 0
+}
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod gather;
+mod guarantee;
 mod leave;
 mod order;
 mod orders;
@@ -9,6 +10,7 @@
 mod plan;
 mod reclaim;
 mod reports;
+mod reserve;
 mod stall;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,7 +19,9 @@
 
 use self::fleet::Worker;
 use self::gather::Presence;
+use self::guarantee::Guarantees;
 use self::order::RunTimes;
+use self::reserve::Reservation;
 use self::stall::Avoided;
 use super::{RunKey, StepKey, Transition};
 use crate::units::{Millis, Term, WorkerId};
@@ -46,6 +50,9 @@
     /// How long the members of a gang wait for each other on their workers.
     #[builder(default = Millis(3_000))]
     pub gang_wait_ms: Millis,
+    /// The longest time to the start of an urgent job inside its team's guarantee.
+    #[builder(default = Millis(5_800))]
+    pub urgent_start_ms: Millis,
     /// How much earlier than due an occurrence may start.
     #[builder(default = Millis(0))]
     pub early_ms: Millis,
@@ -63,8 +70,9 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Runs that have to stop though their job goes on.
     stopping: BTreeSet<RunKey>,
-    /// Steps for which others were made to leave, and until when to wait for the room.
-    reclaims: BTreeMap<StepKey, Millis>,
+    guarantees: Guarantees,
+    /// The room for which others were made to leave.
+    reservations: BTreeMap<StepKey, Reservation>,
     /// Gangs of which not all members are known to run, and when they got their places.
     gathering: BTreeMap<(StepKey, u32), Millis>,
     presence: Presence,
@@ -93,7 +101,8 @@
             elected_ms: now,
             workers: BTreeMap::new(),
             stopping: BTreeSet::new(),
-            reclaims: BTreeMap::new(),
+            guarantees: Guarantees::default(),
+            reservations: BTreeMap::new(),
             gathering: BTreeMap::new(),
             presence: Presence::default(),
             run_times: RunTimes::default(),
--- a/src/workload/planner/place.rs
+++ b/src/workload/planner/place.rs
@@ -18,6 +18,8 @@
     pub(super) labels: Vec<SmolStr>,
     pub(super) room: Amount,
     pub(super) free: Amount,
+    /// What runs that are being stopped still hold.
+    pub(super) coming: Amount,
 }
 
 /// All workers that may get tasks in one look at the queue.
@@ -36,13 +38,14 @@
     pub(super) held: BTreeMap<WorkerId, u32>,
     /// Workers on which the step stood still.
     pub(super) avoided: BTreeSet<WorkerId>,
-    /// Whether a place far from the data will do.
+    /// Whether a place far from the data, or in several racks, will do.
     pub(super) anywhere: bool,
 }
 
 impl Planner {
     /// The workers that may get tasks now.
     pub(super) fn slots(&self, state: &Workload, now: Millis) -> Slots {
+        let coming = self.coming(state);
         let usable = self.workers.iter().filter(|(_id, worker)| {
             !worker.leaving
                 && worker.left_ms.is_none()
@@ -59,9 +62,27 @@
             labels: worker.labels.clone(),
             room: worker.room,
             free: worker.room.minus(state.used_on(id)),
+            coming: coming.get(id).copied().unwrap_or_default(),
         });
         Slots { all: all.collect() }
     }
+
+    /// What runs that are being stopped still hold on each worker.
+    fn coming(&self, state: &Workload) -> BTreeMap<WorkerId, Amount> {
+        let mut coming: BTreeMap<WorkerId, Amount> = BTreeMap::new();
+        for run in &self.stopping {
+            let (Some((step, _tasks)), Some(task)) =
+                (state.step(run.task.step), state.task(run.task))
+            else {
+                continue;
+            };
+            if let Some(place) = task.place.as_ref().filter(|_place| task.run == run.run) {
+                let room = coming.entry(place.worker.clone()).or_default();
+                *room = room.plus(step.room());
+            }
+        }
+        coming
+    }
 }
 
 impl Ask<'_> {
@@ -95,7 +116,7 @@
         u32::try_from(fits).unwrap_or(most)
     }
 
-    fn is_near(&self, slot: &Slot) -> bool {
+    pub(super) fn is_near(&self, slot: &Slot) -> bool {
         self.step.data_rack.is_none() || self.step.data_rack == slot.rack
     }
 }
@@ -123,8 +144,9 @@
         if in_rack.is_some() {
             return in_rack;
         }
-        let needs_rack = ask.step.one_rack && self.fits_some_rack(ask);
-        if needs_rack || !ask.anywhere {
+        let may_spread =
+            ask.anywhere || (ask.step.data_rack.is_none() && !self.fits_some_rack(ask));
+        if !may_spread {
             return None;
         }
         let all: Vec<usize> = (0..self.all.len()).collect();
@@ -163,7 +185,7 @@
     }
 
     /// Whether some rack could hold the gang if it were empty.
-    fn fits_some_rack(&self, ask: &Ask<'_>) -> bool {
+    pub(super) fn fits_some_rack(&self, ask: &Ask<'_>) -> bool {
         let racks = self.racks(ask);
         racks.values().any(|slots| {
             let fits = slots.iter().map(|at| {
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -5,6 +5,7 @@
 use tracing::info;
 
 use super::Planner;
+use super::guarantee::Guarantees;
 use super::order::{Outlook, Waiting, waiting};
 use super::place::{Ask, Slots};
 use crate::units::{Millis, WallMs};
@@ -13,6 +14,8 @@
 /// How long a task waits for room beside its data before it runs elsewhere, in percent of the time
 /// that it would lose there.
 const DATA_PATIENCE_PERCENT: u64 = 50;
+/// The same for a gang that wants one rack: spread over several, it keeps all its workers for longer.
+const GANG_PATIENCE_PERCENT: u64 = 300;
 /// Most gangs that are not urgent for which room is made in one look.
 const YIELDS_MAX: usize = 4;
 /// Most tasks that get a place in one look, so that no look takes long.
@@ -39,7 +42,8 @@
     /// Gives out free room; the places count once they are committed.
     pub fn plan(&mut self, state: &Workload, now: Millis, wall: WallMs) -> Vec<Transition> {
         self.dirty = false;
-        self.reclaims.retain(|_step, until| now < *until);
+        self.guarantees = Guarantees::of(state);
+        self.expire_reservations(state, now);
         self.stopping.retain(|run| {
             let task = state.task(run.task);
             task.is_some_and(|task| task.run == run.run && task.place.is_some())
@@ -48,10 +52,12 @@
         self.stop_stalled(state, now);
         self.stop_before_leave(now);
         let mut slots = self.slots(state, now);
+        let mut kept = self.keep_reserved(state, &mut slots);
         let mut transitions = Vec::new();
         let mut placed = 0;
         let mut yields = 0;
         for step in waiting(state, &self.run_times, wall) {
+            slots.give_back(&kept.remove(&step.key).unwrap_or_default());
             let found = self.place_step(&step, state, &mut slots, (now, wall), &mut transitions);
             placed += found;
             if placed >= PLACED_MAX {
@@ -84,15 +90,8 @@
         let (Some(job), Some((step, tasks))) = (state.job(key.job), state.step(key)) else {
             return 0;
         };
-        let mut ask = Ask {
-            step,
-            service: &job.terms.service,
-            tasks: if step.gang { step.tasks } else { 1 },
-            held: BTreeMap::new(),
-            avoided: self.avoided.of(key),
-            anywhere: self.takes_any_rack(job, step, key, wall),
-        };
-        ask.count_held(tasks);
+        let count = if step.gang { step.tasks } else { 1 };
+        let mut ask = self.ask(key, (job, step, tasks), count, wall);
         let placed = if step.gang {
             let run = tasks.next_run(step, 0);
             let placed = place_gang(key, run, &ask, slots, transitions);
@@ -111,15 +110,41 @@
         placed
     }
 
-    /// Whether a task has waited for room beside its data for so long that it runs elsewhere.
+    /// What `count` tasks of a step ask for now.
+    pub(super) fn ask<'a>(
+        &self,
+        key: StepKey,
+        (job, step, tasks): (&'a Job, &'a Step, &StepState),
+        count: u32,
+        wall: WallMs,
+    ) -> Ask<'a> {
+        let mut ask = Ask {
+            step,
+            service: &job.terms.service,
+            tasks: count,
+            held: BTreeMap::new(),
+            avoided: self.avoided.of(key),
+            anywhere: self.takes_any_rack(job, step, key, wall),
+        };
+        ask.count_held(tasks);
+        ask
+    }
+
+    /// Whether a step has waited for room beside its data, or in one rack, for so long that it runs
+    /// elsewhere.
     fn takes_any_rack(&self, job: &Job, step: &Step, key: StepKey, wall: WallMs) -> bool {
-        if step.data_rack.is_none() {
-            return true;
-        }
-        let waited = wall.since(job.due_ms(key.occurrence)).get();
         let run = self.run_times.of(job, step).get();
         let lost = run.saturating_mul(self.options.far_factor.saturating_sub(1));
-        waited >= lost.saturating_mul(DATA_PATIENCE_PERCENT) / 100
+        let patience = if step.gang && step.one_rack {
+            lost.saturating_mul(GANG_PATIENCE_PERCENT) / 100
+        } else if step.data_rack.is_some() {
+            lost.saturating_mul(DATA_PATIENCE_PERCENT) / 100
+        } else {
+            return true;
+        };
+        let waited = wall.since(job.due_ms(key.occurrence)).get();
+        let claims = self.guarantees.covers(job) && waited >= self.claim_ms();
+        claims || waited >= patience
     }
 }
 
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -10,14 +10,23 @@
 use tracing::info;
 
 use super::Planner;
+use super::guarantee::is_urgent;
 use super::order::Waiting;
 use super::place::{Ask, Slots};
-use crate::units::{Millis, TeamId, WallMs};
+use super::reserve::Reservation;
+use crate::units::{Millis, WallMs};
 use crate::workload::{Amount, Job, RunKey, Step, StepKey, StepState, TaskKey, Workload};
 
 /// How long a reclaim waits for the room, beyond the time of a stop, before others must leave too.
 const RECLAIM_SLACK_MS: Millis = Millis(600);
 
+/// The part of the time to an urgent start after which such a job claims what is second best; a stop and
+/// two reports follow.
+const CLAIM_PART: u64 = 2;
+
+/// How many times as much the loss of urgent work weighs.
+const URGENT_LOSS_FACTOR: u64 = 10;
+
 /// Runs that leave together: a gang, or one task.
 #[derive(Clone, Debug)]
 struct Victim {
@@ -58,44 +67,42 @@
         else {
             return;
         };
-        let is_urgent = waiting.priority == 0;
-        let team = job.team.as_ref();
-        if is_urgent && !team.is_some_and(|team| is_inside(state, team)) {
+        if let Some(reservation) = self.reservations.get(&waiting.key) {
+            slots.keep_all(&reservation.places, step.room());
             return;
         }
-        let mut ask = Ask {
-            step,
-            service: &job.terms.service,
-            tasks: tasks.waiting(),
-            held: BTreeMap::new(),
-            avoided: self.avoided.of(waiting.key),
-            anywhere: true,
-        };
-        ask.count_held(tasks);
+        let ask = self.ask(waiting.key, (job, step, tasks), tasks.waiting(), wall);
+        let waited = wall.since(job.due_ms(waiting.key.occurrence));
+        let is_covered = self.guarantees.covers(job);
+        let claims_all = is_covered && waited.get() >= self.claim_ms();
         let victims = self.victims(state, slots, now, |other, of| {
-            if is_urgent {
-                other.terms.priority > 0
+            if is_urgent(job) {
+                other.terms.priority > 0 || (claims_all && !self.guarantees.covers(other))
             } else {
                 // A stop costs work that saves its progress next to nothing.
                 other.terms.priority > waiting.priority && of.checkpoints && !of.gang
             }
         });
-        let Some(clearing) = clear(&ask, slots, &victims) else {
+        let own = self.work_of(job, step, ask.tasks);
+        let spread_lost = own.saturating_mul(self.options.far_factor.saturating_sub(1));
+        let Some(clearing) = clear(&ask, slots, &victims, spread_lost) else {
             return;
         };
-        for at in &clearing.places {
-            slots.take(*at, step.room());
-        }
-        // A queue's target is the time that its jobs may take beyond their run time.
-        let waited = wall.since(job.due_ms(waiting.key.occurrence));
-        if self.reclaims.contains_key(&waiting.key) || waited < job.terms.target_ms {
+        let at_any_cost = is_covered && waited.get() >= self.claim_ms() / 2;
+        if !at_any_cost && clearing.lost > own {
             return;
         }
-        let until = now
+        for at in &clearing.places {
+            slots.keep(*at, step.room());
+        }
+        let until_ms = now
             .saturating_add(self.options.stop_ms)
             .saturating_add(self.options.report_after_ms)
             .saturating_add(RECLAIM_SLACK_MS);
-        self.reclaims.insert(waiting.key, until);
+        let places = clearing.places.iter();
+        let places = places.map(|at| slots.all[*at].worker.clone()).collect();
+        self.reservations
+            .insert(waiting.key, Reservation { until_ms, places });
         let leaving = clearing.leaving.iter().map(|at| &victims.all[*at]);
         let leaving: Vec<RunKey> = leaving.flat_map(|victim| victim.members.clone()).collect();
         info!(event = "reclaim", job = %job.id, step = waiting.key.step, tasks = ask.tasks,
@@ -104,6 +111,19 @@
         self.dirty = true;
     }
 
+    /// How long an urgent job inside its guarantee waits before it claims what is second best: places in
+    /// several racks, and room of urgent jobs beyond the guarantees of others.
+    pub(super) fn claim_ms(&self) -> u64 {
+        self.options.urgent_start_ms.get() / CLAIM_PART
+    }
+
+    /// The work of a step's tasks, in thousandths of core-seconds.
+    fn work_of(&self, job: &Job, step: &Step, tasks: u32) -> u64 {
+        let run_ms = self.run_times.of(job, step).get();
+        let weight = step.demand.weight().saturating_mul(u64::from(tasks));
+        weight.saturating_mul(run_ms) / 1_000
+    }
+
     /// The runs that may leave.
     fn victims(
         &self,
@@ -135,7 +155,12 @@
                         vec![run]
                     };
                     let lost = members.iter().map(|run| self.lost_by(*run, state, now));
-                    let lost = lost.sum();
+                    let lost = lost.sum::<u64>();
+                    let lost = if is_urgent(job) {
+                        lost.saturating_mul(URGENT_LOSS_FACTOR)
+                    } else {
+                        lost
+                    };
                     victims.all.push(Victim { members, lost });
                     victims.all.len() - 1
                 });
@@ -171,10 +196,14 @@
     }
 }
 
-/// The way that loses the least work: in one rack where the tasks want that, else anywhere.
-fn clear(ask: &Ask<'_>, slots: &Slots, victims: &Victims) -> Option<Clearing> {
-    let all: Vec<usize> = (0..slots.all.len()).collect();
-    if !ask.step.one_rack {
+/// The way that loses the least work: in one rack where the tasks want that, anywhere once they take
+/// any rack and that loses less, with `spread_lost` for the longer run. Room is made only where the step
+/// would be placed.
+fn clear(ask: &Ask<'_>, slots: &Slots, victims: &Victims, spread_lost: u64) -> Option<Clearing> {
+    let all: Vec<usize> = (0..slots.all.len())
+        .filter(|at| ask.anywhere || ask.is_near(&slots.all[*at]))
+        .collect();
+    if !(ask.step.gang && ask.step.one_rack) {
         return clear_among(&all, ask, slots, victims);
     }
     let mut racks: BTreeMap<Option<SmolStr>, Vec<usize>> = BTreeMap::new();
@@ -188,8 +217,15 @@
         let way = clear_among(rack, ask, slots, victims)?;
         (way.places.len() == ask.tasks as usize).then_some(way)
     });
-    let best = ways.min_by_key(|way| way.lost);
-    best.or_else(|| clear_among(&all, ask, slots, victims))
+    let in_rack = ways.min_by_key(|way| way.lost);
+    let takes_any = ask.anywhere || !slots.fits_some_rack(ask);
+    let spread = clear_among(&all, ask, slots, victims).filter(|_way| takes_any);
+    match (in_rack, spread) {
+        (Some(rack), Some(spread)) if rack.lost <= spread.lost.saturating_add(spread_lost) => {
+            Some(rack)
+        }
+        (in_rack, spread) => spread.or(in_rack),
+    }
 }
 
 /// Adds place after place where the least more is lost; a gang needs all of its places.
@@ -236,7 +272,7 @@
     victims: &Victims,
     leaving: &BTreeSet<usize>,
 ) -> Option<(Vec<usize>, u64, Amount)> {
-    let mut free = slots.all[at].free;
+    let mut free = slots.all[at].free.plus(slots.all[at].coming);
     let mut holding: Vec<(usize, Amount)> = Vec::new();
     for (victim, room) in &victims.on[at] {
         if leaving.contains(victim) {
@@ -261,18 +297,6 @@
     needed.fits_in(free).then_some((more, lost, free))
 }
 
-/// Whether all that a team's open jobs of priority 0 need is inside its guarantee.
-fn is_inside(state: &Workload, team: &TeamId) -> bool {
-    let declaration = state.declaration();
-    let guaranteed = declaration.map_or(0, |declaration| declaration.guaranteed(team));
-    let jobs = state
-        .open_jobs()
-        .filter(|(_number, job)| job.team.as_ref() == Some(team) && job.terms.priority == 0);
-    let steps = jobs.flat_map(|(_number, job)| job.spec.steps.iter());
-    let needed = steps.map(|step| step.demand.accelerators * u64::from(step.tasks));
-    needed.fold(0, u64::saturating_add) <= guaranteed
-}
-
 fn members(run: RunKey, tasks: &StepState) -> Vec<RunKey> {
     let step = run.task.step;
     let placed = tasks.tasks.iter().zip(0_u32..);
