Bound what a team has placed by its declared maximum

Cause: a declaration's maximum was not decoded, so a team's starts were bounded by free workers only. Change: declarations carry the maximum; the index counts each team's placed tasks, also stopping ones and those on silent workers; the planner places no step beyond it, gangs only as a whole, and passes over a team at its maximum. A run that was placed under a higher maximum and has not started is withdrawn. Runs that a lowered maximum finds running go on.

--- a/src/workload/declaration.rs
+++ b/src/workload/declaration.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use super::ResourceLimits;
 use crate::units::{Millis, ServiceName, TeamId};
 
 /// A complete configuration from an operator, which replaces the previous one as a whole.
@@ -79,6 +80,8 @@
     pub keys: Vec<SmolStr>,
     /// The accelerators that the team can always reclaim for its jobs of priority 0.
     pub guaranteed_accelerators: u64,
+    /// The most that all runs of the team may use at a time.
+    pub maximum: ResourceLimits,
 }
 
 /// Why a declaration is rejected as a whole.
@@ -193,6 +196,13 @@
         team.map_or(0, |team| team.guaranteed_accelerators)
     }
 
+    /// The most that all runs of a team may use at a time; nothing limits an undeclared one.
+    #[must_use]
+    pub fn team_maximum(&self, team: &TeamId) -> ResourceLimits {
+        let team = self.teams.iter().find(|declared| declared.name == *team);
+        team.map_or_else(ResourceLimits::default, |team| team.maximum)
+    }
+
     /// Whether the workers of a service refuse tasks that exceed their free resources.
     #[must_use]
     pub fn enforces_capacity(&self, service: &ServiceName) -> bool {
--- a/src/workload/index.rs
+++ b/src/workload/index.rs
@@ -1,8 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::job::Job;
-use super::{JobNumber, Resources, StepKey, TaskKey};
-use crate::units::{JobId, WallMs, WorkerId};
+use super::{JobNumber, Resources, Step, StepKey, TaskKey};
+use crate::units::{JobId, TeamId, WallMs, WorkerId};
 
 /// Lookups derived from the jobs, so that scheduling decisions need not scan all of them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -11,6 +11,8 @@
     open: BTreeSet<JobNumber>,
     ended: BTreeSet<(WallMs, JobNumber)>,
     workers: BTreeMap<WorkerId, WorkerLoad>,
+    /// The total demand of each team's placed tasks, also of ended jobs.
+    team_usage: BTreeMap<TeamId, Resources>,
 }
 
 /// The tasks placed on one worker and their total resources.
@@ -46,7 +48,7 @@
                 for (task, index) in state.tasks.iter().zip(0_u32..) {
                     if let Some(placement) = &task.placement {
                         let task = TaskKey { step: key, index };
-                        self.add_placement(&placement.worker, task, step.allocation());
+                        self.add_placement(&placement.worker, task, (job.team.as_ref(), step));
                     }
                 }
             }
@@ -89,10 +91,20 @@
         }
     }
 
-    pub(super) fn add_placement(&mut self, worker: &WorkerId, task: TaskKey, resources: Resources) {
+    pub(super) fn add_placement(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskKey,
+        (team, step): (Option<&TeamId>, &Step),
+    ) {
         let load = self.workers.entry(worker.clone()).or_default();
-        if load.tasks.insert(task) {
-            load.allocated = load.allocated.saturating_add(resources);
+        if !load.tasks.insert(task) {
+            return;
+        }
+        load.allocated = load.allocated.saturating_add(step.allocation());
+        if let Some(team) = team {
+            let usage = self.team_usage.entry(team.clone()).or_default();
+            *usage = usage.saturating_add(step.demand);
         }
     }
 
@@ -100,13 +112,21 @@
         &mut self,
         worker: &WorkerId,
         task: TaskKey,
-        resources: Resources,
+        (team, step): (Option<&TeamId>, &Step),
     ) {
         let Some(load) = self.workers.get_mut(worker) else {
             return;
         };
         if load.tasks.remove(&task) {
-            load.allocated = load.allocated.saturating_sub(resources);
+            load.allocated = load.allocated.saturating_sub(step.allocation());
+            if let Some(usage) = team.and_then(|team| self.team_usage.get_mut(team)) {
+                *usage = usage.saturating_sub(step.demand);
+            }
+            if let Some(team) = team
+                && self.team_usage.get(team) == Some(&Resources::ZERO)
+            {
+                self.team_usage.remove(team);
+            }
         }
         if load.tasks.is_empty() {
             self.workers.remove(worker);
@@ -126,4 +146,8 @@
         let load = self.workers.get(worker);
         load.map_or(Resources::ZERO, |load| load.allocated)
     }
+
+    pub(super) fn team_usage(&self, team: &TeamId) -> Resources {
+        self.team_usage.get(team).copied().unwrap_or_default()
+    }
 }
--- a/src/workload/mod.rs
+++ b/src/workload/mod.rs
@@ -25,7 +25,7 @@
     WorkRequest, WorkerOrders, WorkerReport,
 };
 pub use planner::{Planner, PlannerOptions, ReportOutcome};
-pub use resources::Resources;
+pub use resources::{ResourceLimits, Resources};
 pub use run::{
     JobNumber, Placement, RunEnd, RunKey, StepKey, TaskKey, TaskName, Transition, WorkerIncarnation,
 };
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -11,6 +11,7 @@
 mod reports;
 mod reservation;
 mod stalled;
+mod team_quota;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -48,7 +48,10 @@
             if worker.running.contains_key(run) || before == Some(UnreportedRun::WasRunning) {
                 continue;
             }
-            let wanted = may_start && !self.stopping.contains(run) && !is_obsolete(state, *run);
+            let wanted = may_start
+                && !self.stopping.contains(run)
+                && !is_obsolete(state, *run)
+                && !Self::is_over_maximum(state, *run);
             let start = start_order(state, *run).filter(|_start| wanted);
             let sequence = report.sequence;
             let next = if let Some(start) = start {
@@ -94,13 +97,18 @@
         for (id, worker) in &mut self.workers {
             let is_unavailable = worker.draining || !state.is_zone_open(&worker.zone);
             for (run, incarnation) in state.runs_placed_on(id) {
-                let wanted =
-                    !is_unavailable && !self.stopping.contains(&run) && !is_obsolete(state, run);
-                let is_former = incarnation < worker.incarnation;
-                if is_former {
+                if incarnation < worker.incarnation {
                     transitions.push((run, RunEnd::Withdrawn));
+                    continue;
+                }
+                if worker.running.contains_key(&run) {
+                    continue;
                 }
-                if is_former || wanted || worker.running.contains_key(&run) {
+                let wanted = !is_unavailable
+                    && !self.stopping.contains(&run)
+                    && !is_obsolete(state, run)
+                    && !Self::is_over_maximum(state, run);
+                if wanted {
                     continue;
                 }
                 if may_run(worker, run, self.options.stop_ms) {
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -8,6 +8,7 @@
 use super::candidates::{Candidates, PlacementRequest};
 use super::guarantee::GuaranteeCoverage;
 use super::pending::{DeadlineStatus, PendingStep, pending_steps};
+use super::team_quota::TeamQuotas;
 use crate::units::{Millis, WallMs};
 use crate::workload::{Job, Placement, Step, StepKey, StepState, Transition, Workload};
 
@@ -55,28 +56,36 @@
         self.stop_on_departing_workers(now);
         let mut candidates = self.candidates(state, now);
         let mut held = self.hold_reservations(state, &mut candidates);
+        let mut quotas = TeamQuotas::default();
         let mut transitions = Vec::new();
         let mut placed = 0;
         let mut gang_reclaims = 0;
         for step in pending_steps(state, &self.run_times, wall) {
             candidates.release(&held.remove(&step.key).unwrap_or_default());
+            let allowed = allowed_tasks(&step, state, &mut quotas);
+            if allowed == 0 {
+                continue;
+            }
+            let mut room = (&mut candidates, allowed);
             let newly_placed =
-                self.place_step(&step, state, &mut candidates, (now, wall), &mut transitions);
+                self.place_step(&step, state, &mut room, (now, wall), &mut transitions);
             placed += newly_placed;
             if placed >= PLACEMENTS_MAX {
                 self.dirty = true;
                 break;
             }
-            let Some((spec, tasks)) = state.step(step.key) else {
+            let (Some(job), Some((spec, _tasks))) = (state.job(step.key.job), state.step(step.key))
+            else {
                 continue;
             };
-            let is_blocked = newly_placed < tasks.pending_tasks() as usize;
+            quotas.take(job, spec, newly_placed, state);
+            let is_blocked = newly_placed < allowed as usize;
             let is_gang = spec.gang
                 && step.deadline_status != DeadlineStatus::Expired
                 && gang_reclaims < GANG_RECLAIMS_MAX;
             if is_blocked && (step.priority == 0 || is_gang) {
                 gang_reclaims += usize::from(step.priority > 0);
-                self.reclaim(&step, state, &mut candidates, now, wall);
+                self.reclaim((&step, allowed), state, &mut candidates, now, wall);
             }
         }
         transitions
@@ -87,7 +96,7 @@
         &mut self,
         pending: &PendingStep,
         state: &Workload,
-        candidates: &mut Candidates,
+        (candidates, allowed): &mut (&mut Candidates, u32),
         (now, wall): (Millis, WallMs),
         transitions: &mut Vec<Transition>,
     ) -> usize {
@@ -105,7 +114,8 @@
             }
             placed
         } else {
-            place_tasks(key, tasks, &mut request, candidates, transitions)
+            let allowed = *allowed as usize;
+            place_tasks((key, tasks), allowed, &mut request, candidates, transitions)
         };
         if placed > 0 {
             info!(event = "tasks_placed", job = %job.id, occurrence = key.occurrence, step = key.step,
@@ -153,6 +163,20 @@
     }
 }
 
+/// The number of pending tasks of a step that its team's maximum allows; a gang needs all of them.
+fn allowed_tasks(pending: &PendingStep, state: &Workload, quotas: &mut TeamQuotas) -> u32 {
+    let (Some(job), Some((step, tasks))) = (state.job(pending.key.job), state.step(pending.key))
+    else {
+        return 0;
+    };
+    let wanted = tasks.pending_tasks();
+    let allowed = quotas.allowed_tasks(job, step, wanted, state);
+    if step.gang && allowed < wanted {
+        return 0;
+    }
+    allowed
+}
+
 fn place_gang(
     key: StepKey,
     run: u32,
@@ -179,8 +203,8 @@
 }
 
 fn place_tasks(
-    key: StepKey,
-    tasks: &StepState,
+    (key, tasks): (StepKey, &StepState),
+    allowed: usize,
     request: &mut PlacementRequest<'_>,
     candidates: &mut Candidates,
     transitions: &mut Vec<Transition>,
@@ -190,7 +214,8 @@
         .tasks
         .iter()
         .zip(0_u32..)
-        .filter(|(task, _index)| task.is_pending());
+        .filter(|(task, _index)| task.is_pending())
+        .take(allowed);
     let mut placed = 0;
     for (_task, index) in pending {
         let Some(at) = candidates.find_for_task(request) else {
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -57,7 +57,7 @@
     /// Stops other runs for a step that does not fit, and reserves the resources that they release.
     pub(super) fn reclaim(
         &mut self,
-        pending: &PendingStep,
+        (pending, allowed): (&PendingStep, u32),
         state: &Workload,
         candidates: &mut Candidates,
         now: Millis,
@@ -72,8 +72,7 @@
             candidates.hold_on_workers(&reservation.workers, step.allocation());
             return;
         }
-        let request =
-            self.placement_request(pending.key, (job, step, tasks), tasks.pending_tasks(), wall);
+        let request = self.placement_request(pending.key, (job, step, tasks), allowed, wall);
         let waited = wall.since(job.due_ms(pending.key.occurrence));
         let is_covered = self.guarantees.covers(job);
         let claims_all = is_covered && waited.get() >= self.claim_delay_ms();
--- a/src/workload/resources.rs
+++ b/src/workload/resources.rs
@@ -13,6 +13,37 @@
     pub accelerators: u64,
 }
 
+/// The most of each kind that may be in use at a time; `None` where there is no limit.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResourceLimits {
+    /// Processor time in millicores.
+    pub cpu_millicores: Option<u64>,
+    /// Memory in megabytes.
+    pub memory_mb: Option<u64>,
+    /// The number of accelerators.
+    pub accelerators: Option<u64>,
+}
+
+impl ResourceLimits {
+    /// Whether `used` exceeds the limit of no kind.
+    #[must_use]
+    pub fn allow(self, used: Resources) -> bool {
+        used.fits_in(self.remaining(Resources::ZERO))
+    }
+
+    /// What may still be used of each kind; the largest number where there is no limit.
+    #[must_use]
+    pub fn remaining(self, used: Resources) -> Resources {
+        let remaining =
+            |limit: Option<u64>, used| limit.map_or(u64::MAX, |limit| limit.saturating_sub(used));
+        Resources {
+            cpu_millicores: remaining(self.cpu_millicores, used.cpu_millicores),
+            memory_mb: remaining(self.memory_mb, used.memory_mb),
+            accelerators: remaining(self.accelerators, used.accelerators),
+        }
+    }
+}
+
 impl Resources {
     /// No resources.
     pub const ZERO: Self = Self {
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -190,6 +190,26 @@
         self.index.allocated_on(worker)
     }
 
+    /// What a team may still place within its maximum.
+    #[must_use]
+    pub fn team_headroom(&self, team: &TeamId) -> super::Resources {
+        let declaration = self.declaration.as_ref();
+        let maximum = declaration.map(|declaration| declaration.team_maximum(team));
+        maximum
+            .unwrap_or_default()
+            .remaining(self.index.team_usage(team))
+    }
+
+    /// Whether a team's placed runs exceed its maximum, which a declaration may have lowered.
+    #[must_use]
+    pub fn exceeds_maximum(&self, team: &TeamId) -> bool {
+        let declaration = self.declaration.as_ref();
+        let maximum = declaration.map(|declaration| declaration.team_maximum(team));
+        !maximum
+            .unwrap_or_default()
+            .allow(self.index.team_usage(team))
+    }
+
     /// Looks up a task of an occurrence that is still retained.
     #[must_use]
     pub fn task(&self, key: TaskKey) -> Option<&super::job::TaskState> {
@@ -302,8 +322,8 @@
             state.placed += 1;
             let index = *index;
             let task = TaskKey { step: key, index };
-            self.index
-                .add_placement(&placement.worker, task, step.allocation());
+            let load = (job.team.as_ref(), step);
+            self.index.add_placement(&placement.worker, task, load);
         }
         job.phase = Phase::Running;
     }
@@ -331,8 +351,9 @@
             && let Some(placement) = task.placement.take()
         {
             state.placed -= 1;
+            let load = (job.team.as_ref(), step);
             self.index
-                .remove_placement(&placement.worker, run.task, step.allocation());
+                .remove_placement(&placement.worker, run.task, load);
         } else if !task.is_late_success(run.run, end) {
             return;
         }
--- a/tests/support/workload_fixtures.rs
+++ b/tests/support/workload_fixtures.rs
@@ -2,7 +2,8 @@
 
 use marjoramknot::units::Millis;
 use marjoramknot::workload::{
-    Declaration, JobSpec, Queue, QueuePath, QueuePolicy, Resources, Service, Step, Team,
+    Declaration, JobSpec, Queue, QueuePath, QueuePolicy, ResourceLimits, Resources, Service, Step,
+    Team,
 };
 
 pub fn resources(cores: u64, accelerators: u64) -> Resources {
@@ -49,6 +50,7 @@
         name: name.parse().expect("a valid id"),
         keys: vec![format!("key-{name}").into()],
         guaranteed_accelerators: guaranteed,
+        maximum: ResourceLimits::default(),
     };
     Declaration {
         version: 1,
