Wake calls that wait for a dead replica when a leader answers

Cause: a call that waited on a replica that no longer answered kept waiting up to 450 ms, although another call had found the leader meanwhile. Change: calls watch which replica answers as the leader and are sent to it at once. Reports have a time-out of their own, since the leader may hold them.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -3,10 +3,12 @@
 
 use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
-use tokio::time::{Duration, Instant, sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::{Duration, Instant, timeout};
 
 use super::connections::Connections;
 use super::dialer::{Dialer, tcp_dialer};
+use super::held_reports::REPORT_HOLD_MS;
 use super::{
     ControlApiClient, ControlError, EXCHANGE_LONG_POLL_MS, ExchangeAnswer, ExchangeRequest,
     JobFilter, JobView, ReportAnswer, ReportBatch, Result, Status,
@@ -22,6 +24,8 @@
 /// Like [`ATTEMPT_TIMEOUT_MS`], for calls on the workload, whose callers wait only one to a few
 /// seconds.
 const WORKLOAD_ATTEMPT_TIMEOUT_MS: Millis = Millis(450);
+/// Like [`ATTEMPT_TIMEOUT_MS`], for workers' reports, whose answers the leader may hold back.
+const REPORT_ATTEMPT_TIMEOUT_MS: Millis = REPORT_HOLD_MS.saturating_add(Millis(250));
 /// The deadline of a call, over all attempts, where its caller sets none.
 const DEFAULT_DEADLINE_MS: Millis = Millis(5_000);
 /// How much longer than its hold time a long poll (an exchange or a job look-up) may take.
@@ -96,8 +100,9 @@
             async move { client.exchange(context, request).await }
         };
         let mut maybe_applied = false;
+        let target = self.connections.target();
         match self
-            .attempt(limit.duration(), &mut maybe_applied, &call)
+            .attempt(target, limit.duration(), &mut maybe_applied, &call)
             .await
         {
             Ok(answer) => answer,
@@ -259,9 +264,13 @@
     /// # Errors
     /// [`ControlError::Uncertain`] if a change may have been made.
     pub async fn work(&self, request: WorkRequest) -> Result<WorkAnswer> {
+        let attempt_ms = match &request {
+            WorkRequest::Report(_) => REPORT_ATTEMPT_TIMEOUT_MS,
+            _ => WORKLOAD_ATTEMPT_TIMEOUT_MS,
+        };
         self.call(
             self.deadline_ms,
-            WORKLOAD_ATTEMPT_TIMEOUT_MS,
+            attempt_ms,
             async |client: ControlApiClient, context| client.work(context, request.clone()).await,
         )
         .await
@@ -281,20 +290,34 @@
                 return Err(deadline_error(maybe_applied));
             }
             let limit = attempt_ms.duration().min(left);
-            match self.attempt(limit, &mut maybe_applied, &call).await {
+            let target = self.connections.target();
+            let mut leader = self.connections.watch_leader();
+            let answer = tokio::select! {
+                answer = self.attempt(target, limit, &mut maybe_applied, &call) => Some(answer),
+                () = other_leader(target, &mut leader) => None,
+            };
+            let answer = answer.unwrap_or_else(|| {
+                // The call may have reached the replica that does not answer.
+                maybe_applied = true;
+                Err(Retry::Immediately)
+            });
+            match answer {
                 Ok(Err(ControlError::Refused { .. })) if maybe_applied => {
                     return Err(ControlError::Uncertain);
                 }
                 Ok(answer) => return answer,
                 Err(Retry::Immediately) => {}
-                Err(Retry::AfterDelay) => sleep(RETRY_DELAY.min(left)).await,
+                Err(Retry::AfterDelay) => {
+                    drop(timeout(RETRY_DELAY.min(left), leader.changed()).await);
+                }
             }
         }
     }
 
-    /// Makes one attempt. Sets `maybe_applied` if the call was sent and its effect is unknown.
+    /// Makes one attempt at this replica. Sets `maybe_applied` if the call was sent and its effect is unknown.
     async fn attempt<T, C, F>(
         &self,
+        target: Option<SocketAddr>,
         limit: Duration,
         maybe_applied: &mut bool,
         call: &C,
@@ -303,7 +326,7 @@
         C: Fn(ControlApiClient, Context) -> F,
         F: Future<Output = RpcResult<T>>,
     {
-        let Some(address) = self.connections.target() else {
+        let Some(address) = target else {
             return Err(Retry::AfterDelay);
         };
         let Some(connection) = self.connections.open(address).await else {
@@ -337,6 +360,23 @@
     }
 }
 
+/// Waits until another replica than `target` has answered as the leader, so that a call need not
+/// wait for a replica that no longer answers.
+async fn other_leader(
+    target: Option<SocketAddr>,
+    leader: &mut watch::Receiver<Option<SocketAddr>>,
+) {
+    let is_other = |confirmed: &Option<SocketAddr>| confirmed.is_some() && *confirmed != target;
+    loop {
+        if leader.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if is_other(&leader.borrow_and_update()) {
+            return;
+        }
+    }
+}
+
 const fn deadline_error(maybe_applied: bool) -> ControlError {
     if maybe_applied {
         ControlError::Uncertain
--- a/src/control/connections.rs
+++ b/src/control/connections.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::watch;
 use tokio::time::{Duration, Instant, timeout};
 use tracing::{debug, info};
 
@@ -18,6 +19,8 @@
     addresses: Vec<SocketAddr>,
     dialer: OpaqueDialer,
     state: Mutex<State>,
+    /// The replica that answered last as the leader.
+    confirmed: watch::Sender<Option<SocketAddr>>,
 }
 
 #[derive(Debug, Default)]
@@ -34,6 +37,7 @@
             addresses,
             dialer: OpaqueDialer(dialer),
             state: Mutex::default(),
+            confirmed: watch::Sender::new(None),
         }
     }
 
@@ -87,6 +91,18 @@
             state.leader = Some(address);
         }
         state.failed_at.remove(&address);
+        self.confirmed.send_if_modified(|confirmed| {
+            let differs = *confirmed != Some(address);
+            *confirmed = Some(address);
+            differs
+        });
+    }
+
+    /// Watches which replica answers as the leader.
+    pub(super) fn watch_leader(&self) -> watch::Receiver<Option<SocketAddr>> {
+        let mut leader = self.confirmed.subscribe();
+        leader.mark_unchanged();
+        leader
     }
 
     /// Handles the answer of a replica that is not the leader, which may name the leader. Returns
