--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -7,6 +7,8 @@
 use gotham::state::State;
 use http::StatusCode;
 use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use super::Result;
@@ -14,7 +16,7 @@
 use crate::control::{ControlOptions, ControlService, SharedStateMachine};
 use crate::entry::{RouteFuture, json_response, route, text_response};
 use crate::kernel::{Kernel, KernelBuilder, Service, StopFn};
-use crate::replica::{self, Handle, Peer, ReplicaOptions};
+use crate::replica::{self, Handle, Peer, ReplicaOptions, StateMachineHooks};
 use crate::settings::{ControlSettings, SeedSettings};
 use crate::telemetry::Metrics;
 use crate::units::Millis;
@@ -65,8 +67,9 @@
     Service::new("replica", &[], move |registry| async move {
         let machine = SharedStateMachine::default();
         let shutdown = CancellationToken::new();
-        let started = replica::start(options(&settings), machine.hooks(), shutdown.clone()).await;
-        let (handle, running) = started.map_err(|cause| cause.to_string())?;
+        let started =
+            start_on_own_thread(options(&settings), machine.hooks(), shutdown.clone()).await;
+        let (handle, running) = started?;
         registry.publish("replica", handle);
         registry.publish("machine", machine);
         let stop: StopFn = Box::new(move || {
@@ -79,6 +82,42 @@
     })
 }
 
+/// Starts the replica on a thread of its own.
+///
+/// Otherwise its messages would wait behind thousands of reports and reconnecting workers, and an
+/// overloaded leader would lose its lease and be replaced, which sends all workers to the next one.
+async fn start_on_own_thread(
+    options: ReplicaOptions,
+    hooks: StateMachineHooks,
+    shutdown: CancellationToken,
+) -> Result<(Handle, oneshot::Receiver<()>)> {
+    let (started, result) = oneshot::channel();
+    let (ended, running) = oneshot::channel::<()>();
+    let run = move || {
+        let runtime = match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(cause) => {
+                drop(started.send(Err(cause.to_string())));
+                return;
+            }
+        };
+        runtime.block_on(async move {
+            match replica::start(options, hooks, shutdown).await {
+                Ok((handle, task)) => {
+                    drop(started.send(Ok(handle)));
+                    drop(task.await);
+                }
+                Err(cause) => drop(started.send(Err(cause.to_string()))),
+            }
+        });
+        drop(ended);
+    };
+    let thread = std::thread::Builder::new().name("replica".to_owned());
+    thread.spawn(run).map_err(|cause| cause.to_string())?;
+    let handle = result.await.map_err(|cause| cause.to_string())??;
+    Ok((handle, running))
+}
+
 fn options(settings: &ControlSettings) -> ReplicaOptions {
     let peers = settings.replicas.iter().map(|replica| Peer {
         name: replica.name.clone(),
