Place work by what binds at the worst load

Cause: on the large site single tasks of the least urgent queue took every accelerator that became free; gangs, also urgent ones, waited, had runs stopped, and waited again. A planning pass searched all workers for each blocked gang and all runs for each blocked urgent job: 2.0 s at 3,000 workers with 936 open jobs. Workers' reports are 660 ms apart at 1,100 workers, and a worker counted as reachable only 500 ms of these. Change: racks are reserved for as much urgent work as there was lately (urgent_racks); workers are kept for blocked gangs, and a share of the fleet for each priority (gang_room); a report of an idle worker is held until there is an order (held_reports, idle_reports); passes are bounded in time (planning_load) and search each kind of gang once; a start that a worker refuses three times is placed anew; an end whose batch is refused is not mistaken for a run that never started.

--- a/src/control/workload_batch.rs
+++ b/src/control/workload_batch.rs
@@ -6,11 +6,12 @@
 use futures::future::BoxFuture;
 use tokio::sync::{mpsc, oneshot};
 
+use super::held_reports::HeldReport;
 use super::workload_log::BatchLog;
 use super::{ControlError, Result};
 use crate::replica::{Applied, ProposeError};
-use crate::units::{Millis, WorkerId};
-use crate::workload::{Transition, WorkAnswer, WorkRequest, WorkerReport, WorkloadCommand};
+use crate::units::WorkerId;
+use crate::workload::{Transition, WorkAnswer, WorkRequest, WorkloadCommand};
 
 /// A handle for calls to the workload loop from inside the process.
 #[derive(Clone, Debug)]
@@ -27,18 +28,21 @@
 
 pub(super) type AnswerSender = oneshot::Sender<Result<WorkAnswer>>;
 pub(super) type ProposalResult = std::result::Result<Applied, ProposeError>;
-pub(super) type FinishedBatch = (ProposalResult, Vec<PendingAnswer>, BatchLog);
+
+/// A batch whose proposal is over.
+pub(super) struct FinishedBatch {
+    pub(super) result: ProposalResult,
+    pub(super) waiting: Vec<PendingAnswer>,
+    pub(super) placed_on: BTreeSet<WorkerId>,
+    pub(super) log: BatchLog,
+}
 
 /// A call that is answered after its batch is committed.
 pub(super) enum PendingAnswer {
     /// The answer is derived from the reply to the command at `index` in the batch.
     Change { index: usize, reply: AnswerSender },
     /// The answer to a worker's report, with the worker's orders.
-    Report {
-        report: Box<WorkerReport>,
-        received_ms: Millis,
-        reply: AnswerSender,
-    },
+    Report(HeldReport),
 }
 
 /// Changes that are committed together, and the calls that wait for them.
@@ -55,6 +59,8 @@
 pub(super) struct InFlightBatch {
     pub(super) proposal: BoxFuture<'static, ProposalResult>,
     pub(super) waiting: Vec<PendingAnswer>,
+    /// The workers on which the batch places runs.
+    pub(super) placed_on: BTreeSet<WorkerId>,
     pub(super) log: BatchLog,
 }
 
@@ -75,7 +81,7 @@
 impl PendingAnswer {
     pub(super) fn into_reply(self) -> AnswerSender {
         match self {
-            Self::Change { reply, .. } | Self::Report { reply, .. } => reply,
+            Self::Change { reply, .. } | Self::Report(HeldReport { reply, .. }) => reply,
         }
     }
 }
@@ -105,8 +111,13 @@
         return pending().await;
     };
     let result = batch.proposal.as_mut().await;
-    let (waiting, log) = in_flight
-        .take()
-        .map_or_else(Default::default, |batch| (batch.waiting, batch.log));
-    (result, waiting, log)
+    let (waiting, placed_on, log) = in_flight.take().map_or_else(Default::default, |batch| {
+        (batch.waiting, batch.placed_on, batch.log)
+    });
+    FinishedBatch {
+        result,
+        waiting,
+        placed_on,
+        log,
+    }
 }
--- a/src/control/workload_loop.rs
+++ b/src/control/workload_loop.rs
@@ -13,6 +13,8 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tracing::{info, warn};
 
+use super::held_reports::{HeldReport, HeldReports, REPORT_HOLD_MS};
+use super::planning_load::PlanningLoad;
 use super::workload_batch::{
     AnswerSender, Batch, FinishedBatch, InFlightBatch, PendingAnswer, PendingCall, WorkloadHandle,
     finished_batch, send,
@@ -51,6 +53,10 @@
     leader: Option<LeaderPlanner>,
     next_batch: Batch,
     in_flight: Option<InFlightBatch>,
+    held: HeldReports,
+    planning: PlanningLoad,
+    /// Answers that wait for the next planning pass, which may add orders to them.
+    awaiting_plan: Vec<PendingAnswer>,
     replanned_ms: Millis,
     stopping: bool,
 }
@@ -71,6 +77,9 @@
             leader: None,
             next_batch: Batch::default(),
             in_flight: None,
+            held: HeldReports::default(),
+            planning: PlanningLoad::default(),
+            awaiting_plan: Vec::new(),
             replanned_ms: Millis::ZERO,
             stopping: false,
         }
@@ -157,9 +166,14 @@
         ControlError::NotLeader { leader }
     }
 
-    /// Rejects the calls that wait for changes that were never proposed.
+    /// Rejects the calls that wait for changes that were never proposed, and the held reports.
     fn reject_pending(&mut self) {
-        for waiting in std::mem::take(&mut self.next_batch).waiting {
+        for held in self.held.take_all() {
+            send(held.reply, Err(self.not_leader()));
+        }
+        let awaiting_plan = std::mem::take(&mut self.awaiting_plan);
+        let waiting = std::mem::take(&mut self.next_batch).waiting;
+        for waiting in waiting.into_iter().chain(awaiting_plan) {
             send(waiting.into_reply(), Err(self.not_leader()));
         }
     }
@@ -233,12 +247,28 @@
             return;
         }
         let waits = !reported.transitions.is_empty();
+        let may_hold = !waits
+            && self
+                .state_machine
+                .read(|state_machine| planner.may_hold(&report, state_machine.workload()));
+        if may_hold && !self.stopping {
+            planner.report_held(&report, now.saturating_add(REPORT_HOLD_MS));
+            let held = HeldReport {
+                report,
+                received_ms: now,
+                reply,
+            };
+            if let Some(replaced) = self.held.hold(held) {
+                self.answer_held(replaced);
+            }
+            return;
+        }
         self.next_batch.transitions.extend(reported.transitions);
-        let waiting = PendingAnswer::Report {
+        let waiting = PendingAnswer::Report(HeldReport {
             report,
             received_ms: now,
             reply,
-        };
+        });
         if waits {
             self.next_batch.waiting.push(waiting);
         } else {
@@ -246,6 +276,11 @@
         }
     }
 
+    /// Answers a report that was held back for an order.
+    fn answer_held(&mut self, held: HeldReport) {
+        self.answer(PendingAnswer::Report(held), &[]);
+    }
+
     fn handle_worker_left(&mut self, worker: &WorkerId, reply: AnswerSender) {
         let now = self.clock.now();
         if let Some(leader) = &mut self.leader {
@@ -256,6 +291,9 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        for held in self.held.take_due(now) {
+            self.answer_held(held);
+        }
         if now.since(self.replanned_ms) < REPLAN_INTERVAL_MS {
             return;
         }
@@ -272,6 +310,7 @@
         }
         self.plan_transitions();
         let mut batch = std::mem::take(&mut self.next_batch);
+        let placed_on = batch.workers_placed_on();
         if !batch.transitions.is_empty() {
             let transitions = std::mem::take(&mut batch.transitions);
             batch
@@ -297,6 +336,7 @@
         self.in_flight = Some(InFlightBatch {
             proposal,
             waiting: batch.waiting,
+            placed_on,
             log,
         });
     }
@@ -311,6 +351,9 @@
         if !planner.is_dirty() || self.next_batch.planned {
             return;
         }
+        if !self.planning.may_start(now) {
+            return;
+        }
         self.next_batch.planned = true;
         let transitions = &mut self.next_batch.transitions;
         self.state_machine.read(|state_machine| {
@@ -320,9 +363,31 @@
             transitions.extend(planner.plan(state, now, wall));
             transitions.extend(planner.withdraw_unstarted(state));
         });
+        self.planning.record(now, self.clock.now());
+        self.answer_planned();
+    }
+
+    /// Answers the reports that waited for a planning pass. The report of a worker that is assigned
+    /// new runs waits for the next batch, so that its answer includes those runs.
+    fn answer_planned(&mut self) {
+        let placed_on = self.next_batch.workers_placed_on();
+        for waiting in std::mem::take(&mut self.awaiting_plan) {
+            match waiting {
+                PendingAnswer::Report(ref held) if placed_on.contains(&held.report.worker) => {
+                    self.next_batch.waiting.push(waiting);
+                }
+                waiting => self.answer(waiting, &[]),
+            }
+        }
     }
 
-    fn finish(&mut self, (result, waiting, log): FinishedBatch) {
+    fn finish(&mut self, finished: FinishedBatch) {
+        let FinishedBatch {
+            result,
+            waiting,
+            placed_on: newly_placed_on,
+            log,
+        } = finished;
         let applied = match result {
             Ok(applied) => applied,
             Err(cause) => {
@@ -344,18 +409,16 @@
         if let Some(leader) = &mut self.leader {
             leader.planner.mark_dirty();
         }
-        // Plan before answering: the report of a worker that is assigned new runs waits for the next
-        // batch, so that its answer includes those runs.
-        self.plan_transitions();
-        let placed_on = self.next_batch.workers_placed_on();
+        for held in self.held.take(&newly_placed_on) {
+            self.answer_held(held);
+        }
         for waiting in waiting {
             match waiting {
-                PendingAnswer::Report { ref report, .. } if placed_on.contains(&report.worker) => {
-                    self.next_batch.waiting.push(waiting);
-                }
-                waiting => self.answer(waiting, &replies),
+                PendingAnswer::Report(_) => self.awaiting_plan.push(waiting),
+                waiting @ PendingAnswer::Change { .. } => self.answer(waiting, &replies),
             }
         }
+        self.plan_transitions();
     }
 
     fn to_control_error(&self, cause: &ProposeError) -> ControlError {
@@ -376,11 +439,11 @@
                 let answer = replies.get(index).map(answer_from_reply);
                 send(reply, answer.ok_or(ControlError::Uncertain));
             }
-            PendingAnswer::Report {
+            PendingAnswer::Report(HeldReport {
                 report,
                 received_ms,
                 reply,
-            } => {
+            }) => {
                 let answer = if self.may_act() {
                     let orders = self.orders(&report, received_ms);
                     Ok(WorkAnswer::Orders(Box::new(orders)))
@@ -397,8 +460,9 @@
             return WorkerOrders::default();
         };
         let planner = &mut leader.planner;
+        let held_ms = self.clock.now().since(received_ms);
         self.state_machine.read(|state_machine| {
-            planner.orders_for_report(report, received_ms, state_machine.workload())
+            planner.orders_for_report(report, received_ms, held_ms, state_machine.workload())
         })
     }
 }
--- a/src/workload/planner/candidates.rs
+++ b/src/workload/planner/candidates.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use super::Planner;
+use super::gang_room::KeptRoom;
 use crate::units::{Millis, ServiceName, WorkerId};
 use crate::workload::{Resources, Step, StepState, WorkerIncarnation, Workload};
 
@@ -21,12 +22,52 @@
     pub(super) free: Resources,
     /// Resources still allocated to runs that are being stopped.
     pub(super) releasing: Resources,
+    /// Whether its rack is reserved for urgent work.
+    pub(super) for_urgent: bool,
+    /// The priority of the blocked gang for which the worker is kept.
+    pub(super) kept_for: Option<u32>,
 }
 
 /// The workers that can take tasks in one planning pass, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Candidates {
     pub(super) all: Vec<Candidate>,
+    /// The positions of the candidates of each rack.
+    pub(super) racks: BTreeMap<Option<SmolStr>, Vec<usize>>,
+    /// Gangs that did not fit in this pass, with the smallest number of members tried.
+    pub(super) unfitting: Vec<(GangShape, u32)>,
+    /// The resources of all candidates.
+    pub(super) capacity: Resources,
+    /// What is allocated of `capacity`.
+    pub(super) in_use: Resources,
+}
+
+/// What decides, besides the number of members, whether a gang fits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct GangShape {
+    service: ServiceName,
+    allocation: Resources,
+    label: Option<SmolStr>,
+    data_rack: Option<SmolStr>,
+    per_worker_max: Option<u32>,
+    avoided: BTreeSet<WorkerId>,
+    any_location: bool,
+    is_urgent: bool,
+}
+
+impl GangShape {
+    fn of(request: &PlacementRequest<'_>) -> Self {
+        Self {
+            service: request.service.clone(),
+            allocation: request.step.allocation(),
+            label: request.step.label.clone(),
+            data_rack: request.step.data_rack.clone(),
+            per_worker_max: request.step.per_worker_max,
+            avoided: request.avoided.clone(),
+            any_location: request.any_location,
+            is_urgent: request.is_urgent,
+        }
+    }
 }
 
 /// What is to be placed: single tasks of a step or a whole gang.
@@ -42,6 +83,10 @@
     pub(super) avoided: BTreeSet<WorkerId>,
     /// Whether the tasks may run away from their data, or a gang in several racks.
     pub(super) any_location: bool,
+    /// Whether the tasks may use racks that are reserved for urgent work.
+    pub(super) is_urgent: bool,
+    /// The room that single tasks leave to blocked gangs.
+    pub(super) kept_room: KeptRoom,
 }
 
 impl Planner {
@@ -53,7 +98,7 @@
                 && worker.deregistered_ms.is_none()
                 && !worker.has_unknown_runs
                 && state.is_zone_open(&worker.zone)
-                && now.since(worker.last_report_ms) <= self.options.fresh_ms
+                && self.is_reachable(worker, now)
                 && now >= worker.quarantined_until_ms
         });
         let all = usable.map(|(id, worker)| Candidate {
@@ -65,8 +110,10 @@
             capacity: worker.capacity,
             free: worker.capacity.saturating_sub(state.allocated_on(id)),
             releasing: releasing.get(id).copied().unwrap_or_default(),
+            for_urgent: false,
+            kept_for: None,
         });
-        Candidates { all: all.collect() }
+        Candidates::new(all.collect())
     }
 
     /// The resources on each worker still allocated to runs that are being stopped.
@@ -133,6 +180,20 @@
         u32::try_from(fits).unwrap_or(most)
     }
 
+    /// The number of tasks that fit into what is free on this worker and open to the step.
+    fn fitting_now(&self, at: usize, candidates: &Candidates) -> u32 {
+        let candidate = &candidates.all[at];
+        if !self.is_open(candidate, candidates) {
+            return 0;
+        }
+        self.fitting_tasks(candidate, candidate.free)
+    }
+
+    /// Whether the worker is not reserved for more urgent work.
+    pub(super) fn is_open(&self, candidate: &Candidate, candidates: &Candidates) -> bool {
+        candidate.is_open_to(self.is_urgent, self.step.data_rack.as_ref()) || !candidates.is_busy()
+    }
+
     pub(super) fn is_near_data(&self, candidate: &Candidate) -> bool {
         self.step.data_rack.is_none() || self.step.data_rack == candidate.rack
     }
@@ -149,25 +210,70 @@
 }
 
 impl Candidates {
-    /// Returns the position of the best candidate for one task.
-    pub(super) fn find_for_task(&self, request: &PlacementRequest<'_>) -> Option<usize> {
+    fn new(all: Vec<Candidate>) -> Self {
+        let mut candidates = Self::default();
+        for (at, candidate) in all.iter().enumerate() {
+            let rack = candidates.racks.entry(candidate.rack.clone());
+            rack.or_default().push(at);
+            let used = candidate.capacity.saturating_sub(candidate.free);
+            candidates.capacity = candidates.capacity.saturating_add(candidate.capacity);
+            candidates.in_use = candidates.in_use.saturating_add(used);
+        }
+        candidates.all = all;
+        candidates
+    }
+
+    /// The candidates that can take a task of the step now, the best one first.
+    ///
+    /// A task that is placed makes its candidate a still better fit for the next one, so the order
+    /// holds for all tasks of the step.
+    pub(super) fn in_order_for_tasks(&self, request: &PlacementRequest<'_>) -> Vec<usize> {
         let demand = request.step.allocation();
-        let fitting = self.all.iter().enumerate().filter(|(_at, candidate)| {
-            request.fitting_tasks(candidate, candidate.free) > 0
+        let fitting = self.all.iter().enumerate().filter(|(at, candidate)| {
+            request.fitting_now(*at, self) > 0
                 && (request.any_location || request.is_near_data(candidate))
         });
-        let best = fitting.min_by_key(|(_at, candidate)| {
+        let mut in_order: Vec<usize> = fitting.map(|(at, _candidate)| at).collect();
+        in_order.sort_by_cached_key(|at| {
+            let candidate = &self.all[*at];
             (
                 !request.is_near_data(candidate),
+                candidate.for_urgent != request.is_urgent,
+                request.kept_room.covers(candidate),
                 free_after(candidate, demand),
             )
         });
-        best.map(|(at, _candidate)| at)
+        in_order
+    }
+
+    /// Whether a further task of the step may be placed on this candidate.
+    pub(super) fn takes_task(&self, at: usize, request: &PlacementRequest<'_>) -> bool {
+        let kept_room = request.kept_room;
+        request.fitting_now(at, self) > 0
+            && (kept_room.allows_exempt_task() || !kept_room.covers(&self.all[at]))
     }
 
     /// Returns the position of a candidate for each member of a gang, or `None` if not all members
     /// fit.
-    pub(super) fn find_for_gang(&self, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
+    ///
+    /// Resources only become fewer during a pass, so a gang is not tried again once one of the same
+    /// kind with at most as many members did not fit.
+    pub(super) fn find_for_gang(&mut self, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
+        let shape = GangShape::of(request);
+        let mut unfitting = self.unfitting.iter();
+        let is_known =
+            |(known, members): &(GangShape, u32)| *known == shape && *members <= request.tasks;
+        if unfitting.any(is_known) {
+            return None;
+        }
+        let places = self.search_for_gang(request);
+        if places.is_none() {
+            self.unfitting.push((shape, request.tasks));
+        }
+        places
+    }
+
+    fn search_for_gang(&self, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
         let in_rack = self.find_in_one_rack(request);
         if in_rack.is_some() {
             return in_rack;
@@ -181,42 +287,27 @@
         self.pack(&all, request)
     }
 
-    /// Groups the positions of the candidates that the request accepts by rack.
-    fn racks(&self, request: &PlacementRequest<'_>) -> BTreeMap<Option<SmolStr>, Vec<usize>> {
-        let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
-        for (at, candidate) in self.all.iter().enumerate() {
-            if request.accepts(candidate) {
-                racks.entry(candidate.rack.clone()).or_default().push(at);
-            }
-        }
-        racks
-    }
-
     /// Places the gang in the rack that can hold it, preferably that of its data, and otherwise the
     /// one with the fewest free accelerators.
     fn find_in_one_rack(&self, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
-        let racks = self.racks(request);
-        let holding = racks.into_iter().filter(|(rack, candidates)| {
-            let near = request.step.data_rack.is_none() || request.step.data_rack == *rack;
-            let fits = candidates.iter().map(|at| {
-                let candidate = &self.all[*at];
-                request.fitting_tasks(candidate, candidate.free)
-            });
+        let holding = self.racks.iter().filter(|(rack, candidates)| {
+            let near = request.step.data_rack.is_none() || request.step.data_rack == **rack;
+            let fits = candidates.iter().map(|at| request.fitting_now(*at, self));
             (near || request.any_location) && fits.fold(0, u32::saturating_add) >= request.tasks
         });
         let best = holding.min_by_key(|(rack, candidates)| {
-            let far = request.step.data_rack.is_some() && request.step.data_rack != *rack;
+            let far = request.step.data_rack.is_some() && request.step.data_rack != **rack;
+            let reserved = candidates.iter().any(|at| self.all[*at].for_urgent);
             let free = candidates.iter().map(|at| self.all[*at].free.accelerators);
-            (far, free.sum::<u64>())
+            (far, reserved != request.is_urgent, free.sum::<u64>())
         });
         let (_rack, candidates) = best?;
-        self.pack(&candidates, request)
+        self.pack(candidates, request)
     }
 
     /// Whether some rack could hold the gang if nothing else ran there.
     pub(super) fn fits_some_rack(&self, request: &PlacementRequest<'_>) -> bool {
-        let racks = self.racks(request);
-        racks.values().any(|candidates| {
+        self.racks.values().any(|candidates| {
             let fits = candidates.iter().map(|at| {
                 let candidate = &self.all[*at];
                 request.fitting_tasks(candidate, candidate.capacity)
@@ -231,12 +322,7 @@
         let demand = request.step.allocation();
         let mut counts: Vec<(usize, u32)> = candidates
             .iter()
-            .map(|at| {
-                (
-                    *at,
-                    request.fitting_tasks(&self.all[*at], self.all[*at].free),
-                )
-            })
+            .map(|at| (*at, request.fitting_now(*at, self)))
             .filter(|(_at, count)| *count > 0)
             .collect();
         let mut remaining = request.tasks;
@@ -267,5 +353,6 @@
     pub(super) fn allocate(&mut self, at: usize, demand: Resources) {
         let candidate = &mut self.all[at];
         candidate.free = candidate.free.saturating_sub(demand);
+        self.in_use = self.in_use.saturating_add(demand);
     }
 }
--- a/src/workload/planner/drain.rs
+++ b/src/workload/planner/drain.rs
@@ -18,7 +18,7 @@
         let needed = self
             .options
             .stop_ms
-            .saturating_add(self.report_after_ms())
+            .saturating_add(self.report_interval_ms())
             .saturating_add(END_ACKNOWLEDGE_MS);
         for (id, worker) in &self.workers {
             let available_until = worker.available_until_ms.filter(|_until| worker.draining);
--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -13,6 +13,8 @@
 /// The planner stops an incomplete gang after this percentage of the time that its workers would
 /// wait for missing members.
 const MEMBER_WAIT_PERCENT: u64 = 35;
+/// The same at most, in a fleet so large that two reports of a worker are further apart.
+const MEMBER_WAIT_MAX_PERCENT: u64 = 75;
 /// The number of report intervals without a report after which a worker counts as silent: two
 /// missed reports and a slow answer.
 const SILENT_INTERVALS: u64 = 4;
@@ -101,14 +103,17 @@
 
     /// Whether a worker has missed several reports.
     fn is_silent(&self, worker: &WorkerId, now: Millis) -> bool {
-        let silence = Millis(self.report_after_ms().get() * SILENT_INTERVALS);
+        let silence = Millis(self.report_interval_ms().get() * SILENT_INTERVALS);
         let worker = self.workers.get(worker);
         worker.is_none_or(|worker| now.since(worker.last_report_ms) > silence)
     }
 
     /// Stops gangs that have waited too long for a missing member, before the workers' own timeout.
     pub(super) fn stop_incomplete_gangs(&mut self, state: &Workload, now: Millis) {
-        let wait_limit = Millis(self.options.gang_wait_ms.get() * MEMBER_WAIT_PERCENT / 100);
+        let gang_wait_ms = self.options.gang_wait_ms.get();
+        let two_reports_ms = self.report_interval_ms().get() * 2;
+        let wait_limit = (gang_wait_ms * MEMBER_WAIT_PERCENT / 100).max(two_reports_ms);
+        let wait_limit = Millis(wait_limit.min(gang_wait_ms * MEMBER_WAIT_MAX_PERCENT / 100));
         let starting_gangs = std::mem::take(&mut self.starting_gangs);
         for ((step, run), since_ms) in starting_gangs {
             let missing = self.missing_members(step, run, state);
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -3,7 +3,9 @@
 mod candidates;
 mod drain;
 mod gang_presence;
+mod gang_room;
 mod guarantee;
+mod idle_reports;
 mod orders;
 mod pending;
 mod plan;
@@ -12,6 +14,7 @@
 mod reservation;
 mod stalled;
 mod team_quota;
+mod urgent_racks;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +26,7 @@
 use self::pending::RunTimeEstimates;
 use self::reservation::Reservation;
 use self::stalled::AvoidedWorkers;
+use self::urgent_racks::UrgentDemand;
 use self::worker::Worker;
 use super::{RunKey, StepKey, Transition};
 use crate::units::{Millis, Term, WorkerId};
@@ -75,11 +79,14 @@
     guarantees: GuaranteeCoverage,
     /// Resources that are being reclaimed, by the step for which they are reserved.
     reservations: BTreeMap<StepKey, Reservation>,
+    /// Blocked steps for which nothing could be reclaimed, and when that is tried again.
+    reclaim_retries: BTreeMap<StepKey, Millis>,
     /// Gangs not all of whose members are known to run yet, with the time of their placement.
     starting_gangs: BTreeMap<(StepKey, u32), Millis>,
     presence: GangPresence,
     run_times: RunTimeEstimates,
     avoided: AvoidedWorkers,
+    urgent_demand: UrgentDemand,
     /// Whether something changed since the last planning pass that may let a task start.
     dirty: bool,
 }
@@ -106,10 +113,12 @@
             stopping: BTreeSet::new(),
             guarantees: GuaranteeCoverage::default(),
             reservations: BTreeMap::new(),
+            reclaim_retries: BTreeMap::new(),
             starting_gangs: BTreeMap::new(),
             presence: GangPresence::default(),
             run_times: RunTimeEstimates::default(),
             avoided: AvoidedWorkers::default(),
+            urgent_demand: UrgentDemand::default(),
             dirty: true,
         }
     }
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -4,31 +4,43 @@
 use smol_str::SmolStr;
 
 use super::Planner;
+use super::idle_reports::report_after_held;
 use super::worker::{UnreportedRun, Worker};
 use crate::units::Millis;
 use crate::workload::{
     RunEnd, RunKey, StartOrder, Transition, WorkerOrders, WorkerReport, Workload,
 };
 
+/// How often a start is ordered. A worker refuses it each time if it has received a stop from an
+/// earlier leader, and need not say so.
+const START_ATTEMPTS_MAX: u32 = 3;
 /// Added to the stop time before a run that the worker does not report counts as ended.
 pub(super) const STOP_SLACK_MS: Millis = Millis(1_000);
 
 impl Planner {
-    /// Answers a report whose transitions are committed.
+    /// Answers a report whose transitions are committed. `held_ms` is how long the answer was held
+    /// back for an order.
     pub fn orders_for_report(
         &mut self,
         report: &WorkerReport,
         received_ms: Millis,
+        held_ms: Millis,
         state: &Workload,
     ) -> WorkerOrders {
         let lease_until = self.lease_end(received_ms);
-        let report_after_ms = self.report_after_ms();
+        let interval_ms = self.report_interval_ms();
         let Some(worker) = self.workers.get_mut(&report.worker) else {
             return WorkerOrders::default();
         };
         if worker.incarnation != report.incarnation || worker.sequence != report.sequence {
             return WorkerOrders::default();
         }
+        let was_held = std::mem::take(&mut worker.held_until_ms) != Millis::ZERO;
+        let report_after_ms = if was_held {
+            report_after_held(interval_ms, held_ms)
+        } else {
+            interval_ms
+        };
         worker.lease_until_ms = worker.lease_until_ms.max(lease_until);
         let placed: Vec<RunKey> = state
             .runs_placed_on(&report.worker)
@@ -48,7 +60,12 @@
             if worker.running.contains_key(run) || before == Some(UnreportedRun::WasRunning) {
                 continue;
             }
+            let attempts = match before {
+                Some(UnreportedRun::StartOrdered { attempts, .. }) => attempts,
+                _ => 0,
+            };
             let wanted = may_start
+                && attempts < START_ATTEMPTS_MAX
                 && !self.stopping.contains(run)
                 && !is_obsolete(state, *run)
                 && !Self::is_over_maximum(state, *run);
@@ -56,7 +73,10 @@
             let sequence = report.sequence;
             let next = if let Some(start) = start {
                 orders.starts.push(start);
-                UnreportedRun::StartOrdered { sequence }
+                UnreportedRun::StartOrdered {
+                    sequence,
+                    attempts: attempts + 1,
+                }
             } else {
                 // A worker that has received a stop refuses the run's start, also one that is still
                 // in flight.
@@ -130,13 +150,6 @@
         });
         withdrawn.collect()
     }
-
-    /// The interval between a worker's reports, which grows with the number of workers.
-    pub(super) fn report_after_ms(&self) -> Millis {
-        let count = u64::try_from(self.workers.len()).unwrap_or(u64::MAX);
-        let spread = Millis(count.saturating_mul(self.options.report_spread_us) / 1_000);
-        self.options.report_after_ms.max(spread)
-    }
 }
 
 /// Whether a placed run that its worker does not report may be running, or may still start.
@@ -144,7 +157,7 @@
     match worker.unreported.get(&run) {
         None => false,
         Some(UnreportedRun::Inherited | UnreportedRun::WasRunning) => true,
-        Some(UnreportedRun::StartOrdered { sequence }) => worker.sequence <= *sequence,
+        Some(UnreportedRun::StartOrdered { sequence, .. }) => worker.sequence <= *sequence,
         Some(UnreportedRun::StopOrdered { since_ms }) => {
             let stopped_ms = since_ms
                 .saturating_add(stop_ms)
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -6,7 +6,8 @@
 
 use super::Planner;
 use super::candidates::{Candidates, PlacementRequest};
-use super::guarantee::GuaranteeCoverage;
+use super::gang_room::{GangRoom, KeptRoom};
+use super::guarantee::{GuaranteeCoverage, is_urgent};
 use super::pending::{DeadlineStatus, PendingStep, pending_steps};
 use super::team_quota::TeamQuotas;
 use crate::units::{Millis, WallMs};
@@ -20,6 +21,9 @@
 const RACK_LOCALITY_WAIT_PERCENT: u64 = 300;
 /// The maximum number of non-urgent gangs for which one pass reclaims resources.
 const GANG_RECLAIMS_MAX: usize = 4;
+/// The maximum number of searches for resources to reclaim in one pass, which visit all runs. The
+/// steps after these get their turn in the next passes.
+const RECLAIM_SEARCHES_MAX: usize = 6;
 /// The maximum number of tasks placed in one pass, which bounds its duration.
 const PLACEMENTS_MAX: usize = 2_000;
 
@@ -47,6 +51,8 @@
         self.dirty = false;
         self.guarantees = GuaranteeCoverage::of(state);
         self.expire_reservations(state, now);
+        self.reclaim_retries
+            .retain(|_step, retry_ms| now < *retry_ms);
         self.stopping.retain(|run| {
             let task = state.task(run.task);
             task.is_some_and(|task| task.run == run.run && task.placement.is_some())
@@ -55,37 +61,48 @@
         self.stop_stalled(state, now);
         self.stop_on_departing_workers(now);
         let mut candidates = self.candidates(state, now);
+        self.reserve_urgent_racks(state, &mut candidates, now);
         let mut held = self.hold_reservations(state, &mut candidates);
         let mut quotas = TeamQuotas::default();
+        let mut gang_room = GangRoom::default();
         let mut transitions = Vec::new();
         let mut placed = 0;
         let mut gang_reclaims = 0;
+        let mut searches = 0;
         for step in pending_steps(state, &self.run_times, wall) {
             candidates.release(&held.remove(&step.key).unwrap_or_default());
             let allowed = allowed_tasks(&step, state, &mut quotas);
             if allowed == 0 {
                 continue;
             }
-            let mut room = (&mut candidates, allowed);
-            let newly_placed =
-                self.place_step(&step, state, &mut room, (now, wall), &mut transitions);
+            let (Some(job), Some((spec, tasks))) = (state.job(step.key.job), state.step(step.key))
+            else {
+                continue;
+            };
+            let kept_room = gang_room.kept_from(&step, spec, state, &candidates);
+            let room = (&mut candidates, kept_room, allowed);
+            let newly_placed = self.place_step(&step, state, room, (now, wall), &mut transitions);
             placed += newly_placed;
             if placed >= PLACEMENTS_MAX {
                 self.dirty = true;
                 break;
             }
-            let (Some(job), Some((spec, _tasks))) = (state.job(step.key.job), state.step(step.key))
-            else {
-                continue;
-            };
             quotas.take(job, spec, newly_placed, state);
+            gang_room.take(&step, spec, newly_placed);
             let is_blocked = newly_placed < allowed as usize;
+            if is_blocked && spec.gang && step.deadline_status == DeadlineStatus::OnTime {
+                let count = spec.tasks;
+                let request = self.placement_request(step.key, (job, spec, tasks), count, wall);
+                gang_room.keep_for(&step, &request, &mut candidates);
+            }
             let is_gang = spec.gang
                 && step.deadline_status != DeadlineStatus::Expired
                 && gang_reclaims < GANG_RECLAIMS_MAX;
-            if is_blocked && (step.priority == 0 || is_gang) {
+            let may_search = searches < RECLAIM_SEARCHES_MAX || self.guarantees.covers(job);
+            if is_blocked && (step.priority == 0 || is_gang) && may_search {
                 gang_reclaims += usize::from(step.priority > 0);
-                self.reclaim((&step, allowed), state, &mut candidates, now, wall);
+                searches +=
+                    usize::from(self.reclaim((&step, allowed), state, &mut candidates, now, wall));
             }
         }
         transitions
@@ -96,7 +113,7 @@
         &mut self,
         pending: &PendingStep,
         state: &Workload,
-        (candidates, allowed): &mut (&mut Candidates, u32),
+        (candidates, kept_room, allowed): (&mut Candidates, KeptRoom, u32),
         (now, wall): (Millis, WallMs),
         transitions: &mut Vec<Transition>,
     ) -> usize {
@@ -114,8 +131,14 @@
             }
             placed
         } else {
-            let allowed = *allowed as usize;
-            place_tasks((key, tasks), allowed, &mut request, candidates, transitions)
+            request.kept_room = kept_room;
+            place_tasks(
+                (key, tasks),
+                allowed as usize,
+                &mut request,
+                candidates,
+                transitions,
+            )
         };
         if placed > 0 {
             info!(event = "tasks_placed", job = %job.id, occurrence = key.occurrence, step = key.step,
@@ -140,6 +163,8 @@
             tasks_per_worker: BTreeMap::new(),
             avoided: self.avoided.for_step(key),
             any_location: self.accepts_any_location(job, step, key, wall),
+            is_urgent: is_urgent(job),
+            kept_room: KeptRoom::default(),
         };
         request.count_tasks_per_worker(tasks);
         request
@@ -217,10 +242,19 @@
         .filter(|(task, _index)| task.is_pending())
         .take(allowed);
     let mut placed = 0;
+    let mut in_order = candidates
+        .in_order_for_tasks(request)
+        .into_iter()
+        .peekable();
     for (_task, index) in pending {
-        let Some(at) = candidates.find_for_task(request) else {
+        while in_order
+            .next_if(|at| !candidates.takes_task(*at, request))
+            .is_some()
+        {}
+        let Some(at) = in_order.peek().copied() else {
             break;
         };
+        request.kept_room.place_on(&candidates.all[at]);
         candidates.allocate(at, request.step.allocation());
         let placement = placement_at(candidates, at);
         if request.step.per_worker_max.is_some() {
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -22,6 +22,10 @@
 /// How long a reclaim may take beyond the stop time and a report before further victims are chosen.
 const RECLAIM_SLACK_MS: Millis = Millis(600);
 
+/// How long a step for which nothing could be reclaimed waits until that is tried again. The search
+/// visits all runs of all workers.
+const RECLAIM_RETRY_MS: Millis = Millis(200);
+
 /// An urgent job within its guarantee accepts a second-best placement after the urgent start time
 /// divided by this, which leaves time for a stop and two reports.
 const CLAIM_DIVISOR: u64 = 2;
@@ -55,6 +59,7 @@
 
 impl Planner {
     /// Stops other runs for a step that does not fit, and reserves the resources that they release.
+    /// Returns whether it searched for runs to stop.
     pub(super) fn reclaim(
         &mut self,
         (pending, allowed): (&PendingStep, u32),
@@ -62,15 +67,18 @@
         candidates: &mut Candidates,
         now: Millis,
         wall: WallMs,
-    ) {
+    ) -> bool {
         let (Some(job), Some((step, tasks))) =
             (state.job(pending.key.job), state.step(pending.key))
         else {
-            return;
+            return false;
         };
         if let Some(reservation) = self.reservations.get(&pending.key) {
             candidates.hold_on_workers(&reservation.workers, step.allocation());
-            return;
+            return false;
+        }
+        if self.reclaim_retries.contains_key(&pending.key) {
+            return false;
         }
         let request = self.placement_request(pending.key, (job, step, tasks), allowed, wall);
         let waited = wall.since(job.due_ms(pending.key.occurrence));
@@ -88,13 +96,13 @@
         });
         let own_work = self.work_at_stake(job, step, request.tasks);
         let spread_cost = own_work.saturating_mul(self.options.far_factor.saturating_sub(1));
-        let Some(plan) = cheapest_plan(&request, candidates, &victims, spread_cost) else {
-            return;
-        };
         let at_any_cost = is_covered && waited.get() >= self.claim_delay_ms() / 2;
-        if !at_any_cost && plan.lost > own_work {
-            return;
-        }
+        let plan = cheapest_plan(&request, candidates, &victims, spread_cost);
+        let Some(plan) = plan.filter(|plan| at_any_cost || plan.lost <= own_work) else {
+            let retry_ms = now.saturating_add(RECLAIM_RETRY_MS);
+            self.reclaim_retries.insert(pending.key, retry_ms);
+            return true;
+        };
         for at in &plan.candidates {
             candidates.hold(*at, step.allocation());
         }
@@ -114,6 +122,7 @@
             leaving = runs.len(), lost_core_ms = plan.lost, waited_ms = waited.get());
         self.stopping.extend(runs);
         self.dirty = true;
+        true
     }
 
     /// How long an urgent job within its guarantee waits before it accepts a second-best placement:
@@ -212,6 +221,7 @@
     spread_cost: u64,
 ) -> Option<ReclaimPlan> {
     let all: Vec<usize> = (0..candidates.all.len())
+        .filter(|at| request.is_open(&candidates.all[*at], candidates))
         .filter(|at| request.any_location || request.is_near_data(&candidates.all[*at]))
         .collect();
     if !(request.step.gang && request.step.same_rack) {
@@ -230,7 +240,11 @@
     });
     let in_rack = plans.min_by_key(|plan| plan.lost);
     let takes_any = request.any_location || !candidates.fits_some_rack(request);
-    let spread = plan_among(&all, request, candidates, victims).filter(|_plan| takes_any);
+    let spread = if takes_any {
+        plan_among(&all, request, candidates, victims)
+    } else {
+        None
+    };
     match (in_rack, spread) {
         (Some(rack), Some(spread)) if rack.lost <= spread.lost.saturating_add(spread_cost) => {
             Some(rack)
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -91,6 +91,11 @@
             .remaining_ms
             .map(|remaining| now.saturating_add(remaining));
         self.dirty |= worker.update_description(report);
+        let is_placed = |run: &RunKey| {
+            let task = state.task(run.task);
+            task.is_some_and(|task| task.run == run.run && task.placement.is_some())
+        };
+        worker.unreported.retain(|run, _state| is_placed(run));
         let earlier = std::mem::take(&mut worker.running);
         worker.running = reported_runs(report, state, &earlier, now);
         worker.has_unknown_runs = worker.running.len() < report.running.len();
@@ -142,7 +147,9 @@
         let Some(worker) = self.workers.get_mut(&report.worker) else {
             return;
         };
-        worker.unreported.remove(&run);
+        // Until the end is committed, the run must not look as if it had never started: the batch
+        // with its end may be refused.
+        worker.unreported.insert(run, UnreportedRun::WasRunning);
         match end.end {
             RunEnd::Done => worker.record_success(),
             RunEnd::Failed => worker.record_failure(now),
--- a/src/workload/planner/reservation.rs
+++ b/src/workload/planner/reservation.rs
@@ -104,6 +104,9 @@
 
     /// Returns held resources to the candidates.
     pub(super) fn release(&mut self, held: &[HeldResources]) {
+        if !held.is_empty() {
+            self.unfitting.clear();
+        }
         for held in held {
             let candidate = &mut self.all[held.at];
             candidate.free = candidate.free.saturating_add(held.free);
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -28,6 +28,8 @@
     /// When the worker deregistered.
     pub(super) deregistered_ms: Option<Millis>,
     pub(super) last_report_ms: Millis,
+    /// Until when the answer to its last report may be held back.
+    pub(super) held_until_ms: Millis,
     /// Until when the worker may hold a lease from this or an earlier leader, so that runs on it
     /// may continue.
     pub(super) lease_until_ms: Millis,
@@ -51,8 +53,9 @@
     Inherited,
     /// A stop was ordered at `since_ms`; an earlier leader may have started the run.
     StopOrdered { since_ms: Millis },
-    /// Its start was ordered in the answer to the report with this sequence number.
-    StartOrdered { sequence: Sequence },
+    /// Its start was ordered for the `attempts`-th time in the answer to the report with this
+    /// sequence number.
+    StartOrdered { sequence: Sequence, attempts: u32 },
     /// An earlier report listed it as running.
     WasRunning,
 }
@@ -82,6 +85,7 @@
             available_until_ms: None,
             deregistered_ms: None,
             last_report_ms: Millis::ZERO,
+            held_until_ms: Millis::ZERO,
             lease_until_ms,
             running: BTreeMap::new(),
             unreported: BTreeMap::new(),
--- a/src/workload/resources.rs
+++ b/src/workload/resources.rs
@@ -82,6 +82,36 @@
         }
     }
 
+    /// Returns the larger value of each kind.
+    #[must_use]
+    pub fn max_each(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.max(other.cpu_millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// The share of `capacity` that these resources take of the kind of which they take most, in
+    /// percent, rounded down.
+    #[must_use]
+    pub fn percent_of(self, capacity: Self) -> u64 {
+        let percent = |used: u64, of: u64| used.saturating_mul(100).checked_div(of).unwrap_or(0);
+        percent(self.cpu_millicores, capacity.cpu_millicores)
+            .max(percent(self.memory_mb, capacity.memory_mb))
+            .max(percent(self.accelerators, capacity.accelerators))
+    }
+
+    /// Returns this part of each kind, in percent.
+    #[must_use]
+    pub const fn percent(self, percent: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(percent) / 100,
+            memory_mb: self.memory_mb.saturating_mul(percent) / 100,
+            accelerators: self.accelerators.saturating_mul(percent) / 100,
+        }
+    }
+
     /// Multiplies each kind by `count`, saturating at the numeric bounds.
     #[must_use]
     pub const fn saturating_mul(self, count: u64) -> Self {
--- a/tests/support/workload_fixtures.rs
+++ b/tests/support/workload_fixtures.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// Two queues, one urgent, and two teams, one with a guarantee.
+/// Three queues, one urgent, and two teams, one with a guarantee.
 pub fn declaration() -> Declaration {
     let queue = |prefix: &str, priority| Queue {
         name: prefix.into(),
@@ -54,7 +54,11 @@
     };
     Declaration {
         version: 1,
-        queues: vec![queue("/urgent/", 0), queue("/batch/", 2)],
+        queues: vec![
+            queue("/urgent/", 0),
+            queue("/normal/", 1),
+            queue("/batch/", 2),
+        ],
         services: vec![Service {
             name: "ponds".parse().expect("a valid id"),
             enforces_capacity: true,
--- a/tests/support/workload_simulation.rs
+++ b/tests/support/workload_simulation.rs
@@ -48,6 +48,8 @@
     pub stopped: u32,
     pub seed: u64,
     pub run_duration_ms: u64,
+    /// How much longer than `run_duration_ms` some tasks run.
+    pub duration_spread_ms: u64,
     term: u64,
     next_job: u64,
     commands: Vec<WorkloadCommand>,
@@ -71,6 +73,7 @@
             stopped: 0,
             seed,
             run_duration_ms: 1_500,
+            duration_spread_ms: 0,
             term: 1,
             next_job: 0,
             commands: Vec::new(),
@@ -207,9 +210,9 @@
     }
 
     fn answer(&mut self, (at, report, received_ms): PendingReport) {
-        let orders = self
-            .planner
-            .orders_for_report(&report, Millis(received_ms), &self.state);
+        let orders =
+            self.planner
+                .orders_for_report(&report, Millis(received_ms), Millis::ZERO, &self.state);
         let late = self.with_probability(self.network_faults.delayed_percent);
         let delay = if late { 1_200 } else { 10 };
         if !self.with_probability(self.network_faults.lost_percent) {
@@ -340,6 +343,18 @@
         (0..step.tasks).all(is_running)
     }
 
+    /// A task's run time, which is the same in each run and for all members of a gang.
+    fn duration_of(&self, task: &TaskName) -> u64 {
+        /// Spreads the run times of neighboring tasks.
+        const STRIDE_MS: u64 = 769;
+        let key = self.state.task_key(task);
+        let is_gang = key.and_then(|key| self.state.step(key.step));
+        let is_gang = is_gang.is_some_and(|(step, _tasks)| step.gang);
+        let index = if is_gang { 0 } else { u64::from(task.index) };
+        let further = index * STRIDE_MS % (self.duration_spread_ms + 1);
+        self.run_duration_ms + further
+    }
+
     fn advance_runs(&mut self) {
         let listed: Vec<(usize, TaskName, u32)> = self
             .workers
@@ -352,6 +367,7 @@
             .collect();
         for (at, task, run) in listed {
             let present = self.is_gang_present(&task, run);
+            let duration_ms = self.duration_of(&task);
             let worker = &mut self.workers[at];
             let Some(run) = worker.runs.get_mut(&task) else {
                 continue;
@@ -364,7 +380,7 @@
                 Some(RunEnd::Failed)
             } else if present {
                 run.progress_ms += TICK_MS;
-                (run.progress_ms >= self.run_duration_ms).then_some(RunEnd::Done)
+                (run.progress_ms >= duration_ms).then_some(RunEnd::Done)
             } else if run.progress_ms > 0 {
                 Some(RunEnd::Broken)
             } else {
--- a/tests/workload_reclaim.rs
+++ b/tests/workload_reclaim.rs
@@ -80,10 +80,16 @@
         simulation.submit("/urgent/", "clubs", job(vec![urgent_task]));
     }
     simulation.run(1_000);
-    for _worker in 0..2 {
-        simulation.submit("/batch/", "clubs", job(vec![step(8, 1)]));
+    // Their data keeps them in these racks, one of which is reserved for urgent work by now.
+    for rack in ["r0", "r1"] {
+        let batch_task = Step {
+            data_rack: Some(rack.into()),
+            ..step(8, 1)
+        };
+        simulation.submit("/batch/", "clubs", job(vec![batch_task]));
     }
     simulation.run(1_000);
+    assert_eq!(simulation.starts, 22);
     let same_rack = Step {
         same_rack: true,
         ..gang(2, 8)
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -107,7 +107,7 @@
         return WorkerOrders::default();
     }
     commit(state, reported.transitions);
-    planner.orders_for_report(report, Millis(now), state)
+    planner.orders_for_report(report, Millis(now), Millis::ZERO, state)
 }
 
 /// A job whose tasks are placed on the first worker, with their start orders sent.
@@ -503,3 +503,21 @@
     assert_eq!(phase("new"), Some(Phase::Running));
     assert_eq!(phase("late"), Some(Phase::Queued));
 }
+
+/// A stop of an earlier leader that reached the worker before the start makes it refuse the start
+/// without a word. The order used to be repeated for ever, and the task never ran.
+#[test]
+fn refused_start_is_placed_anew() {
+    let (mut state, mut planner) = started_job(step(1, 1));
+    for sequence in 3..10 {
+        let now = 30 + sequence * 100;
+        exchange_report(&mut planner, &mut state, &report(1, sequence), now);
+        planner.mark_dirty();
+        plan(&mut planner, &mut state, now + 10);
+        let withdrawn = planner.withdraw_unstarted(&state);
+        commit(&mut state, withdrawn);
+    }
+    let key = state.task_key(&name(0)).expect("the task is known");
+    let run = state.task(key).map(|task| task.run);
+    assert_eq!(run, Some(2));
+}
