Test that refused batches restart no task that has ended

The simulation also showed two things of its own: an uncommitted success counted against gang members that were silent meanwhile, and a simulated gang ended as done on one worker only, where the protocol says that all members end so.

--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -52,9 +52,15 @@
 
     /// Records that a member has ended. A gang that was not complete by then never becomes complete
     /// in this run.
-    pub(super) fn member_ended(&mut self, run: RunKey, now: Millis) {
+    ///
+    /// The success of one member is that of the whole gang. It is not yet committed, so it must not
+    /// count against members that are silent meanwhile.
+    pub(super) fn member_ended(&mut self, run: RunKey, end: RunEnd, now: Millis) {
         let gang = (run.task.step, run.run);
         self.partial.remove(&gang);
+        if end == RunEnd::Done {
+            return;
+        }
         if let Some(ended_ms) = self.complete.get_mut(&gang) {
             ended_ms.get_or_insert(now);
         }
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -142,7 +142,7 @@
         info!(event = "run_ended", job = %end.task.job, task = %end.task, run = end.run, end = %end.end,
             worker = %report.worker, report = %report.sequence);
         self.stopping.insert(run);
-        self.presence.member_ended(run, now);
+        self.presence.member_ended(run, end.end, now);
         self.dirty = true;
         let Some(worker) = self.workers.get_mut(&report.worker) else {
             return;
--- a/tests/team_quota.rs
+++ b/tests/team_quota.rs
@@ -94,6 +94,7 @@
         simulation.network_faults = NetworkFaults {
             lost_percent: 3,
             delayed_percent: 3,
+            ..NetworkFaults::default()
         };
         simulation.command(with_maximums(2, Some(20), Some(32)));
         simulation.run(100);
--- a/tests/workload_histories.rs
+++ b/tests/workload_histories.rs
@@ -25,6 +25,7 @@
         simulation.network_faults = NetworkFaults {
             lost_percent: 3,
             delayed_percent: 3,
+            ..NetworkFaults::default()
         };
         let mut jobs = Vec::new();
         for _round in 0..30 {
@@ -59,3 +60,22 @@
         simulation.check_snapshot();
     }
 }
+
+/// A batch may be refused, above all while the leader's disk is full. An end in it used to look like
+/// a run that had never started, so the task was started again although it had succeeded.
+#[test]
+fn refused_batches_restart_nothing() {
+    for seed in 0..60 {
+        let mut simulation = Simulation::new(8, seed);
+        simulation.network_faults.refused_percent = 30;
+        for _round in 0..30 {
+            let spec = random_job(&mut simulation);
+            simulation.submit("/batch/", "clubs", spec);
+            simulation.run(400);
+        }
+        clear_faults(&mut simulation);
+        simulation.run_until(120_000, "all jobs end", |simulation| {
+            simulation.state.open_jobs().next().is_none()
+        });
+    }
+}
