--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -18,12 +18,13 @@
 use marjoramknot::replica::{self, Leadership, Peer, ReplicaOptions};
 use marjoramknot::scheduler::{JobKey, JobSpec, SubmitAnswer};
 use marjoramknot::units::{Accelerators, Cores, Incarnation, MemoryMb, Millis, Revision};
+use marjoramknot::workload::{WorkAnswer, WorkRequest};
 use notes::{INITIAL_NOTE, deadline_note, note};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Duration, Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// A control group of a single replica.
@@ -219,6 +220,31 @@
     replica.stop().await;
 }
 
+/// A call that waits for a replica without an answer is sent to the leader as soon as another call
+/// has found it. It used to wait for its own time-out and was overtaken by later calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn found_leader_releases_waiting_calls() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let replica = Replica::start(folder.path()).await;
+    let ready = replica.client().work(WorkRequest::CheckLeader).await;
+    assert_matches!(ready, Ok(WorkAnswer::Done));
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let silent_address = silent.local_addr().expect("a bound address");
+    let client = Client::new(vec![silent_address, replica.service.address()]);
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { client.work(WorkRequest::CheckLeader).await }
+    });
+    let (_held_open, _peer) = silent.accept().await.expect("the call connects");
+    client.hint_leader(replica.service.address());
+    let found = client.work(WorkRequest::CheckLeader).await;
+    assert_matches!(found, Ok(WorkAnswer::Done));
+    let released = timeout(Duration::from_millis(200), waiting).await;
+    let answer = released.expect("the call is released before its own time-out of 450 ms");
+    assert_matches!(answer, Ok(Ok(WorkAnswer::Done)));
+    replica.stop().await;
+}
+
 /// Invalid frames and messages close only the connection on which they arrive.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_frames() {
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -521,3 +521,45 @@
     let run = state.task(key).map(|task| task.run);
     assert_eq!(run, Some(2));
 }
+
+/// The report of an idle worker may wait for an order; one with anything to answer may not.
+#[rstest]
+#[case::idle(report(2, 1), true)]
+#[case::draining(WorkerReport { draining: true, ..report(2, 1) }, false)]
+#[case::running(WorkerReport { running: vec![running(0, 1)], ..report(2, 1) }, false)]
+#[case::ended(WorkerReport { ended: vec![ended(1, 0, 1, RunEnd::Done)], ..report(2, 1) }, false)]
+#[case::with_a_placed_run(report(1, 3), false)]
+fn only_idle_workers_wait(#[case] report: WorkerReport, #[case] may_wait: bool) {
+    let (state, mut planner) = started_job(step(1, 1));
+    planner.handle_report(&report, &state, Millis(100));
+    assert_eq!(planner.may_hold(&report, &state), may_wait);
+}
+
+/// A worker whose report is held takes tasks all the while, and reports soon after the answer.
+#[test]
+fn held_worker_takes_tasks() {
+    let (mut state, mut planner) = one_job(step(1, 1));
+    let held = report(1, 1);
+    planner.handle_report(&held, &state, Millis(10));
+    planner.report_held(&held, Millis(3_010));
+    plan(&mut planner, &mut state, 2_900);
+    let orders = planner.orders_for_report(&held, Millis(10), Millis(2_890), &state);
+    assert_eq!(orders.starts.len(), 1);
+    assert_eq!(orders.report_after_ms, Millis(50));
+}
+
+/// In a large fleet the reports of a worker are far apart; it still counts as reachable between
+/// them. At 3,000 workers only those that had just reported used to get tasks.
+#[test]
+fn rare_reports_keep_workers_reachable() {
+    const WORKERS: u32 = 3_000;
+    let (mut state, mut planner) = one_job(step(WORKERS, 8));
+    for worker in 0..WORKERS {
+        planner.handle_report(&report(worker, 1), &state, Millis(10));
+    }
+    // The options of the tests have 2 ms between the reports of any two workers.
+    plan(&mut planner, &mut state, 10 + 2 * u64::from(WORKERS));
+    let key = state.task_key(&name(0)).expect("the task is known");
+    let placed = state.step(key.step).map(|(_step, tasks)| tasks.placed);
+    assert_eq!(placed, Some(WORKERS));
+}
