Remember departed workers beyond a change of leader

Cause: only the leader knew that a worker had deregistered. After a change of leader a report that the worker had sent before, and that arrived late, registered it again; tasks were placed there and waited for a whole lease. Change: a deregistration is committed with the worker's incarnation and kept for two minutes; a later leader takes such a report for its ends only.

--- a/src/control/workload_log.rs
+++ b/src/control/workload_log.rs
@@ -38,7 +38,8 @@
                 }
                 WorkloadCommand::Submit { .. }
                 | WorkloadCommand::Declare(_)
-                | WorkloadCommand::SetZone { .. } => {}
+                | WorkloadCommand::SetZone { .. }
+                | WorkloadCommand::Depart { .. } => {}
             }
         }
         log.ended.retain(|job| is_open(state, *job));
--- a/src/control/workload_loop.rs
+++ b/src/control/workload_loop.rs
@@ -283,10 +283,11 @@
 
     fn handle_worker_left(&mut self, worker: &WorkerId, reply: AnswerSender) {
         let now = self.clock.now();
-        if let Some(leader) = &mut self.leader {
-            leader.planner.worker_left(worker, now);
+        let leader = self.leader.as_mut();
+        match leader.and_then(|leader| leader.planner.worker_left(worker, now)) {
+            Some(command) => self.queue_change(command, reply),
+            None => send(reply, Ok(WorkAnswer::Done)),
         }
-        send(reply, Ok(WorkAnswer::Done));
     }
 
     fn tick(&mut self) {
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -8,6 +8,7 @@
 use crate::units::{Millis, WorkerId};
 use crate::workload::{
     ReportedEnd, RunEnd, RunKey, Transition, WorkerIncarnation, WorkerReport, Workload,
+    WorkloadCommand,
 };
 
 /// How much slower than the leader's a worker's clock may run, in percent, as the platform
@@ -65,6 +66,10 @@
             let inherited =
                 of_incarnation.map(|(run, _incarnation)| (run, UnreportedRun::Inherited));
             worker.unreported = inherited.collect();
+            if state.has_departed(&report.worker, report.incarnation) {
+                // The report was sent before the worker deregistered with an earlier leader.
+                worker.deregistered_ms = Some(now);
+            }
             self.workers.insert(report.worker.clone(), worker);
             self.dirty = true;
         }
@@ -212,13 +217,18 @@
 
     /// Handles a worker's deregistration, by which time all of its runs have ended. Reports that it
     /// sent earlier may still arrive through other replicas and tell how they ended.
-    pub fn worker_left(&mut self, worker: &WorkerId, now: Millis) {
-        info!(event = "worker_left", worker = %worker);
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.draining = true;
-            worker.deregistered_ms.get_or_insert(now);
-            self.dirty = true;
-        }
+    ///
+    /// Returns the command that tells later leaders; `None` if the worker is not known.
+    pub fn worker_left(&mut self, id: &WorkerId, now: Millis) -> Option<WorkloadCommand> {
+        info!(event = "worker_left", worker = %id);
+        let worker = self.workers.get_mut(id)?;
+        worker.draining = true;
+        worker.deregistered_ms.get_or_insert(now);
+        self.dirty = true;
+        Some(WorkloadCommand::Depart {
+            worker: id.clone(),
+            incarnation: worker.incarnation,
+        })
     }
 
     /// Ends runs on workers whose lease has certainly expired, and members on silent workers of
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -15,6 +15,8 @@
 
 /// How long an ended job remains known.
 const ENDED_RETENTION_MS: Millis = Millis(600_000);
+/// How long a departed worker is remembered.
+const DEPARTED_RETENTION_MS: Millis = Millis(120_000);
 /// The maximum number of ended jobs that remain known.
 const ENDED_JOBS_MAX: usize = 50_000;
 
@@ -25,6 +27,8 @@
     closed_zones: BTreeSet<ZoneId>,
     pub(super) jobs: BTreeMap<JobNumber, Job>,
     pub(super) last_number: JobNumber,
+    /// Workers that have deregistered, with the incarnation that did and the time.
+    departed: BTreeMap<WorkerId, (WorkerIncarnation, WallMs)>,
     #[serde(skip)]
     pub(super) index: Index,
 }
@@ -61,6 +65,13 @@
     },
     /// Applies transitions of runs in this order.
     Transitions(Vec<Transition>),
+    /// Records that a worker has deregistered, so that a later leader knows it too.
+    Depart {
+        /// The worker that has deregistered.
+        worker: WorkerId,
+        /// Its incarnation; a later one may register again.
+        incarnation: WorkerIncarnation,
+    },
 }
 
 /// The result of a [`WorkloadCommand`].
@@ -110,6 +121,13 @@
                 }
                 WorkloadReply::Done
             }
+            WorkloadCommand::Depart {
+                worker,
+                incarnation,
+            } => {
+                self.departed.insert(worker.clone(), (*incarnation, now));
+                WorkloadReply::Done
+            }
         }
     }
 
@@ -119,7 +137,11 @@
     }
 
     /// Removes ended jobs that are past their retention or exceed the maximum number.
+    ///
+    /// Departed workers are forgotten once none of their reports can still be on its way.
     pub fn expire(&mut self, now: WallMs) {
+        self.departed
+            .retain(|_worker, (_incarnation, at)| now.since(*at) < DEPARTED_RETENTION_MS);
         while let Some((ended_ms, number)) = self.index.oldest_ended() {
             let is_old = now.since(ended_ms) >= ENDED_RETENTION_MS;
             if !is_old && self.index.ended_len() <= ENDED_JOBS_MAX {
@@ -144,6 +166,13 @@
         !self.closed_zones.contains(zone)
     }
 
+    /// Whether this incarnation of a worker, or a later one, has deregistered.
+    #[must_use]
+    pub fn has_departed(&self, worker: &WorkerId, incarnation: WorkerIncarnation) -> bool {
+        let departed = self.departed.get(worker);
+        departed.is_some_and(|(departed, _at)| *departed >= incarnation)
+    }
+
     /// Looks up a job by number.
     #[must_use]
     pub fn job(&self, number: JobNumber) -> Option<&Job> {
--- a/tests/support/workload_simulation.rs
+++ b/tests/support/workload_simulation.rs
@@ -29,6 +29,10 @@
 
 /// The probabilities that the network loses or delays messages.
 #[derive(Clone, Copy, Debug, Default)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "each is a probability in percent, and a field carries its unit"
+)]
 pub struct NetworkFaults {
     pub lost_percent: u32,
     pub delayed_percent: u32,
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -563,3 +563,43 @@
     let placed = state.step(key.step).map(|(_step, tasks)| tasks.placed);
     assert_eq!(placed, Some(WORKERS));
 }
+
+/// A worker deregisters, the leader changes, and a report that the worker had sent before arrives
+/// late. The new leader used to place tasks on the worker, which waited there for a whole lease.
+#[test]
+fn departed_worker_gets_nothing_from_a_new_leader() {
+    let (mut state, mut planner) = one_job(step(1, 1));
+    planner.handle_report(&report(1, 1), &state, Millis(10));
+    let worker = report(1, 1).worker;
+    let depart = planner.worker_left(&worker, Millis(20));
+    let depart = depart.expect("the worker is known");
+    state.apply(&depart, WallMs(1_000_020));
+    let mut planner = Planner::new(options(), Term(4), Millis(30));
+    planner.handle_report(&report(1, 2), &state, Millis(40));
+    plan(&mut planner, &mut state, 50);
+    assert_eq!(state.workers_with_runs().count(), 0);
+    let restarted = WorkerReport {
+        incarnation: WorkerIncarnation(2),
+        ..report(1, 1)
+    };
+    planner.handle_report(&restarted, &state, Millis(60));
+    plan(&mut planner, &mut state, 70);
+    assert_eq!(state.workers_with_runs().next(), Some(&worker));
+}
+
+/// Leaving is forgotten after two minutes, when no late report can arrive any more.
+#[test]
+fn departed_workers_are_forgotten() {
+    let (mut state, _planner) = one_job(step(1, 1));
+    let worker = report(1, 1).worker;
+    let incarnation = WorkerIncarnation(1);
+    let depart = WorkloadCommand::Depart {
+        worker: worker.clone(),
+        incarnation,
+    };
+    state.apply(&depart, WallMs(1_000_000));
+    state.expire(WallMs(1_119_999));
+    assert!(state.has_departed(&worker, incarnation));
+    state.expire(WallMs(1_120_000));
+    assert!(!state.has_departed(&worker, incarnation));
+}
