Count late failures as attempts, and leave racks that can't hold a gang

Change: failed runs are kept by number, so a late one counts once; a step whose data's rack can't hold it, or that has waited 2 s while the fleet is not busy, takes any location; racks are reserved from 60% in use on.

--- a/src/workload/job.rs
+++ b/src/workload/job.rs
@@ -76,10 +76,8 @@
     pub done: u32,
     /// The number of tasks that have a placement.
     pub placed: u32,
-    /// How often the step failed as a gang.
-    pub gang_failures: u32,
-    /// The last gang run counted as a failure, so that several failing members count once.
-    pub failed_run: u32,
+    /// The runs that failed as a gang, each once, however many of its members failed.
+    pub failed_runs: Vec<u32>,
     /// The checkpoint from which the whole gang resumes.
     pub gang_checkpoint: SmolStr,
 }
@@ -89,8 +87,8 @@
 pub struct TaskState {
     /// The number of its latest run; 0 before the first.
     pub run: u32,
-    /// How often it has failed.
-    pub failures: u32,
+    /// The runs that failed.
+    pub failed_runs: Vec<u32>,
     /// Whether it has succeeded.
     pub done: bool,
     /// Where it runs, or may still be running.
@@ -149,7 +147,7 @@
     pub(super) fn record_end(
         &mut self,
         step: &Step,
-        index: u32,
+        (index, run): (u32, u32),
         end: RunEnd,
         checkpoint: &SmolStr,
         attempts_max: u32,
@@ -157,7 +155,6 @@
         let Some(task) = self.tasks.get_mut(index as usize) else {
             return false;
         };
-        let run = task.run;
         if !checkpoint.is_empty() && step.gang {
             self.gang_checkpoint = checkpoint.clone();
         } else if !checkpoint.is_empty() {
@@ -169,16 +166,16 @@
                 self.mark_done(step, index);
                 false
             }
-            RunEnd::Failed if step.gang => {
-                if self.failed_run != run {
-                    self.failed_run = run;
-                    self.gang_failures += 1;
-                }
-                self.gang_failures >= attempts_max
-            }
             RunEnd::Failed => {
-                task.failures += 1;
-                task.failures >= attempts_max
+                let failed_runs = if step.gang {
+                    &mut self.failed_runs
+                } else {
+                    &mut task.failed_runs
+                };
+                if !failed_runs.contains(&run) {
+                    failed_runs.push(run);
+                }
+                failed_runs.len() >= attempts_max as usize
             }
             RunEnd::Stopped
             | RunEnd::Lapsed
@@ -189,6 +186,22 @@
         }
     }
 
+    /// Whether a run that had been given up is now known to have failed, which uses up an attempt
+    /// all the same.
+    #[must_use]
+    pub fn is_late_failure(&self, step: &Step, index: u32, run: u32, end: RunEnd) -> bool {
+        let Some(task) = self.tasks.get(index as usize) else {
+            return false;
+        };
+        let failed_runs = if step.gang {
+            &self.failed_runs
+        } else {
+            &task.failed_runs
+        };
+        let is_known = (1..=task.run).contains(&run);
+        end == RunEnd::Failed && is_known && !task.done && !failed_runs.contains(&run)
+    }
+
     /// Marks a task as done; the success of one gang member completes the whole gang.
     fn mark_done(&mut self, step: &Step, index: u32) {
         let last = self.tasks.len();
--- a/src/workload/planner/candidates.rs
+++ b/src/workload/planner/candidates.rs
@@ -305,6 +305,21 @@
         self.pack(candidates, request)
     }
 
+    /// Whether the rack of the step's data could hold it if nothing else ran there. Waiting for a
+    /// rack that has lost its workers would never end.
+    pub(super) fn can_hold_near_data(&self, request: &PlacementRequest<'_>) -> bool {
+        if request.step.data_rack.is_none() {
+            return true;
+        }
+        let members = self.racks.get(&request.step.data_rack);
+        let fits = members.into_iter().flatten().map(|at| {
+            let candidate = &self.all[*at];
+            request.fitting_tasks(candidate, candidate.capacity)
+        });
+        let needed = if request.step.gang { request.tasks } else { 1 };
+        fits.fold(0, u32::saturating_add) >= needed
+    }
+
     /// Whether some rack could hold the gang if nothing else ran there.
     pub(super) fn fits_some_rack(&self, request: &PlacementRequest<'_>) -> bool {
         self.racks.values().any(|candidates| {
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -19,6 +19,8 @@
 /// The same for a gang that prefers one rack. It waits longer, because a slow gang occupies all of
 /// its workers for longer.
 const RACK_LOCALITY_WAIT_PERCENT: u64 = 300;
+/// How long a job waits for a better location while the fleet is not busy.
+const IDLE_FLEET_WAIT_MS: Millis = Millis(2_000);
 /// The maximum number of non-urgent gangs for which one pass reclaims resources.
 const GANG_RECLAIMS_MAX: usize = 4;
 /// The maximum number of searches for resources to reclaim in one pass, which visit all runs. The
@@ -92,7 +94,8 @@
             let is_blocked = newly_placed < allowed as usize;
             if is_blocked && spec.gang && step.deadline_status == DeadlineStatus::OnTime {
                 let count = spec.tasks;
-                let request = self.placement_request(step.key, (job, spec, tasks), count, wall);
+                let request =
+                    self.placement_request(step.key, (job, spec, tasks), count, &candidates, wall);
                 gang_room.keep_for(&step, &request, &mut candidates);
             }
             let is_gang = spec.gang
@@ -122,7 +125,7 @@
             return 0;
         };
         let count = if step.gang { step.tasks } else { 1 };
-        let mut request = self.placement_request(key, (job, step, tasks), count, wall);
+        let mut request = self.placement_request(key, (job, step, tasks), count, candidates, wall);
         let placed = if step.gang {
             let run = tasks.next_run_number(step, 0);
             let placed = place_gang(key, run, &request, candidates, transitions);
@@ -154,6 +157,7 @@
         key: StepKey,
         (job, step, tasks): (&'a Job, &'a Step, &StepState),
         count: u32,
+        candidates: &Candidates,
         wall: WallMs,
     ) -> PlacementRequest<'a> {
         let mut request = PlacementRequest {
@@ -167,6 +171,9 @@
             kept_room: KeptRoom::default(),
         };
         request.count_tasks_per_worker(tasks);
+        let waited = wall.since(job.due_ms(key.occurrence));
+        let is_idle_beside_room = !candidates.is_busy() && waited >= IDLE_FLEET_WAIT_MS;
+        request.any_location |= is_idle_beside_room || !candidates.can_hold_near_data(&request);
         request
     }
 
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -80,7 +80,8 @@
         if self.reclaim_retries.contains_key(&pending.key) {
             return false;
         }
-        let request = self.placement_request(pending.key, (job, step, tasks), allowed, wall);
+        let request =
+            self.placement_request(pending.key, (job, step, tasks), allowed, candidates, wall);
         let waited = wall.since(job.due_ms(pending.key.occurrence));
         let is_covered = self.guarantees.covers(job);
         let claims_all = is_covered && waited.get() >= self.claim_delay_ms();
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -141,7 +141,10 @@
         let is_late = state
             .task(task)
             .is_some_and(|task| task.is_late_success(end.run, end.end));
-        if !is_here && !is_late {
+        let is_late_failure = state
+            .step(task.step)
+            .is_some_and(|(step, tasks)| tasks.is_late_failure(step, task.index, end.run, end.end));
+        if !is_here && !is_late && !is_late_failure {
             return;
         }
         info!(event = "run_ended", job = %end.task.job, task = %end.task, run = end.run, end = %end.end,
--- a/src/workload/planner/urgent_racks.rs
+++ b/src/workload/planner/urgent_racks.rs
@@ -21,7 +21,7 @@
 const RESERVED_MAX_PERCENT: u64 = 40;
 /// Racks are reserved only while at least this part of the service's resources is in use, in
 /// percent. Below it, pending work must not wait while workers are idle.
-const BUSY_PERCENT: u64 = 50;
+const BUSY_PERCENT: u64 = 60;
 /// The part of the guaranteed accelerators that a new leader expects urgent jobs to need, in
 /// percent, until it has seen the actual demand.
 const EXPECTED_GUARANTEE_PERCENT: u64 = 25;
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -373,6 +373,7 @@
         let Some(state) = occurrence.steps.get_mut(at) else {
             return;
         };
+        let is_late_failure = state.is_late_failure(step, run.task.index, run.run, end);
         let Some(task) = state.tasks.get_mut(run.task.index as usize) else {
             return;
         };
@@ -383,11 +384,11 @@
             let load = (job.team.as_ref(), step);
             self.index
                 .remove_placement(&placement.worker, run.task, load);
-        } else if !task.is_late_success(run.run, end) {
+        } else if !task.is_late_success(run.run, end) && !is_late_failure {
             return;
         }
         let attempts_max = job.policy.attempts_max;
-        let failed = state.record_end(step, run.task.index, end, saved, attempts_max);
+        let failed = state.record_end(step, (run.task.index, run.run), end, saved, attempts_max);
         self.end_if_complete(key.job, key.occurrence, failed, now);
     }
 
--- a/tests/workload_reclaim.rs
+++ b/tests/workload_reclaim.rs
@@ -140,3 +140,22 @@
     assert_eq!(simulation.phase(&urgent), Some(Phase::Running));
     assert_eq!(simulation.stopped, 16, "stopped runs");
 }
+
+/// The rack of a gang's data has lost a worker and can no longer hold the gang, while the other rack
+/// is idle. The gang used to wait for three times the work that running elsewhere would lose.
+#[test]
+fn gang_leaves_a_rack_that_cannot_hold_it() {
+    let mut simulation = Simulation::new(8, 5);
+    simulation.run(500);
+    simulation.workers[0].crash();
+    simulation.run(2_000);
+    let near_data = Step {
+        same_rack: true,
+        data_rack: Some("r0".into()),
+        estimate_ms: Millis(10_000),
+        ..gang(4, 8)
+    };
+    let waiting = simulation.submit("/batch/", "clubs", job(vec![near_data]));
+    simulation.run(1_000);
+    assert_eq!(simulation.phase(&waiting), Some(Phase::Running));
+}
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -10,8 +10,9 @@
 use assert_matches::assert_matches;
 use marjoramknot::units::{Millis, Sequence, Term, WallMs};
 use marjoramknot::workload::{
-    Phase, Planner, ReportedEnd, ReportedRun, RunEnd, Step, TaskName, Transition,
-    WorkerIncarnation, WorkerOrders, WorkerReport, Workload, WorkloadCommand, WorkloadReply,
+    Phase, Placement, Planner, ReportedEnd, ReportedRun, RunEnd, RunKey, Step, TaskName,
+    Transition, WorkerIncarnation, WorkerOrders, WorkerReport, Workload, WorkloadCommand,
+    WorkloadReply,
 };
 use rstest::rstest;
 
@@ -209,7 +210,8 @@
     next_report.sequence = Sequence(4);
     exchange_report(&mut planner, &mut state, &next_report, 400);
     let key = state.task_key(&name(0)).expect("the task is known");
-    assert_eq!(state.task(key).map(|task| task.failures), Some(1));
+    let failures = state.task(key).map(|task| task.failed_runs.len());
+    assert_eq!(failures, Some(1));
 }
 
 /// A run that is being stopped is listed neither as running nor as ended. The planner used to take
@@ -603,3 +605,62 @@
     state.expire(WallMs(1_120_000));
     assert!(!state.has_departed(&worker, incarnation));
 }
+
+/// The failure of a run that was given up meanwhile uses up an attempt, as its worker's answer
+/// acknowledges it. It used to be ignored, and the task ran once more than allowed.
+#[rstest]
+#[case::single_task(step(1, 1))]
+#[case::gang(Step { gang: true, ..step(1, 1) })]
+fn late_failures_count_as_attempts(#[case] tasks: Step) {
+    let (mut state, mut planner) = started_job(tasks);
+    let lapsed = planner.expire_leases(&state, Millis(30 + LEASE_MAX_MS + 1));
+    commit(&mut state, lapsed);
+    let now = 100 + LEASE_MAX_MS;
+    for attempt in 1..=3_u32 {
+        let late = WorkerReport {
+            ended: vec![ended(u64::from(attempt), 0, attempt, RunEnd::Failed)],
+            ..report(1, 10 + u64::from(attempt))
+        };
+        // Listed again before it is acknowledged, it counts once.
+        for sequence in 0..2 {
+            let again = WorkerReport {
+                sequence: Sequence(late.sequence.get() * 10 + sequence),
+                ..late.clone()
+            };
+            exchange_report(&mut planner, &mut state, &again, now);
+        }
+        let places = vec![(0, placement(1))];
+        let step = state.task_key(&name(0)).map(|key| key.step);
+        if let Some(step) = step.filter(|_step| attempt < 3) {
+            let run = attempt + 1;
+            commit(&mut state, vec![Transition::Placed { step, run, places }]);
+            let lapsed = lapsed_end(&state, run);
+            commit(&mut state, vec![lapsed]);
+        }
+    }
+    let job = state
+        .job_number(&name(0).job)
+        .and_then(|number| state.job(number));
+    assert_eq!(job.map(|job| job.phase), Some(Phase::Failed));
+}
+
+fn placement(worker: u32) -> Placement {
+    let WorkerReport {
+        worker,
+        incarnation,
+        ..
+    } = report(worker, 1);
+    Placement {
+        worker,
+        incarnation,
+    }
+}
+
+fn lapsed_end(state: &Workload, run: u32) -> Transition {
+    let task = state.task_key(&name(0)).expect("the task is known");
+    Transition::Ended {
+        run: RunKey { task, run },
+        end: RunEnd::Lapsed,
+        saved: "".into(),
+    }
+}
