--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The leader is stopped as planned while workers stop preempted runs.
+# Connections between entries and control go silent, eight times.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
 # the disruption out.
 set -u
@@ -11,4 +11,4 @@
 fi
 calm=()
 [ "${TROUBLE:-1}" = 0 ] && calm=(--calm)
-exec target/review/standin handover "$here/record.txt" "${calm[@]}"
+exec target/review/standin leak "$here/record.txt" "${calm[@]}"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod proxy;
 mod record;
 mod refused;
+mod slow;
 mod worker;
 
 use std::net::SocketAddr;
@@ -115,6 +116,7 @@
         "handover" => handover::run(&record, trouble),
         "pending" => pending::run(&record, trouble),
         "refused" => refused::run(&record, trouble),
+        "slow" => slow::run(&record, trouble),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     };
     let (code, text) = match outcome {
