--- a/review/standin/handover.rs
+++ b/review/standin/handover.rs
@@ -8,7 +8,7 @@
 use crate::platform::{Platform, SIGTERM, Site};
 use crate::record::{Record, overlaps};
 use crate::worker::{Options, Worker};
-use crate::{KEY, Outcome, call, configuration, job, quoted};
+use crate::{KEY, Outcome, call, configuration, job, job_with, quoted};
 
 /// Workers with the label that urgent jobs require.
 const URGENT_WORKERS: usize = 32;
@@ -27,6 +27,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
         replicas: 3,
+        spares: 0,
         entries: 2,
         hold_max_ms: 10_000,
         stop_timeout_ms: STOP_MS,
@@ -63,7 +64,7 @@
     let mut workers: Vec<Worker> = (0..URGENT_WORKERS).map(|n| worker(n, "b")).collect();
     thread::sleep(Duration::from_millis(1_000));
     let entries = Arc::new(platform.caller_addresses.clone());
-    let tasks = job(URGENT_WORKERS as u32, "");
+    let tasks = job(URGENT_WORKERS as u32);
     if call(record, entries[0], "POST", "/low/low1", &tasks).0 != 200 {
         return Outcome::CouldNotRun("the job of low priority was not accepted".into());
     }
@@ -125,7 +126,15 @@
     let path = format!("/urgent/urgent{number}");
     for attempt in 0..4 {
         let entry = entries[(number + attempt) % entries.len()];
-        if call(record, entry, "POST", &path, &job(1, "b")).0 == 200 {
+        if call(
+            record,
+            entry,
+            "POST",
+            &path,
+            &job_with(1, ",\"requirements\":\"b\""),
+        )
+        .0 == 200
+        {
             return;
         }
         thread::sleep(Duration::from_millis(300));
--- a/review/standin/leak.rs
+++ b/review/standin/leak.rs
@@ -20,6 +20,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
         replicas: 3,
+        spares: 0,
         entries: ENTRIES,
         hold_max_ms: 10_000,
         stop_timeout_ms: 900,
@@ -37,7 +38,7 @@
     }
     record.note("all entries are ready");
     let entry = platform.caller_addresses[0];
-    if call(record, entry, "POST", "/low/before", &job(1, "")).0 != 200 {
+    if call(record, entry, "POST", "/low/before", &job(1)).0 != 200 {
         return Outcome::CouldNotRun("a job was not accepted before the disruption".into());
     }
     for number in 1..=TIMES {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod proxy;
 mod record;
 mod refused;
+mod seeds;
 mod slow;
 mod worker;
 
@@ -83,15 +84,15 @@
 }
 
 /// A job of one step of `count` tasks that each take all accelerators of a worker.
-pub fn job(count: u32, label: &str) -> String {
-    let requirement = if label.is_empty() {
-        String::new()
-    } else {
-        format!(",\"requirements\":\"{label}\"")
-    };
+pub fn job(count: u32) -> String {
+    job_with(count, "")
+}
+
+/// The same, with further fields of the step.
+pub fn job_with(count: u32, fields: &str) -> String {
     format!(
         "{{\"spec\":\"x\",\"steps\":[{{\"count\":{count},\"cpu\":4000,\"mem_mb\":8000,\"gpu\":8,\
-         \"estimate_ms\":8000,\"checkpoints\":true{requirement}}}]}}"
+         \"estimate_ms\":8000{fields}}}]}}"
     )
 }
 
@@ -116,6 +117,7 @@
         "handover" => handover::run(&record, trouble),
         "pending" => pending::run(&record, trouble),
         "refused" => refused::run(&record, trouble),
+        "seeds" => seeds::run(&record, trouble),
         "slow" => slow::run(&record, trouble),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     };
--- a/review/standin/pending.rs
+++ b/review/standin/pending.rs
@@ -18,6 +18,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
         replicas: 3,
+        spares: 0,
         entries: 2,
         hold_max_ms: 6_000,
         stop_timeout_ms: 400,
@@ -53,7 +54,7 @@
     let mut workers: Vec<Worker> = (1..=7).map(|n| worker(&format!("i-{n}"))).collect();
     thread::sleep(Duration::from_secs(1));
     let entry = platform.caller_addresses[0];
-    if call(record, entry, "POST", "/low/busy", &job(7, "")).0 != 200 {
+    if call(record, entry, "POST", "/low/busy", &job(7)).0 != 200 {
         return Outcome::CouldNotRun("the first job was not accepted".into());
     }
     thread::sleep(Duration::from_secs(1));
@@ -63,7 +64,7 @@
         record.note("worker i-8 crashes");
         workers[7].crash();
     }
-    if call(record, entry, "POST", "/low/job1", &job(1, "")).0 != 200 {
+    if call(record, entry, "POST", "/low/job1", &job(1)).0 != 200 {
         return Outcome::CouldNotRun("the job was not accepted".into());
     }
     let accepted_ms = record.now_ms();
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -16,6 +16,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
 
@@ -38,6 +39,8 @@
 #[derive(Clone)]
 pub struct Site {
     pub replicas: usize,
+    /// Further replicas that are not started with the others.
+    pub spares: usize,
     pub entries: usize,
     pub hold_max_ms: u64,
     pub stop_timeout_ms: u64,
@@ -77,6 +80,15 @@
         self.record.note(format!("{} starts", self.name));
     }
 
+    fn replace_line(&self, start: &str, line: &str) {
+        let text = fs::read_to_string(&self.settings).expect("the settings exist");
+        let lines: Vec<&str> = text
+            .lines()
+            .map(|old| if old.starts_with(start) { line } else { old })
+            .collect();
+        fs::write(&self.settings, lines.join("\n")).expect("the settings can be written");
+    }
+
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
             self.record
@@ -134,6 +146,8 @@
     /// The same for the other replicas.
     pub peer_ports: Vec<(SocketAddr, SocketAddr)>,
     pub record: Record,
+    /// How many replicas are started at first.
+    replicas: usize,
 }
 
 impl Platform {
@@ -142,11 +156,12 @@
         let folder = env::temp_dir().join(format!("marjoramknot-review-{}", process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder can be written");
         let net = 1 + process::id() % 250;
-        let hosts: Vec<String> = (1..=site.replicas)
+        let all_replicas = site.replicas + site.spares;
+        let hosts: Vec<String> = (1..=all_replicas)
             .map(|n| format!("127.9.{net}.{n}"))
             .collect();
         let listens: Vec<String> = if site.behind_proxy {
-            (1..=site.replicas)
+            (1..=all_replicas)
                 .map(|n| format!("127.10.{net}.{n}"))
                 .collect()
         } else {
@@ -154,13 +169,7 @@
         };
         let all: Vec<String> = hosts.iter().chain(&listens).cloned().collect();
         let port = free_ports(&all, 3);
-        let seeds: Vec<String> = hosts
-            .iter()
-            .take(3)
-            .map(|h| format!("{h}:{}", port + 2))
-            .collect();
-        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let seeds = seeds.join(", ");
+        let seeds = seed_list(hosts.iter().take(3), port + 2);
         let mut platform = Self {
             folder: folder.clone(),
             control: Vec::new(),
@@ -171,8 +180,10 @@
             entry_ports: Vec::new(),
             peer_ports: Vec::new(),
             record: record.clone(),
+            replicas: site.replicas,
         };
-        for (host, listen) in hosts.iter().zip(&listens) {
+        for (number, (host, listen)) in hosts.iter().zip(&listens).enumerate() {
+            let is_spare = number >= site.replicas;
             let name = format!("core-{host}");
             let data = folder.join(&name);
             fs::create_dir_all(&data).expect("the temporary folder can be written");
@@ -186,7 +197,7 @@
                     ("ip", host),
                     ("internal_ports.0", &port.to_string()),
                     ("internal_ports.1", &(port + 1).to_string()),
-                    ("bootstrap", "true"),
+                    ("bootstrap", if is_spare { "false" } else { "true" }),
                     ("fault_tolerance.machines", "1"),
                     ("bounds.sync_s", "4"),
                     ("bind_addrs.control", &format!("{listen}:{}", port + 2)),
@@ -276,11 +287,30 @@
     }
 
     pub fn start_all(&mut self) {
-        for program in self.control.iter_mut().chain(&mut self.entries) {
+        let control = self.control.iter_mut().take(self.replicas);
+        for program in control.chain(&mut self.entries) {
             program.start();
         }
     }
 
+    /// Names these replicas as the seeds in all settings, and tells the running programs.
+    pub fn change_seeds(&self, replicas: &[usize]) {
+        let hosts: Vec<String> = replicas
+            .iter()
+            .map(|at| self.control_addresses[*at].ip().to_string())
+            .collect();
+        let port = self.control_addresses[0].port();
+        let line = format!("seeds = [{}]", seed_list(hosts.iter(), port));
+        for program in self.control.iter().chain(&self.entries) {
+            program.replace_line("seeds = ", &line);
+        }
+        self.record
+            .note(format!("the settings name other seeds: {line}"));
+        for program in self.control.iter().chain(&self.entries) {
+            program.signal(SIGHUP);
+        }
+    }
+
     /// Sends a configuration until it is acknowledged.
     pub fn configure(&self, text: &str, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -363,6 +393,11 @@
     }
 }
 
+fn seed_list<'a>(hosts: impl Iterator<Item = &'a String>, port: u16) -> String {
+    let seeds: Vec<String> = hosts.map(|host| format!("\"{host}:{port}\"")).collect();
+    seeds.join(", ")
+}
+
 /// Fills in a template of the deploy file.
 fn render(template: &str, seeds: &str, values: &[(&str, &str)]) -> String {
     let text = fs::read_to_string(Path::new(template)).unwrap_or_else(|cause| {
--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -15,6 +15,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
         replicas: 3,
+        spares: 0,
         entries: 2,
         hold_max_ms: 6_000,
         stop_timeout_ms: 400,
@@ -52,7 +53,7 @@
         proxies.iter().for_each(Proxy::silence_answers);
     }
     let caller = record.clone();
-    let client = thread::spawn(move || call(&caller, entry, "POST", "/low/job1", &job(1, "")));
+    let client = thread::spawn(move || call(&caller, entry, "POST", "/low/job1", &job(1)));
     thread::sleep(Duration::from_millis(150));
     let is_changed = platform.configure(
         &configuration(2, &quoted(OTHER_KEY)),
--- a/review/standin/slow.rs
+++ b/review/standin/slow.rs
@@ -21,6 +21,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
         replicas: 3,
+        spares: 0,
         entries: 2,
         hold_max_ms: 6_000,
         stop_timeout_ms: 400,
@@ -52,7 +53,7 @@
     let workers: Vec<Worker> = (1..=WORKERS).map(worker).collect();
     thread::sleep(Duration::from_secs(1));
     let entry = platform.caller_addresses[0];
-    if call(record, entry, "POST", "/low/job1", &job(1, "")).0 != 200 {
+    if call(record, entry, "POST", "/low/job1", &job(1)).0 != 200 {
         return Outcome::CouldNotRun("the job was not accepted".into());
     }
     let from_ms = record.now_ms() + FINISH_MS;
