--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -32,9 +32,9 @@
 /// The longest time that a case may take.
 const LIMIT: Duration = Duration::from_secs(110);
 /// Host of all queues.
-pub const HOST: &str = "nony24.example";
+pub const HOST: &str = "jobs.ponds.example";
 /// Key of the only team.
-pub const KEY: &str = "d4a3hwrr6x73d3zji9n7";
+pub const KEY: &str = "senec-key-1";
 
 /// A configuration with an urgent queue `/urgent/` and a queue of low priority `/low/`.
 pub fn configuration(version: u32, keys: &str) -> String {
@@ -50,7 +50,7 @@
          \"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
          \"cold_start_s\":0.0,\"cold_per_s\":0.0,\"enforces_capacity\":true,\"standby\":false}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"kaje80\",\
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"club-senec\",\
          \"api_keys\":[{keys}],\"priority\":1,\"guaranteed\":{{\"gpu\":8}}}}]}}",
         route("urgent", 0, "1.5"),
         route("low", 2, "3.0"),
--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -10,7 +10,7 @@
 use crate::{KEY, Outcome, call, configuration, job, quoted};
 
 /// The key that replaces the client's key.
-const OTHER_KEY: &str = "3hh2b9wu3fexd9dnn2ct";
+const OTHER_KEY: &str = "senec-key-2";
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let site = Site {
