Keep entries in touch with a control group whose replicas are all replaced

Cause: a client of the control group kept the addresses of its process's start. Others were known only as the leader that an answer named, and forgotten with the first failed call. Changed settings were "kept until restart".

Change: entries ask the leader every 2 s for the group's replicas (new call members) and try these first; the replicas that the settings name are tried once all members have failed. Replicas' addresses of a changed settings file take effect on SIGHUP or within 2 s.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -65,6 +65,8 @@
     async fn cancel_jobs(keys: Vec<JobKey>) -> Result<Vec<JobView>>;
     /// Returns the status of the whole deployment, for operators.
     async fn status() -> Result<Status>;
+    /// Returns the addresses at which the group's replicas accept calls.
+    async fn members() -> Result<Vec<SocketAddr>>;
     /// Serves a call of a caller, worker or operator on the workload.
     async fn work(request: WorkRequest) -> Result<WorkAnswer>;
 }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -86,6 +86,31 @@
         self.connections.hint_leader(leader);
     }
 
+    /// Replaces the replicas that the settings name, after these have changed.
+    pub fn set_configured(&self, addresses: Vec<SocketAddr>) {
+        self.connections.set_configured(addresses);
+    }
+
+    /// Sets the replicas of the group, where the caller learned of them from another source.
+    pub fn set_members(&self, members: &[SocketAddr]) {
+        self.connections.set_members(members);
+    }
+
+    /// Asks the leader for the replicas of the group, so that the group is still found after all
+    /// replicas that the settings name have been replaced.
+    ///
+    /// # Errors
+    /// The group gave no answer within the deadline.
+    pub async fn refresh_members(&self) -> Result<()> {
+        let answer = self.call(
+            self.deadline_ms,
+            ATTEMPT_TIMEOUT_MS,
+            async |client: ControlApiClient, context| client.members(context).await,
+        );
+        self.connections.set_members(&answer.await?);
+        Ok(())
+    }
+
     /// Makes one exchange with the assumed leader.
     ///
     /// It is attempted only once, because the next exchange must carry a new sequence number.
--- a/src/control/connections.rs
+++ b/src/control/connections.rs
@@ -16,7 +16,6 @@
 /// Open connections to the control replicas, and the replica that is assumed to be the leader.
 #[derive(Debug)]
 pub(super) struct Connections {
-    addresses: Vec<SocketAddr>,
     dialer: OpaqueDialer,
     state: Mutex<State>,
     /// The replica that answered last as the leader.
@@ -25,18 +24,57 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// The replicas that the settings name. All of them may have been replaced meanwhile.
+    configured: Vec<SocketAddr>,
+    /// The replicas of the group, as its leader named them last; empty until then.
+    members: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
     next_index: usize,
     open: HashMap<SocketAddr, Arc<Connection>>,
+    /// When each replica failed that has not answered since.
     failed_at: HashMap<SocketAddr, Instant>,
 }
 
+impl State {
+    /// The replicas to try while no leader is known. Those of the settings are tried only once all
+    /// known members have failed, because replaced ones cost a time-out each.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let is_reachable = |member: &SocketAddr| !self.failed_at.contains_key(member);
+        let mut candidates = self.members.clone();
+        if !self.members.iter().any(is_reachable) {
+            let others = self.configured.iter();
+            candidates.extend(others.filter(|address| !self.members.contains(address)));
+        }
+        candidates
+    }
+
+    /// Drops what is kept of replicas that neither the settings nor the group name any more.
+    fn forget_removed(&mut self) {
+        let Self {
+            configured,
+            members,
+            leader,
+            open,
+            failed_at,
+            ..
+        } = self;
+        let is_named = |address: &SocketAddr| {
+            members.contains(address) || configured.contains(address) || *leader == Some(*address)
+        };
+        open.retain(|address, _connection| is_named(address));
+        failed_at.retain(|address, _when| is_named(address));
+    }
+}
+
 impl Connections {
     pub(super) fn new(addresses: Vec<SocketAddr>, dialer: Dialer) -> Self {
+        let state = State {
+            configured: addresses,
+            ..State::default()
+        };
         Self {
-            addresses,
             dialer: OpaqueDialer(dialer),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             confirmed: watch::Sender::new(None),
         }
     }
@@ -44,8 +82,31 @@
     /// Returns the replica to call: the leader if one is known, else the next one in rotation.
     pub(super) fn target(&self) -> Option<SocketAddr> {
         let state = self.lock();
-        let next = state.next_index.checked_rem(self.addresses.len());
-        state.leader.or_else(|| next.map(|at| self.addresses[at]))
+        state.leader.or_else(|| {
+            let candidates = state.candidates();
+            let next = state.next_index.checked_rem(candidates.len())?;
+            Some(candidates[next])
+        })
+    }
+
+    /// Replaces the replicas that the settings name.
+    pub(super) fn set_configured(&self, addresses: Vec<SocketAddr>) {
+        let mut state = self.lock();
+        if state.configured != addresses {
+            info!(event = "control_seeds", addresses = ?addresses);
+            state.configured = addresses;
+            state.forget_removed();
+        }
+    }
+
+    /// Replaces the replicas that are known to form the group. An empty list changes nothing.
+    pub(super) fn set_members(&self, members: &[SocketAddr]) {
+        let mut state = self.lock();
+        if !members.is_empty() && state.members != members {
+            info!(event = "control_members", addresses = ?members);
+            state.members = members.to_vec();
+            state.forget_removed();
+        }
     }
 
     /// Sets the leader as told by another source, for example the replica in the same process.
@@ -109,6 +170,7 @@
     /// whether a usable leader was named, so that the caller can retry at once.
     pub(super) fn redirect(&self, from: SocketAddr, leader: Option<SocketAddr>) -> bool {
         let mut state = self.lock();
+        state.failed_at.remove(&from);
         let failed = |address: &SocketAddr| {
             let failed = state.failed_at.get(address);
             failed.is_some_and(|when| when.elapsed() < FAILED_REPLICA_BACKOFF)
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -401,6 +401,11 @@
             .await?
     }
 
+    async fn members(self, _: Context) -> Result<Vec<SocketAddr>> {
+        self.check_leadership()?;
+        Ok(self.handle.members())
+    }
+
     async fn work(self, _: Context, request: WorkRequest) -> Result<WorkAnswer> {
         self.workload.call(request).await
     }
--- a/src/programs/control.rs
+++ b/src/programs/control.rs
@@ -13,6 +13,7 @@
 
 use super::Result;
 use super::listener::{find_published, start_listener};
+use super::settings_feed::SettingsFeed;
 use crate::control::{ControlOptions, ControlService, SharedStateMachine};
 use crate::entry::{RouteFuture, json_response, route, text_response};
 use crate::kernel::{Kernel, KernelBuilder, Service, StopFn};
@@ -50,11 +51,12 @@
 /// Runs a control replica until `stop` is cancelled, then hands over leadership and stops.
 #[must_use]
 pub fn serve_control(
-    settings: ControlSettings,
+    settings: SettingsFeed<ControlSettings>,
     metrics: Metrics,
     stop: CancellationToken,
 ) -> BoxFuture<'static, Result<()>> {
     async move {
+        let settings = ControlSettings::clone(&settings.current());
         let kernel = start_control(settings, metrics).await?;
         stop.cancelled().await;
         kernel.stop().await;
--- a/src/programs/daemon.rs
+++ b/src/programs/daemon.rs
@@ -12,6 +12,7 @@
 use tracing::{error, info};
 
 use super::Result;
+use super::settings_feed::SettingsFeed;
 use crate::cli::{DaemonAction, Exit, parse_daemon_args};
 use crate::settings;
 use crate::telemetry::{LogLevel, Metrics, init_logging, init_metrics};
@@ -26,12 +27,12 @@
     /// Returns the log level of the settings.
     pub log_level: fn(&S) -> LogLevel,
     /// Runs the daemon until the token is cancelled, then shuts down gracefully.
-    pub serve: fn(S, Metrics, CancellationToken) -> BoxFuture<'static, Result<()>>,
+    pub serve: fn(SettingsFeed<S>, Metrics, CancellationToken) -> BoxFuture<'static, Result<()>>,
 }
 
 /// Runs a daemon with the command-line arguments of this process.
 #[must_use]
-pub fn run_daemon<S: 'static>(daemon: &Daemon<S>) -> ExitCode {
+pub fn run_daemon<S: Eq + Send + Sync + 'static>(daemon: &Daemon<S>) -> ExitCode {
     let args: Vec<_> = env::args().skip(1).collect();
     let exit = match parse_daemon_args(daemon.program, &args) {
         DaemonAction::Run(path) => {
@@ -58,21 +59,26 @@
     })
 }
 
-fn run<S: 'static>(daemon: &Daemon<S>, settings: S, path: &Path) -> Exit {
+fn run<S: Eq + Send + Sync + 'static>(daemon: &Daemon<S>, settings: S, path: &Path) -> Exit {
     match serve(daemon, settings, path) {
         Ok(()) => Exit::Done,
         Err(cause) => print(&format!("{}: {cause}", daemon.program), Exit::Failed),
     }
 }
 
-fn serve<S: 'static>(daemon: &Daemon<S>, settings: S, path: &Path) -> Result<()> {
+fn serve<S: Eq + Send + Sync + 'static>(
+    daemon: &Daemon<S>,
+    settings: S,
+    path: &Path,
+) -> Result<()> {
     let _log_guard = init_logging((daemon.log_level)(&settings)).map_err(error_text)?;
     let metrics = init_metrics().map_err(error_text)?;
     let runtime = runtime().map_err(error_text)?;
     let stop = CancellationToken::new();
     runtime.block_on(async {
         stop_on_signal(&stop)?;
-        check_settings_on_hangup(daemon.load, path)?;
+        let (load, file) = (daemon.load, path.to_owned());
+        let settings = SettingsFeed::follow_file(settings, move || load(&file), path.to_owned())?;
         info!(event = "started", program = daemon.program);
         let served = (daemon.serve)(settings, metrics, stop).await;
         match &served {
@@ -107,27 +113,6 @@
     Ok(())
 }
 
-/// Validates the settings file on every SIGHUP and logs the result.
-///
-/// The running daemon keeps its settings; changes take effect at the next start.
-fn check_settings_on_hangup<S: 'static>(
-    load: fn(&Path) -> settings::Result<S>,
-    path: &Path,
-) -> Result<()> {
-    let mut hangups = signal(SignalKind::hangup()).map_err(error_text)?;
-    let path = path.to_owned();
-    let task: BoxFuture<'static, ()> = Box::pin(async move {
-        while hangups.recv().await.is_some() {
-            match load(&path) {
-                Ok(_settings) => info!(event = "settings_changed", outcome = "kept until restart"),
-                Err(cause) => error!(event = "settings_refused", cause = %cause),
-            }
-        }
-    });
-    tokio::spawn(task);
-    Ok(())
-}
-
 fn print(text: &str, exit: Exit) -> Exit {
     if exit == Exit::Done {
         println!("{text}");
--- a/src/programs/entry.rs
+++ b/src/programs/entry.rs
@@ -10,7 +10,9 @@
 
 use super::Result;
 use super::forwarder::{ProcessRun, announcement_relay, forwarder_service};
+use super::group_view::group_view_service;
 use super::listener::{find_published, start_listener};
+use super::settings_feed::SettingsFeed;
 use crate::control::Client;
 use crate::entry::{
     EntryContext, Exchange, ExchangeOptions, Forwarder, add_endpoint_routes, add_health_routes,
@@ -28,14 +30,19 @@
 /// # Errors
 /// Returns which service failed to start, and why.
 pub async fn start_entry(
-    settings: EntrySettings,
+    settings: impl Into<SettingsFeed<EntrySettings>>,
     metrics: Metrics,
     leaving: CancellationToken,
 ) -> Result<Kernel> {
-    let settings = Arc::new(settings);
+    let feed = settings.into();
+    let settings = feed.current();
+    let control = Client::new(settings.control.clone());
     let run = ProcessRun::start();
     let started = KernelBuilder::default()
-        .with(exchange_service(Arc::clone(&settings), run))
+        .with(group_view_service(control.clone(), feed, |settings| {
+            settings.control.clone()
+        }))
+        .with(exchange_service(Arc::clone(&settings), control, run))
         .with(forwarder_service(Arc::clone(&settings), run))
         .with(context_service(metrics, leaving))
         .with(listener_service(&settings, &OPERATORS))
@@ -52,12 +59,12 @@
 /// balancer sends no request that would be lost.
 #[must_use]
 pub fn serve_entry(
-    settings: EntrySettings,
+    settings: SettingsFeed<EntrySettings>,
     metrics: Metrics,
     stop: CancellationToken,
 ) -> BoxFuture<'static, Result<()>> {
     async move {
-        let wait_ms = settings.stop.balancer_wait_ms;
+        let wait_ms = settings.current().stop.balancer_wait_ms;
         let leaving = CancellationToken::new();
         let kernel = start_entry(settings, metrics, leaving.clone()).await?;
         stop.cancelled().await;
@@ -70,13 +77,13 @@
     .boxed()
 }
 
-fn exchange_service(settings: Arc<EntrySettings>, run: ProcessRun) -> Service {
+fn exchange_service(settings: Arc<EntrySettings>, control: Client, run: ProcessRun) -> Service {
     Service::new("exchange", &[], move |registry| async move {
         let options = ExchangeOptions::builder()
             .entry(settings.name.clone())
             .incarnation(run.incarnation)
             .zone(settings.zone.clone())
-            .client(Client::new(settings.control.clone()))
+            .client(control)
             .clock(run.clock)
             .build();
         let exchange = Arc::new(Exchange::start(options));
--- a/src/replica/core/bootstrap.rs
+++ b/src/replica/core/bootstrap.rs
@@ -28,6 +28,9 @@
     fn send_to_peers(&mut self, body: &MessageBody) {
         let own = &self.config.node.name;
         let known = self.bootstrap.known_members.iter();
+        // All configured peers and all members that others reported may have been replaced.
+        let voters = self.log.members().into_iter().flat_map(|m| &m.voters);
+        let known = known.chain(voters.map(|voter| &voter.name));
         let names: BTreeSet<ReplicaId> = self.config.peers.iter().chain(known).cloned().collect();
         for name in names
             .into_iter()
--- a/src/replica/handle.rs
+++ b/src/replica/handle.rs
@@ -95,13 +95,14 @@
     proposals: mpsc::Sender<Proposal>,
     leadership: watch::Receiver<Leadership>,
     status: watch::Receiver<GroupStatus>,
+    members: watch::Receiver<Vec<SocketAddr>>,
     lease: Option<Arc<LeaseClock>>,
 }
 
 impl Handle {
     /// Creates a handle from the channels of a replica's task.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         proposals: mpsc::Sender<Proposal>,
         leadership: watch::Receiver<Leadership>,
         status: watch::Receiver<GroupStatus>,
@@ -110,10 +111,18 @@
             proposals,
             leadership,
             status,
+            members: watch::Sender::default().subscribe(),
             lease: None,
         }
     }
 
+    /// Adds the addresses that [`Handle::members`] returns.
+    #[must_use]
+    pub fn with_members(mut self, members: watch::Receiver<Vec<SocketAddr>>) -> Self {
+        self.members = members;
+        self
+    }
+
     /// Adds the lease that [`Handle::has_quorum`] checks against the clock.
     #[must_use]
     pub fn with_lease(mut self, lease: Arc<LeaseClock>) -> Self {
@@ -151,6 +160,13 @@
         self.leadership.clone()
     }
 
+    /// Returns the addresses at which entry processes reach the replicas of the group, as far as
+    /// this replica knows them: the voters and, on the leader, the learners.
+    #[must_use]
+    pub fn members(&self) -> Vec<SocketAddr> {
+        self.members.borrow().clone()
+    }
+
     /// Returns the status of the group as seen by this replica.
     #[must_use]
     pub fn status(&self) -> GroupStatus {
--- a/src/replica/runner.rs
+++ b/src/replica/runner.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -6,7 +7,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{error, info};
 
-use super::core::{Action, Core, Event, ProposalRefusal};
+use super::core::{Action, Core, Event, NodeStatus, ProposalRefusal};
 use super::lease::LeaseClock;
 use super::options::AddressBook;
 use super::peer::Links;
@@ -26,14 +27,21 @@
 
 type Reply = oneshot::Sender<Result<Applied>>;
 
+/// What a replica's task publishes to its handles.
+pub(super) struct Published {
+    pub(super) leadership: watch::Sender<Leadership>,
+    pub(super) status: watch::Sender<GroupStatus>,
+    /// Addresses at which entry processes reach the replicas of the group.
+    pub(super) members: watch::Sender<Vec<SocketAddr>>,
+}
+
 /// The task of a replica. It passes events to the consensus core and executes its actions.
 pub(super) struct Runner {
     core: Core,
     hooks: StateMachineHooks,
     links: Links,
     writer: Writer,
-    leadership: watch::Sender<Leadership>,
-    status: watch::Sender<GroupStatus>,
+    published: Published,
     next_status_ms: Millis,
     lease: Arc<LeaseClock>,
     pending: BTreeMap<LogIndex, (Term, Reply)>,
@@ -48,7 +56,7 @@
         hooks: StateMachineHooks,
         links: Links,
         writer: Writer,
-        (leadership, status): (watch::Sender<Leadership>, watch::Sender<GroupStatus>),
+        published: Published,
         addresses: AddressBook,
         max_batch_proposals: usize,
     ) -> Self {
@@ -57,8 +65,7 @@
             hooks,
             links,
             writer,
-            leadership,
-            status,
+            published,
             next_status_ms: Millis::ZERO,
             lease: Arc::new(LeaseClock::start()),
             pending: BTreeMap::new(),
@@ -124,7 +131,7 @@
         while let Ok(proposal) = proposals.try_recv() {
             answer(proposal.reply, Err(ProposeError::NotLeader));
         }
-        self.leadership.send_replace(Leadership {
+        self.published.leadership.send_replace(Leadership {
             term: self.core.term(),
             ..Leadership::default()
         });
@@ -230,7 +237,7 @@
             is_ready_leader: self.core.is_ready_leader(),
             has_quorum: self.core.has_quorum(now),
         };
-        let changed = self.leadership.send_if_modified(|present| {
+        let changed = self.published.leadership.send_if_modified(|present| {
             let differs = *present != next;
             *present = next;
             differs
@@ -245,7 +252,7 @@
     }
 
     fn log_leadership(&self) {
-        let now = self.leadership.borrow();
+        let now = self.published.leadership.borrow();
         let leader = now.leader.as_ref().map_or("none", ReplicaId::as_str);
         let (term, leads, has_quorum) = (now.term, now.is_ready_leader, now.has_quorum);
         info!(event = "leadership", %term, leader, leads, has_quorum);
@@ -268,21 +275,35 @@
 
     fn publish_status(&self, now: Millis) {
         self.publish_metrics();
-        let replicas = self.core.node_statuses(now).into_iter();
-        let replicas = replicas.map(|state| ReplicaStatus {
+        let nodes = self.core.node_statuses(now);
+        self.publish_members(&nodes);
+        let replicas = nodes.into_iter().map(|state| ReplicaStatus {
             replica: state.node.name,
             folder: Some(state.node.folder),
             voter: state.voter,
             matched: state.match_index,
             silent_ms: state.silent_ms,
         });
-        self.status.send_replace(GroupStatus {
+        self.published.status.send_replace(GroupStatus {
             term: self.core.term(),
             leader: self.core.leader().map(|node| node.name.clone()),
             committed: self.core.committed(),
             replicas: replicas.collect(),
         });
     }
+
+    fn publish_members(&self, nodes: &[NodeStatus]) {
+        let addresses = nodes
+            .iter()
+            .filter_map(|status| self.addresses.lookup(&status.node.name));
+        let mut members: Vec<_> = addresses.map(|peer| peer.control_address).collect();
+        members.sort_unstable();
+        self.published.members.send_if_modified(|published| {
+            let differs = *published != members;
+            *published = members;
+            differs
+        });
+    }
 }
 
 /// Converts a term or log index to the floating-point value of a gauge. Values above `u32::MAX` are
--- a/src/replica/start.rs
+++ b/src/replica/start.rs
@@ -12,7 +12,7 @@
 use super::files::{Folder, OpenedStore, open_store};
 use super::options::AddressBook;
 use super::peer::{Links, serve};
-use super::runner::Runner;
+use super::runner::{Published, Runner};
 use super::writer::Writer;
 use super::{Handle, Leadership, Node, Peer, ReplicaOptions, StartError, StateMachineHooks};
 use crate::control::GroupStatus;
@@ -96,12 +96,17 @@
         committed: LogIndex::ZERO,
         replicas: Vec::new(),
     });
+    let (members, members_watch) = watch::channel(Vec::new());
     let runner = Runner::new(
         core,
         hooks,
         Links::new(addresses.clone()),
         writer,
-        (leadership, status),
+        Published {
+            leadership,
+            status,
+            members,
+        },
         addresses,
         options.max_batch_proposals.max(1),
     );
@@ -111,7 +116,9 @@
         server.abort();
         drop(server.await);
     };
-    let handle = Handle::new(proposal_sender, leadership_watch, status_watch).with_lease(lease);
+    let handle = Handle::new(proposal_sender, leadership_watch, status_watch)
+        .with_members(members_watch)
+        .with_lease(lease);
     Ok((handle, tokio::spawn(run)))
 }
 
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -70,6 +70,13 @@
             .expect("validated settings list this replica")
     }
 
+    /// Returns the addresses at which `replicas` accept calls from entries.
+    #[must_use]
+    pub fn entries_addresses(&self) -> Vec<SocketAddr> {
+        let replicas = self.replicas.iter();
+        replicas.map(|replica| replica.entries).collect()
+    }
+
     fn read(reader: &mut TableReader) -> Option<Self> {
         let name: Option<ReplicaId> = reader.required("name", ID_FORMAT);
         let zone = reader.required("zone", ID_FORMAT);
--- a/tests/replica_core/open_group.rs
+++ b/tests/replica_core/open_group.rs
@@ -134,3 +134,34 @@
         assert!(sim.leader() != Some(leader), "seed {seed}");
     }
 }
+
+/// Guards against a returning replica that finds nobody: it was replaced while it was down, like all
+/// of its configured seeds. It asks the members that its own log names.
+#[test]
+fn replaced_replica_rejoins_without_its_seeds() {
+    let (mut sim, leader) = with_leader(7, 13);
+    let seeds = (0..3).filter(|p| *p != leader).chain([leader]);
+    let within = REPLACE_AFTER_MS + 2 * MEMBERSHIP_CHANGE_MAX_MS;
+    for (seed_replica, votes) in seeds.zip(1..) {
+        sim.crash(seed_replica);
+        sim.run_until(within, "a learner to vote", |s| {
+            (3..7).filter(|p| s.is_voter(*p)).count() == votes
+        });
+        commit(&mut sim);
+    }
+    let returning = (3..7)
+        .find(|p| sim.is_voter(*p))
+        .expect("three of them vote");
+    sim.crash(returning);
+    sim.run_until(within, "the last learner to vote", |s| {
+        s.leader().is_some() && !s.is_voter(returning)
+    });
+    commit(&mut sim);
+    sim.start(returning);
+    let before = sim.replicas[returning].applied.len();
+    sim.run(REPLACE_AFTER_MS);
+    commit(&mut sim);
+    sim.run(MEMBERSHIP_CHANGE_MAX_MS);
+    let applied = sim.replicas[returning].applied.len();
+    assert!(applied > before, "it replicates again");
+}
