Close the longest idle connection of control instead of turning entries away

Cause: the control service took one of 256 permits before it accepted a connection and held it until the connection ended. One whose other side lost power or went silent never ends on this side.

Change: at its limit the service closes the connection that has been idle longest and has no call in progress, by the code that the HTTP listeners already used, which moves to src/connections. A client opens another connection before its next call if the replica has closed the last one. The gauge listener_connections has the label control.

--- a/src/control/connections.rs
+++ b/src/control/connections.rs
@@ -119,12 +119,21 @@
         }
     }
 
+    /// Returns the open connection to the replica, if there is one. One that the replica has closed
+    /// is dropped, so that no call is sent on it in vain.
+    fn known(&self, address: SocketAddr) -> Option<Arc<Connection>> {
+        let mut state = self.lock();
+        if state.open.get(&address)?.is_closed() {
+            state.open.remove(&address);
+        }
+        state.open.get(&address).map(Arc::clone)
+    }
+
     /// Returns a connection to the replica, opening one if needed; none if it cannot be opened
     /// within [`CONNECT_TIMEOUT`].
     pub(super) async fn open(&self, address: SocketAddr) -> Option<Arc<Connection>> {
-        let known = self.lock().open.get(&address).map(Arc::clone);
-        if known.is_some() {
-            return known;
+        if let Some(known) = self.known(address) {
+            return Some(known);
         }
         match timeout(CONNECT_TIMEOUT, (self.dialer.0)(address)).await {
             Ok(Ok(connection)) => {
--- a/src/control/dialer.rs
+++ b/src/control/dialer.rs
@@ -32,6 +32,13 @@
     }
 }
 
+impl Connection {
+    /// Whether the connection has ended, for example because the replica closed it.
+    pub(super) fn is_closed(&self) -> bool {
+        self.driver.is_finished()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -9,7 +9,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::{ClientMessage, Response, Transport};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 use tokio::time::{Duration, Instant, sleep, timeout, timeout_at};
 use tracing::{debug, info, warn};
@@ -25,6 +25,7 @@
     SharedStateMachine, StateMachine, Status,
 };
 use crate::codec;
+use crate::connections::{Connection, Connections};
 use crate::kernel::Clock;
 use crate::release_note::{NoteAnswer, ReleaseNote};
 use crate::replica::Handle;
@@ -33,6 +34,7 @@
     Explanation, JobKey, JobPhase, JobRecord, JobSpec, JobTransition, SchedulerOptions,
     SubmitAnswer,
 };
+use crate::telemetry::record_connections;
 use crate::units::{Millis, WallMs};
 use crate::workload::{PlannerOptions, WorkAnswer, WorkRequest};
 
@@ -42,7 +44,9 @@
 const JOB_WAIT_MAX: Duration = Duration::from_secs(30);
 /// The capacity of the queue of requests to the leader loop.
 const REQUEST_QUEUE_MAX: usize = 1_024;
-/// The maximum number of open connections.
+/// The name of the listener for entries in the metrics.
+const LISTENER: &str = "control";
+/// The maximum number of open connections. Beyond it, the longest idle one is closed for a new one.
 const CONNECTIONS_MAX: usize = 256;
 /// How long a stop waits for each loop to finish the changes in progress.
 const STOP_TIMEOUT: Duration = Duration::from_secs(4);
@@ -66,6 +70,7 @@
 pub struct ControlService {
     address: SocketAddr,
     server: ControlServer,
+    connections: Arc<Connections>,
     stop: watch::Sender<bool>,
     close: watch::Sender<bool>,
     leader_loop: JoinHandle<()>,
@@ -108,11 +113,14 @@
         };
         let leader_loop = LeaderLoop::new(handle, state_machine, options.scheduler, Clock::start());
         let leader_loop = tokio::spawn(leader_loop.run(receiver, stop.subscribe()));
-        let acceptor = tokio::spawn(accept(listener, server.clone()));
+        let connections = Arc::new(Connections::new(CONNECTIONS_MAX));
+        let acceptor = accept(listener, server.clone(), Arc::clone(&connections));
+        let acceptor = tokio::spawn(acceptor);
         info!(event = "control_listens", %address);
         Ok(Self {
             address,
             server,
+            connections,
             stop,
             close,
             leader_loop,
@@ -142,7 +150,13 @@
             + 'static,
         T::Error: Send + Sync,
     {
-        tokio::spawn(serve(transport, self.server.clone())).abort_handle()
+        let connection = self.connections.add();
+        let (server, connections) = (self.server.clone(), Arc::clone(&self.connections));
+        let task = async move {
+            serve(transport, server, &connection).await;
+            connections.remove(&connection);
+        };
+        tokio::spawn(task).abort_handle()
     }
 
     /// Redirects entries, finishes and answers the changes in progress, and closes all connections.
@@ -160,22 +174,24 @@
 }
 
 /// Accepts connections until the service closes, then waits for the open ones to finish.
-async fn accept(listener: TcpListener, server: ControlServer) {
-    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    let mut connections = JoinSet::new();
+async fn accept(listener: TcpListener, server: ControlServer, connections: Arc<Connections>) {
+    let mut serving = JoinSet::new();
     let mut close = server.close.clone();
     loop {
-        while connections.try_join_next().is_some() {}
+        while serving.try_join_next().is_some() {}
         let accepted = tokio::select! {
-            accepted = accept_one(&listener, &permits) => accepted,
+            accepted = accept_one(&listener, &connections) => accepted,
             _closed = close.wait_for(|close| *close) => break,
         };
         match accepted {
-            Ok((stream, permit)) => {
-                let server = server.clone();
-                connections.spawn(async move {
-                    serve_stream(stream, server).await;
-                    drop(permit);
+            Ok(stream) => {
+                let (server, connections) = (server.clone(), Arc::clone(&connections));
+                let connection = connections.add();
+                record_connections(LISTENER, connections.len());
+                serving.spawn(async move {
+                    serve_stream(stream, server, &connection).await;
+                    connections.remove(&connection);
+                    record_connections(LISTENER, connections.len());
                 });
             }
             Err(cause) => {
@@ -184,32 +200,28 @@
             }
         }
     }
-    let all_closed = async { while connections.join_next().await.is_some() {} };
+    let all_closed = async { while serving.join_next().await.is_some() {} };
     if timeout(CLOSE_TIMEOUT, all_closed).await.is_err() {
         debug!(event = "connections_cut");
     }
 }
 
-async fn accept_one(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = Arc::clone(permits).acquire_owned().await;
-    let permit = permit.map_err(io::Error::other)?;
+async fn accept_one(listener: &TcpListener, connections: &Connections) -> io::Result<TcpStream> {
     let (stream, peer) = listener.accept().await?;
     debug!(event = "entry_connected", %peer);
-    Ok((stream, permit))
+    connections.make_room().await;
+    Ok(stream)
 }
 
-async fn serve_stream(stream: TcpStream, server: ControlServer) {
+async fn serve_stream(stream: TcpStream, server: ControlServer, connection: &Arc<Connection>) {
     if let Err(cause) = stream.set_nodelay(true) {
         debug!(event = "nodelay_failed", %cause);
     }
-    serve(codec::transport(stream), server).await;
+    serve(codec::transport(stream), server, connection).await;
 }
 
 /// Serves one connection until it closes, which also ends its handlers.
-async fn serve<T>(transport: T, server: ControlServer)
+async fn serve<T>(transport: T, server: ControlServer, connection: &Arc<Connection>)
 where
     T: Transport<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>> + 'static,
 {
@@ -222,10 +234,17 @@
         tokio::select! {
             request = requests.next() => match request {
                 Some(handler) => {
-                    handlers.spawn(handler);
+                    let Some(in_progress) = connection.begin() else {
+                        return;
+                    };
+                    handlers.spawn(async move {
+                        handler.await;
+                        drop(in_progress);
+                    });
                 }
                 None => return,
             },
+            () = connection.closed.cancelled() => return,
             Some(_ended) = handlers.join_next() => {}
             _closed = close.wait_for(|close| *close), if !closing => closing = true,
         }
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 use tokio::time::{Sleep, sleep};
 
-use super::connections::RequestGuard;
+use crate::connections::RequestGuard;
 
 /// Error reading a request body.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/src/entry/client_io.rs
+++ b/src/entry/client_io.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use super::connections::Connection;
+use crate::connections::Connection;
 
 /// Bytes that a client must accept within the write time-out while more are waiting to be sent.
 const PROGRESS_BYTES: usize = 16 * 1_024;
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -24,8 +24,8 @@
 
 use super::body::{GuardedBody, LimitedBody};
 use super::client_io::ClientIo;
-use super::connections::{Connection, Connections};
 use super::response::error_response;
+use crate::connections::{Connection, Connections};
 use crate::settings::ListenerSettings;
 use crate::telemetry::{record_connections, record_response};
 use crate::units::Millis;
@@ -184,7 +184,6 @@
     stop: CancellationToken,
 ) -> GracefulShutdown {
     let graceful = GracefulShutdown::new();
-    let mut number = 0;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -203,14 +202,13 @@
             () = stop.cancelled() => {}
             () = context.connections.make_room() => {}
         }
-        number += 1;
-        let connection = context.connections.add(number);
+        let connection = context.connections.add();
         let watcher = graceful.watcher();
         let context = context.clone();
         tokio::spawn(async move {
             record_connections(context.name, context.connections.len());
             serve_client(client, address, &connection, watcher, &context).await;
-            context.connections.remove(number);
+            context.connections.remove(&connection);
             record_connections(context.name, context.connections.len());
         });
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,7 +6,6 @@
 mod attempt_guard;
 mod body;
 mod client_io;
-mod connections;
 mod context;
 mod endpoint_client;
 mod endpoint_routes;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 
 pub mod cli;
 pub mod codec;
+mod connections;
 pub mod control;
 pub mod entry;
 pub mod fleet;
--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -259,6 +259,50 @@
     replica.stop().await;
 }
 
+/// More connections than a control replica accepts from entries at once.
+const SILENT_CONNECTIONS: usize = 320;
+
+/// Guards against a replica that serves no entry any more: connections whose other side lost power or
+/// went silent stay open, and together they held all places.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_leave_room() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let replica = Replica::start(folder.path()).await;
+    let early = replica.client();
+    let before = early.work(WorkRequest::CheckLeader).await;
+    assert_matches!(before, Ok(WorkAnswer::Done));
+    let mut silent = Vec::new();
+    for _ in 0..SILENT_CONNECTIONS {
+        let connected = TcpStream::connect(replica.service.address()).await;
+        silent.push(connected.expect("the kernel takes the connection"));
+    }
+    let late = replica.client().with_deadline(Millis(5_000));
+    let answer = late.work(WorkRequest::CheckLeader).await;
+    assert_matches!(answer, Ok(WorkAnswer::Done));
+    let again = early.work(WorkRequest::CheckLeader).await;
+    assert_matches!(again, Ok(WorkAnswer::Done));
+    drop(silent);
+    replica.stop().await;
+}
+
+/// A client leaves a leader that has closed its connection and whose port is closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopped_leader_is_left() {
+    let folders = [(); 2].map(|()| tempfile::tempdir().expect("a temporary folder"));
+    let first = Replica::start(folders[0].path()).await;
+    let second = Replica::start(folders[1].path()).await;
+    let addresses = vec![first.service.address(), second.service.address()];
+    let client = Client::new(addresses).with_deadline(Millis(5_000));
+    let before = client.work(WorkRequest::CheckLeader).await;
+    assert_matches!(before, Ok(WorkAnswer::Done));
+    first.stop().await;
+    // The client's side of the connection ends meanwhile.
+    sleep(Duration::from_millis(200)).await;
+    let answer = client.work(WorkRequest::CheckLeader).await;
+    assert_matches!(answer, Ok(WorkAnswer::Done));
+    second.stop().await;
+}
+
 /// Invalid frames and messages close only the connection on which they arrive.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_frames() {
