Keep runs that workers may still be stopping for an earlier leader

Cause: a worker lists a run that it is stopping neither as running nor as ended, and refuses its start. Only the planner of the leader that ordered the stop knows of it. The next leader took the run for one that had never started and placed the task elsewhere after a refusal or three reports.

Trace (untouched code, task low1.0.0.3): stop of run 1 on i-b03 at 5,965 ms, run 2 starts on i-c07 at 6,710 ms, run 1 ends stopped at 6,865 ms. Leases last 10 s there, so none had ended.

Change: for a run that the leader did not place itself, a refusal or a missing start proves nothing until a stop is over that was ordered before the leader's first answer to the worker (stop time and 1 s, the bound that StopOrdered already used). Its start is still ordered at once.

The simulation marked a task as restarted also where the worker refuses the order. A start is a task that a worker has begun on an order, so the mark now follows the refusal. The check of acknowledged ends still counts each order.

--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -6,7 +6,7 @@
 use tracing::warn;
 
 use super::Planner;
-use super::orders::STOP_SLACK_MS;
+use super::worker::STOP_SLACK_MS;
 use crate::units::{Millis, WorkerId};
 use crate::workload::{RunEnd, RunKey, StepKey, TaskKey, Transition, Workload};
 
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -5,7 +5,7 @@
 
 use super::Planner;
 use super::idle_reports::report_after_held;
-use super::worker::{UnreportedRun, Worker};
+use super::worker::{UnreportedRun, Worker, stop_end};
 use crate::units::Millis;
 use crate::workload::{
     RunEnd, RunKey, StartOrder, Transition, WorkerOrders, WorkerReport, Workload,
@@ -14,8 +14,6 @@
 /// How often a start is ordered. A worker refuses it each time if it has received a stop from an
 /// earlier leader, and need not say so.
 const START_ATTEMPTS_MAX: u32 = 3;
-/// Added to the stop time before a run that the worker does not report counts as ended.
-pub(super) const STOP_SLACK_MS: Millis = Millis(1_000);
 
 impl Planner {
     /// Answers a report whose transitions are committed. `held_ms` is how long the answer was held
@@ -60,9 +58,16 @@
             if worker.running.contains_key(run) || before == Some(UnreportedRun::WasRunning) {
                 continue;
             }
-            let attempts = match before {
-                Some(UnreportedRun::StartOrdered { attempts, .. }) => attempts,
-                _ => 0,
+            let (attempts, inherited_stop_until_ms) = match before {
+                Some(UnreportedRun::StartOrdered {
+                    attempts,
+                    inherited_stop_until_ms,
+                    ..
+                }) => (attempts, inherited_stop_until_ms),
+                Some(UnreportedRun::Inherited) => {
+                    (0, Some(stop_end(received_ms, self.options.stop_ms)))
+                }
+                _ => (0, None),
             };
             let wanted = may_start
                 && attempts < START_ATTEMPTS_MAX
@@ -76,6 +81,7 @@
                 UnreportedRun::StartOrdered {
                     sequence,
                     attempts: attempts + 1,
+                    inherited_stop_until_ms,
                 }
             } else {
                 // A worker that has received a stop refuses the run's start, also one that is still
@@ -156,14 +162,9 @@
 fn may_run(worker: &Worker, run: RunKey, stop_ms: Millis) -> bool {
     match worker.unreported.get(&run) {
         None => false,
-        Some(UnreportedRun::Inherited | UnreportedRun::WasRunning) => true,
-        Some(UnreportedRun::StartOrdered { sequence, .. }) => worker.sequence <= *sequence,
-        Some(UnreportedRun::StopOrdered { since_ms }) => {
-            let stopped_ms = since_ms
-                .saturating_add(stop_ms)
-                .saturating_add(STOP_SLACK_MS);
-            worker.last_report_ms < stopped_ms
-        }
+        Some(UnreportedRun::WasRunning) => true,
+        Some(UnreportedRun::StartOrdered { sequence, .. }) if worker.sequence <= *sequence => true,
+        Some(unreported) => unreported.may_be_stopping(worker.last_report_ms, stop_ms),
     }
 }
 
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -147,6 +147,15 @@
         if !is_here && !is_late && !is_late_failure {
             return;
         }
+        let worker = self.workers.get(&report.worker);
+        let unreported = worker.and_then(|worker| worker.unreported.get(&run));
+        let may_be_stopping =
+            unreported.is_some_and(|run| run.may_be_stopping(now, self.options.stop_ms));
+        if end.end == RunEnd::Refused && may_be_stopping {
+            info!(event = "refusal_ignored", job = %end.task.job, task = %end.task, run = end.run,
+                worker = %report.worker, report = %report.sequence);
+            return;
+        }
         info!(event = "run_ended", job = %end.task.job, task = %end.task, run = end.run, end = %end.end,
             worker = %report.worker, report = %report.sequence);
         self.stopping.insert(run);
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -12,6 +12,9 @@
 /// The maximum number of times the quarantine period is doubled.
 const QUARANTINE_DOUBLINGS_MAX: u32 = 3;
 
+/// Added to the stop time before a run that the worker does not report counts as ended.
+pub(super) const STOP_SLACK_MS: Millis = Millis(1_000);
+
 /// A worker as known from its reports.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -49,13 +52,18 @@
 /// Workers list a run that is being stopped neither as running nor as ended until it has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum UnreportedRun {
-    /// An earlier leader may have ordered its start.
+    /// An earlier leader may have ordered its start, and then its stop.
     Inherited,
     /// A stop was ordered at `since_ms`; an earlier leader may have started the run.
     StopOrdered { since_ms: Millis },
     /// Its start was ordered for the `attempts`-th time in the answer to the report with this
     /// sequence number.
-    StartOrdered { sequence: Sequence, attempts: u32 },
+    StartOrdered {
+        sequence: Sequence,
+        attempts: u32,
+        /// For an inherited run, until when a stop that an earlier leader ordered may last.
+        inherited_stop_until_ms: Option<Millis>,
+    },
     /// An earlier report listed it as running.
     WasRunning,
 }
@@ -71,6 +79,29 @@
     pub(super) last_progress_ms: Millis,
 }
 
+impl UnreportedRun {
+    /// Whether the run may still be on its way to a stop that an earlier leader ordered. The worker
+    /// refuses its start meanwhile, so a refusal does not prove that it does not run.
+    pub(super) fn may_be_stopping(self, now: Millis, stop_ms: Millis) -> bool {
+        match self {
+            Self::Inherited => true,
+            Self::StopOrdered { since_ms } => now < stop_end(since_ms, stop_ms),
+            Self::StartOrdered {
+                inherited_stop_until_ms,
+                ..
+            } => inherited_stop_until_ms.is_some_and(|until_ms| now < until_ms),
+            Self::WasRunning => false,
+        }
+    }
+}
+
+/// When a stop is certainly over that was ordered at `since_ms`, or by an earlier leader before then.
+pub(super) fn stop_end(since_ms: Millis, stop_ms: Millis) -> Millis {
+    since_ms
+        .saturating_add(stop_ms)
+        .saturating_add(STOP_SLACK_MS)
+}
+
 impl Worker {
     pub(super) fn new(report: &WorkerReport, lease_until_ms: Millis) -> Self {
         let mut worker = Self {
--- a/tests/support/workload_simulation.rs
+++ b/tests/support/workload_simulation.rs
@@ -10,13 +10,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::planner_fixtures::{GANG_WAIT_MS, STOP_MS, options};
+use super::planner_fixtures::{GANG_WAIT_MS, options};
 use super::simulated_worker::{SimulatedRun, SimulatedWorker};
 use super::workload_fixtures::declaration;
 use marjoramknot::units::{JobId, Millis, Term, WallMs};
 use marjoramknot::workload::{
-    JobSpec, Phase, Planner, RunEnd, StartOrder, TaskName, Transition, WorkerOrders, WorkerReport,
-    Workload, WorkloadCommand,
+    JobSpec, Phase, Planner, PlannerOptions, RunEnd, StartOrder, TaskName, Transition,
+    WorkerOrders, WorkerReport, Workload, WorkloadCommand,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -56,6 +56,9 @@
     pub run_duration_ms: u64,
     /// How much longer than `run_duration_ms` some tasks run.
     pub duration_spread_ms: u64,
+    /// Whether workers list the starts that they refuse.
+    pub lists_refusals: bool,
+    options: PlannerOptions,
     term: u64,
     next_job: u64,
     commands: Vec<WorkloadCommand>,
@@ -71,10 +74,14 @@
 
 impl Simulation {
     pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_options(workers, seed, options())
+    }
+
+    pub fn with_options(workers: usize, seed: u64, options: PlannerOptions) -> Self {
         let mut simulation = Self {
             now_ms: 0,
             state: Workload::default(),
-            planner: Planner::new(options(), Term(1), Millis::ZERO),
+            planner: Planner::new(options.clone(), Term(1), Millis::ZERO),
             workers: (0..workers).map(SimulatedWorker::new).collect(),
             network_faults: NetworkFaults::default(),
             starts: 0,
@@ -82,6 +89,8 @@
             seed,
             run_duration_ms: 1_500,
             duration_spread_ms: 0,
+            lists_refusals: false,
+            options,
             term: 1,
             next_job: 0,
             commands: Vec::new(),
@@ -146,7 +155,8 @@
         self.awaiting_commit.clear();
         self.transitions.clear();
         self.term += 1;
-        self.planner = Planner::new(options(), Term(self.term), Millis(self.now_ms));
+        let options = self.options.clone();
+        self.planner = Planner::new(options, Term(self.term), Millis(self.now_ms));
     }
 
     pub fn run(&mut self, span_ms: u64) {
@@ -243,6 +253,7 @@
     }
 
     fn deliver_answer(&mut self, at: usize, incarnation: u64, sequence: u64, orders: WorkerOrders) {
+        let stop_ms = self.options.stop_ms.get();
         let worker = &mut self.workers[at];
         let Some(sent) = worker.report_sent_ms else {
             return;
@@ -280,7 +291,7 @@
                 .get_mut(&task)
                 .filter(|active| active.run == run);
             if let Some(run) = run {
-                run.stop_at_ms.get_or_insert(self.now_ms + STOP_MS);
+                run.stop_at_ms.get_or_insert(self.now_ms + stop_ms);
             }
         }
         for start in orders.starts {
@@ -295,6 +306,19 @@
             "seed {seed}: {} started again after its acknowledged end",
             start.task
         );
+        let worker = &mut self.workers[at];
+        let refused = worker
+            .highest_refused_run
+            .get(&start.task)
+            .copied()
+            .unwrap_or(0);
+        if worker.runs.contains_key(&start.task) || start.run <= refused {
+            if self.lists_refusals {
+                worker.add_end(&start.task, start.run, RunEnd::Refused);
+            }
+            return;
+        }
+        // An order that the worker refuses begins nothing.
         let has_ended = |worker: &SimulatedWorker| {
             let mut ended = worker.ended.iter();
             ended.any(|end| end.task == start.task && end.end == RunEnd::Done)
@@ -305,14 +329,6 @@
             self.restarted.insert(start.task.clone());
         }
         let worker = &mut self.workers[at];
-        let refused = worker
-            .highest_refused_run
-            .get(&start.task)
-            .copied()
-            .unwrap_or(0);
-        if worker.runs.contains_key(&start.task) || start.run <= refused {
-            return;
-        }
         self.starts += 1;
         worker.runs.insert(
             start.task.clone(),
--- a/tests/workload_histories.rs
+++ b/tests/workload_histories.rs
@@ -11,7 +11,9 @@
 #[path = "support/workload_simulation.rs"]
 mod workload_simulation;
 
-use marjoramknot::workload::Phase;
+use marjoramknot::units::Millis;
+use marjoramknot::workload::{Phase, PlannerOptions};
+use rstest::rstest;
 
 use random_faults::{clear_faults, inject_fault, random_job};
 use workload_simulation::{NetworkFaults, Simulation};
@@ -61,6 +63,41 @@
     }
 }
 
+/// Guards against a task that runs twice after a planned hand-over: runs that workers were stopping
+/// for the earlier leader, for urgent work or otherwise, looked to the next leader as if they had
+/// never started, or as refused.
+#[rstest]
+#[case::unlisted(false)]
+#[case::listed(true)]
+fn stops_outlive_their_leader(#[case] lists_refusals: bool) {
+    for seed in 0..60 {
+        let options = PlannerOptions::builder().stop_ms(Millis(900)).build();
+        let mut simulation = Simulation::with_options(8, seed, options);
+        simulation.run_duration_ms = 4_000;
+        simulation.lists_refusals = lists_refusals;
+        let mut stopped_before = 0;
+        for round in 0..20 {
+            let spec = random_job(&mut simulation);
+            simulation.submit("/batch/", "clubs", spec);
+            simulation.run(400);
+            let spec = random_job(&mut simulation);
+            simulation.submit("/urgent/", "judges", spec);
+            // The time from an urgent job to the stop of others, then into these stops.
+            let delay_ms = 50 + 50 * simulation.pick(16) as u64;
+            simulation.run(delay_ms);
+            if round % 2 == 1 {
+                simulation.change_leader();
+            }
+            stopped_before += simulation.stopped;
+        }
+        assert!(stopped_before > 0, "seed {seed}: nothing was stopped");
+        clear_faults(&mut simulation);
+        simulation.run_until(180_000, "all jobs end", |simulation| {
+            simulation.state.open_jobs().next().is_none()
+        });
+    }
+}
+
 /// A batch may be refused, above all while the leader's disk is full. An end in it used to look like
 /// a run that had never started, so the task was started again although it had succeeded.
 #[test]
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -235,6 +235,43 @@
     assert_eq!(state.workers_with_runs().count(), 0);
 }
 
+/// Guards against a task that runs twice after a planned hand-over: a run that its worker was
+/// stopping for the earlier leader was started elsewhere 0.5 s later, or as soon as the worker had
+/// refused its start.
+#[rstest]
+#[case::unlisted(None)]
+#[case::refused(Some(RunEnd::Refused))]
+fn inherited_run_is_kept_until_its_stop_ends(#[case] listed: Option<RunEnd>) {
+    let (mut state, _old) = started_job(step(1, 1));
+    let mut planner = Planner::new(options(), Term(4), Millis(100));
+    for sequence in 3..=14 {
+        let mut stopping = report(1, sequence);
+        let listed = listed.filter(|_end| sequence >= 4);
+        stopping
+            .ended
+            .extend(listed.map(|end| ended(sequence, 0, 1, end)));
+        let now = 100 * (sequence - 2);
+        exchange_report(&mut planner, &mut state, &stopping, now);
+        assert_eq!(planner.withdraw_unstarted(&state), [], "at {now} ms");
+        assert_eq!(state.workers_with_runs().count(), 1, "at {now} ms");
+    }
+    // A stop takes up to 300 ms, and the order for it may have been on its way for a second.
+    exchange_report(&mut planner, &mut state, &report(1, 15), 1_500);
+    assert_eq!(planner.withdraw_unstarted(&state).len(), 1);
+}
+
+/// The listed end of a stop that an earlier leader ordered frees the run at once.
+#[test]
+fn listed_stop_frees_an_inherited_run() {
+    let (mut state, _old) = started_job(step(1, 1));
+    let mut planner = Planner::new(options(), Term(4), Millis(100));
+    exchange_report(&mut planner, &mut state, &report(1, 3), 200);
+    let mut over = report(1, 4);
+    over.ended.push(ended(1, 0, 1, RunEnd::Stopped));
+    exchange_report(&mut planner, &mut state, &over, 300);
+    assert_eq!(state.workers_with_runs().count(), 0);
+}
+
 /// No start order may be sent while the withdrawal of the run is being committed. It once was, and
 /// the task ran twice.
 #[test]
