Answer as uncertain what an earlier attempt may have carried out

Cause: the answer to the first attempt was lost, and the caller's key was removed before the entry asked again. Key and queue are checked before the job is looked for, and the entry passed the second attempt's refusal on.

Trace (untouched code): POST at 2,278 ms, answers to entries lost from then; declaration without the key acknowledged at 2,429 ms; task starts at 2,430 ms; 401 at 2,885 ms.

Change: once an attempt at a change may have been carried out, a refusal that follows from the present declaration or jobs becomes uncertain (504). Refusals that follow from the request itself are passed on, as are those decided where an accepted job is recognized first.

Related paths: cancelling, and orders that another replica passes on, use the same call. The own interface recognizes resubmissions in the order of the log before it checks anything.

--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -5,6 +5,7 @@
 use tarpc::context::{self, Context};
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant, timeout};
+use tracing::info;
 
 use super::connections::Connections;
 use super::dialer::{Dialer, tcp_dialer};
@@ -286,6 +287,9 @@
 
     /// Makes a call on the workload. All such calls are safe to retry.
     ///
+    /// A refusal is returned only if no earlier attempt can have been carried out: the key or queue
+    /// of a job may be removed after its submission was accepted and before the answer arrives.
+    ///
     /// # Errors
     /// [`ControlError::Uncertain`] if a change may have been made.
     pub async fn work(&self, request: WorkRequest) -> Result<WorkAnswer> {
@@ -293,16 +297,40 @@
             WorkRequest::Report(_) => REPORT_ATTEMPT_TIMEOUT_MS,
             _ => WORKLOAD_ATTEMPT_TIMEOUT_MS,
         };
-        self.call(
-            self.deadline_ms,
-            attempt_ms,
-            async |client: ControlApiClient, context| client.work(context, request.clone()).await,
-        )
-        .await
+        let call = async |client: ControlApiClient, context| {
+            let request = request.clone();
+            client.work(context, request).await
+        };
+        let (answer, maybe_applied) = self.call_attempts(self.deadline_ms, attempt_ms, call).await;
+        match answer {
+            Ok(refusal)
+                if maybe_applied && request.is_change() && refusal.is_refused_by_state() =>
+            {
+                info!(event = "refusal_uncertain", cause = ?refusal);
+                Err(ControlError::Uncertain)
+            }
+            answer => answer,
+        }
     }
 
     /// Retries a call until it gets a final answer or the deadline passes.
     async fn call<T, C, F>(&self, deadline_ms: Millis, attempt_ms: Millis, call: C) -> Result<T>
+    where
+        C: Fn(ControlApiClient, Context) -> F,
+        F: Future<Output = RpcResult<T>>,
+    {
+        let (answer, _maybe_applied) = self.call_attempts(deadline_ms, attempt_ms, call).await;
+        answer
+    }
+
+    /// Like [`Client::call`]. Also returns whether an attempt before the last one may have been
+    /// applied.
+    async fn call_attempts<T, C, F>(
+        &self,
+        deadline_ms: Millis,
+        attempt_ms: Millis,
+        call: C,
+    ) -> (Result<T>, bool)
     where
         C: Fn(ControlApiClient, Context) -> F,
         F: Future<Output = RpcResult<T>>,
@@ -312,7 +340,7 @@
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(deadline_error(maybe_applied));
+                return (Err(deadline_error(maybe_applied)), maybe_applied);
             }
             let limit = attempt_ms.duration().min(left);
             let target = self.connections.target();
@@ -328,9 +356,9 @@
             });
             match answer {
                 Ok(Err(ControlError::Refused { .. })) if maybe_applied => {
-                    return Err(ControlError::Uncertain);
+                    return (Err(ControlError::Uncertain), maybe_applied);
                 }
-                Ok(answer) => return answer,
+                Ok(answer) => return (answer, maybe_applied),
                 Err(Retry::Immediately) => {}
                 Err(Retry::AfterDelay) => {
                     drop(timeout(RETRY_DELAY.min(left), leader.changed()).await);
--- a/src/workload/messages.rs
+++ b/src/workload/messages.rs
@@ -36,6 +36,21 @@
     CheckLeader,
 }
 
+impl WorkRequest {
+    /// Whether the request may change the replicated state, so that a refusal claims that it did
+    /// not.
+    #[must_use]
+    pub const fn is_change(&self) -> bool {
+        match self {
+            Self::Call(call) => !matches!(call.operation, QueueOperation::Show),
+            Self::Report(_) | Self::Deregister { .. } | Self::Declare(_) | Self::SetZone { .. } => {
+                true
+            }
+            Self::GetDeclaration | Self::CheckLeader => false,
+        }
+    }
+}
+
 /// A caller's request to a queue or to one of its jobs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QueueRequest {
@@ -197,3 +212,37 @@
     /// The declaration in force; `None` before the first one.
     Declaration(Option<Arc<Declaration>>),
 }
+
+impl WorkAnswer {
+    /// Whether the request was rejected for what is declared or known now. An earlier attempt at the
+    /// same request may have been accepted before that changed.
+    ///
+    /// The other refusals follow from the request itself, or are decided where a job that was
+    /// accepted before is recognized.
+    #[must_use]
+    pub const fn is_refused_by_state(&self) -> bool {
+        match self {
+            Self::Call(answer) => answer.is_refused_by_state(),
+            Self::Invalid(_) | Self::Orders(_) | Self::Done | Self::Declaration(_) => false,
+        }
+    }
+}
+
+impl CallerAnswer {
+    const fn is_refused_by_state(&self) -> bool {
+        match self {
+            Self::NotConfigured
+            | Self::NoQueue
+            | Self::BadKey
+            | Self::NoJob
+            | Self::NoId
+            | Self::OtherJob => true,
+            Self::Accepted
+            | Self::Cancelled
+            | Self::Phase(_)
+            | Self::Waiting { .. }
+            | Self::BadJob(_)
+            | Self::Overloaded { .. } => false,
+        }
+    }
+}
