--- a/src/workload/planner/guarantee.rs
+++ b/src/workload/planner/guarantee.rs
@@ -23,7 +23,11 @@
                 continue;
             };
             let steps = job.spec.steps.iter();
-            let accelerators = steps.map(|step| step.demand.accelerators * u64::from(step.tasks));
+            let accelerators = steps.map(|step| {
+                step.demand
+                    .saturating_mul(u64::from(step.tasks))
+                    .accelerators
+            });
             let of_team = needed.entry(team).or_default();
             *of_team = of_team.saturating_add(accelerators.fold(0, u64::saturating_add));
         }
--- a/src/workload/planner/reclaim.rs
+++ b/src/workload/planner/reclaim.rs
@@ -170,7 +170,7 @@
                         vec![run]
                     };
                     let lost = members.iter().map(|run| self.lost_work(*run, state, now));
-                    let lost = lost.sum::<u64>();
+                    let lost = lost.fold(0, u64::saturating_add);
                     let lost = if is_urgent(job) {
                         lost.saturating_mul(URGENT_LOSS_FACTOR)
                     } else {
@@ -284,7 +284,7 @@
         let Some((lost, _remaining, at, more)) = best else {
             break;
         };
-        plan.lost += lost;
+        plan.lost = plan.lost.saturating_add(lost);
         plan.victims.extend(more);
         plan.candidates.push(at);
         *taken.entry(at).or_default() += 1;
@@ -323,7 +323,7 @@
         }
         free = free.saturating_add(resources);
         if !more.contains(&victim) {
-            lost += victims.all[victim].lost;
+            lost = victims.all[victim].lost.saturating_add(lost);
             more.push(victim);
         }
     }
--- a/src/workload/planner/urgent_racks.rs
+++ b/src/workload/planner/urgent_racks.rs
@@ -115,11 +115,12 @@
         return BTreeMap::new();
     };
     let teams = declaration.teams.iter();
-    let guaranteed: u64 = teams.map(|team| team.guaranteed_accelerators).sum();
+    let guaranteed = teams.map(|team| team.guaranteed_accelerators);
+    let guaranteed = guaranteed.fold(0, u64::saturating_add);
     let urgent = declaration.queues.iter();
     let urgent = urgent.filter(|queue| queue.policy.priority == 0);
     let services: BTreeSet<_> = urgent.map(|queue| &queue.policy.service).collect();
-    let accelerators = guaranteed * EXPECTED_GUARANTEE_PERCENT / 100;
+    let accelerators = guaranteed.saturating_mul(EXPECTED_GUARANTEE_PERCENT) / 100;
     let expected = Resources {
         accelerators: accelerators / (services.len() as u64).max(1),
         ..Resources::ZERO
