stop_under_load: wait for the restarted replica before counting its jobs

It now lets the replica answer one call first, as found_leader_releases_waiting_calls does. The count of 400 and all other checks are as before.

--- a/tests/control_path.rs
+++ b/tests/control_path.rs
@@ -361,6 +361,9 @@
             Ok(SubmitAnswer::Accepted)
         );
     }
+    // All answers may have come before the stop. The leader answers once it has replayed its log.
+    let ready = replica.client().work(WorkRequest::CheckLeader).await;
+    assert_matches!(ready, Ok(WorkAnswer::Done));
     let jobs = replica.state_machine.read(StateMachine::unended_jobs);
     assert_eq!(jobs.len(), 400);
     println!("before={before}");
