Judge stalled tasks by the time that they need for a percent

Cause: workers report whole percents, and a run counted as stalled if its percentage was the same for 1.5 s. Each stop also prolonged the avoidance of all workers on which the step had stalled, until none was left.

Change: a run has stalled after three times the time that it needs for a percent, as far as that was watched, declared, learned, or follows from the job's age for a run of an earlier leader; at least 1.5 s as before. Before the first percent, each stop doubles the next run's time. A new checkpoint is progress. Workers are avoided each for its own time, and used if the fleet is idle and no other has room.

--- a/src/workload/planner/candidates.rs
+++ b/src/workload/planner/candidates.rs
@@ -305,6 +305,13 @@
         self.pack(candidates, request)
     }
 
+    /// Whether what is free now holds a task of the step, or all members of a gang.
+    pub(super) fn has_room(&self, request: &PlacementRequest<'_>) -> bool {
+        let fits = (0..self.all.len()).map(|at| request.fitting_now(at, self));
+        let needed = if request.step.gang { request.tasks } else { 1 };
+        fits.fold(0, u32::saturating_add) >= needed
+    }
+
     /// Whether the rack of the step's data could hold it if nothing else ran there. Waiting for a
     /// rack that has lost its workers would never end.
     pub(super) fn can_hold_near_data(&self, request: &PlacementRequest<'_>) -> bool {
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -25,7 +25,7 @@
 use self::guarantee::GuaranteeCoverage;
 use self::pending::RunTimeEstimates;
 use self::reservation::Reservation;
-use self::stalled::AvoidedWorkers;
+use self::stalled::{AvoidedWorkers, EarlyStalls};
 use self::urgent_racks::UrgentDemand;
 use self::worker::Worker;
 use super::{RunKey, StepKey, Transition};
@@ -86,6 +86,7 @@
     presence: GangPresence,
     run_times: RunTimeEstimates,
     avoided: AvoidedWorkers,
+    early_stalls: EarlyStalls,
     urgent_demand: UrgentDemand,
     /// Whether something changed since the last planning pass that may let a task start.
     dirty: bool,
@@ -118,6 +119,7 @@
             presence: GangPresence::default(),
             run_times: RunTimeEstimates::default(),
             avoided: AvoidedWorkers::default(),
+            early_stalls: EarlyStalls::default(),
             urgent_demand: UrgentDemand::default(),
             dirty: true,
         }
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -60,7 +60,7 @@
             task.is_some_and(|task| task.run == run.run && task.placement.is_some())
         });
         self.stop_incomplete_gangs(state, now);
-        self.stop_stalled(state, now);
+        self.stop_stalled(state, now, wall);
         self.stop_on_departing_workers(now);
         let mut candidates = self.candidates(state, now);
         self.reserve_urgent_racks(state, &mut candidates, now);
@@ -171,6 +171,10 @@
             kept_room: KeptRoom::default(),
         };
         request.count_tasks_per_worker(tasks);
+        // A worker on which the step stalled is better than none.
+        if !request.avoided.is_empty() && !candidates.is_busy() && !candidates.has_room(&request) {
+            request.avoided.clear();
+        }
         let waited = wall.since(job.due_ms(key.occurrence));
         let is_idle_beside_room = !candidates.is_busy() && waited >= IDLE_FLEET_WAIT_MS;
         request.any_location |= is_idle_beside_room || !candidates.can_hold_near_data(&request);
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -102,7 +102,7 @@
         };
         worker.unreported.retain(|run, _state| is_placed(run));
         let earlier = std::mem::take(&mut worker.running);
-        worker.running = reported_runs(report, state, &earlier, now);
+        worker.running = reported_runs(report, state, (&earlier, &worker.unreported), now);
         worker.has_unknown_runs = worker.running.len() < report.running.len();
         for run in worker.running.keys() {
             worker.unreported.insert(*run, UnreportedRun::WasRunning);
@@ -297,7 +297,10 @@
 fn reported_runs(
     report: &WorkerReport,
     state: &Workload,
-    earlier: &BTreeMap<RunKey, RunProgress>,
+    (earlier, unreported): (
+        &BTreeMap<RunKey, RunProgress>,
+        &BTreeMap<RunKey, UnreportedRun>,
+    ),
     now: Millis,
 ) -> BTreeMap<RunKey, RunProgress> {
     let runs = report.running.iter().filter_map(|reported| {
@@ -315,9 +318,17 @@
             return None;
         }
         let before = earlier.get(&run);
-        let unchanged = before.filter(|before| before.percent == reported.percent);
+        let unchanged = before.filter(|before| {
+            before.percent == reported.percent && before.checkpoint == reported.checkpoint
+        });
+        let is_first_inherited = matches!(
+            unreported.get(&run),
+            Some(UnreportedRun::Inherited | UnreportedRun::StopOrdered { .. })
+        );
         let seen = RunProgress {
             first_seen_ms: before.map_or(now, |before| before.first_seen_ms),
+            first_percent: before.map_or(reported.percent, |before| before.first_percent),
+            is_inherited: before.map_or(is_first_inherited, |before| before.is_inherited),
             checkpoint: reported.checkpoint.clone(),
             percent: reported.percent,
             last_progress_ms: unchanged.map_or(now, |before| before.last_progress_ms),
--- a/src/workload/planner/stalled.rs
+++ b/src/workload/planner/stalled.rs
@@ -1,50 +1,107 @@
 //! Detects tasks that make no progress on workers that report normally. They are stopped and
 //! restarted elsewhere, because waiting for them would make their jobs late.
+//!
+//! Workers report progress in whole percent, so a task of hours shows none for minutes. A run is
+//! therefore judged by the time that it needs for a percent, as far as that is known. Where nothing
+//! is known yet, each stop of the task doubles the time that its next run gets for its first
+//! percent, so that a task of any length ends.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::warn;
 
 use super::Planner;
-use crate::units::{Millis, WorkerId};
-use crate::workload::{RunKey, StepKey, TaskKey, Workload};
+use super::worker::RunProgress;
+use crate::units::{Millis, WallMs, WorkerId};
+use crate::workload::{RunKey, Step, StepKey, TaskKey, Workload};
 
-/// How long a task may show no progress; the slowest healthy tasks show some within a second.
+/// The least time for which a task may show no progress. Tasks of up to a minute show some more
+/// often.
 const STALL_TIMEOUT_MS: Millis = Millis(1_500);
-/// How long a step avoids the workers on which it stalled.
+/// A run has stalled if it shows no progress for this many times the time that it needs for a
+/// percent.
+const STALL_PERCENTS: u64 = 3;
+/// The maximum number of times the time for the first percent is doubled, which covers days.
+const DOUBLINGS_MAX: u32 = 20;
+/// How long a step avoids a worker on which it stalled.
 const AVOID_WORKER_MS: Millis = Millis(8_000);
 
-/// The workers that each step avoids, and until when.
+/// The workers that each step avoids, each with the time until which it does.
 #[derive(Debug, Default)]
 pub(super) struct AvoidedWorkers {
-    by_step: BTreeMap<StepKey, (BTreeSet<WorkerId>, Millis)>,
+    by_step: BTreeMap<StepKey, BTreeMap<WorkerId, Millis>>,
+}
+
+/// How often each task was stopped before its first percent.
+#[derive(Debug, Default)]
+pub(super) struct EarlyStalls {
+    by_task: BTreeMap<TaskKey, u32>,
+}
+
+impl EarlyStalls {
+    fn first_percent_timeout(&self, task: TaskKey) -> Millis {
+        let doublings = self.by_task.get(&task).copied().unwrap_or(0);
+        Millis(STALL_TIMEOUT_MS.get() << doublings.min(DOUBLINGS_MAX))
+    }
+
+    fn add(&mut self, task: TaskKey) {
+        *self.by_task.entry(task).or_default() += 1;
+    }
+
+    fn forget_ended(&mut self, state: &Workload) {
+        self.by_task
+            .retain(|task, _stops| state.task(*task).is_some_and(|task| !task.done));
+    }
+}
+
+impl RunProgress {
+    /// The most time that the run can have needed for each percent so far; zero if it shows none.
+    ///
+    /// `job_age_ms` bounds the age of a run that an earlier leader started.
+    fn ms_per_percent(&self, job_age_ms: Millis) -> u64 {
+        let gained = u64::from(self.percent.saturating_sub(self.first_percent));
+        let watched_ms = self.last_progress_ms.since(self.first_seen_ms).get();
+        if !self.is_inherited {
+            return watched_ms / gained.max(1);
+        }
+        let by_age = job_age_ms
+            .get()
+            .checked_div(u64::from(self.percent))
+            .unwrap_or(0);
+        // The first percent was under way when the run was first seen.
+        let watched = gained.checked_sub(1).filter(|whole| *whole > 0);
+        watched.map_or(by_age, |whole| by_age.min(watched_ms / whole))
+    }
 }
 
 impl AvoidedWorkers {
     pub(super) fn expire(&mut self, now: Millis) {
-        self.by_step.retain(|_step, (_workers, until)| now < *until);
+        self.by_step.retain(|_step, workers| {
+            workers.retain(|_worker, until_ms| now < *until_ms);
+            !workers.is_empty()
+        });
     }
 
     /// The workers that a step avoids now.
     pub(super) fn for_step(&self, step: StepKey) -> BTreeSet<WorkerId> {
         let avoided = self.by_step.get(&step);
         avoided
-            .map(|(workers, _until)| workers.clone())
+            .map(|workers| workers.keys().cloned().collect())
             .unwrap_or_default()
     }
 
     fn add(&mut self, step: StepKey, worker: WorkerId, now: Millis) {
-        let (workers, until) = self.by_step.entry(step).or_default();
-        workers.insert(worker);
-        *until = now.saturating_add(AVOID_WORKER_MS);
+        let workers = self.by_step.entry(step).or_default();
+        workers.insert(worker, now.saturating_add(AVOID_WORKER_MS));
     }
 }
 
 impl Planner {
     /// Stops tasks that show no progress; a gang is stopped as a whole.
-    pub(super) fn stop_stalled(&mut self, state: &Workload, now: Millis) {
+    pub(super) fn stop_stalled(&mut self, state: &Workload, now: Millis, wall: WallMs) {
         self.avoided.expire(now);
-        for run in self.stalled_runs(state, now) {
+        self.early_stalls.forget_ended(state);
+        for (run, after_ms) in self.stalled_runs(state, now, wall) {
             let Some((step, tasks)) = state.step(run.task.step) else {
                 continue;
             };
@@ -53,8 +110,12 @@
             } else {
                 run.task.index..run.task.index + 1
             };
-            warn!(event = "run_stalled", run = %run, gang = step.gang,
-                after_ms = STALL_TIMEOUT_MS.get());
+            let percent = self.progress(run, state).map(|seen| seen.percent);
+            warn!(event = "run_stalled", run = %run, gang = step.gang, after_ms = after_ms.get(),
+                percent);
+            if percent == Some(0) {
+                self.early_stalls.add(stall_key(run, step));
+            }
             for index in indices {
                 let task = tasks.tasks.get(index as usize);
                 if let Some(place) = task.and_then(|task| task.placement.as_ref()) {
@@ -69,41 +130,86 @@
         }
     }
 
-    /// Returns the runs without progress, one for each gang.
-    fn stalled_runs(&self, state: &Workload, now: Millis) -> Vec<RunKey> {
+    /// Returns the runs without progress, one for each gang, each with the time after which it
+    /// counts as stalled.
+    fn stalled_runs(&self, state: &Workload, now: Millis, wall: WallMs) -> Vec<(RunKey, Millis)> {
         let mut stalled = Vec::new();
         let mut gangs = BTreeSet::new();
         for worker in self.workers.values() {
             for (run, seen) in &worker.running {
-                let is_stalled =
-                    worker.last_report_ms.since(seen.last_progress_ms) >= STALL_TIMEOUT_MS;
-                if !is_stalled || self.stopping.contains(run) {
+                let silent_ms = worker.last_report_ms.since(seen.last_progress_ms);
+                if silent_ms < STALL_TIMEOUT_MS || self.stopping.contains(run) {
                     continue;
                 }
                 let Some((step, _tasks)) = state.step(run.task.step) else {
                     continue;
                 };
+                let timeout_ms = self.stall_timeout(*run, seen, state, now, wall);
+                if silent_ms < timeout_ms {
+                    continue;
+                }
                 let is_starting = self.starting_gangs.contains_key(&(run.task.step, run.run));
                 let is_first = !step.gang || gangs.insert((run.task.step, run.run));
                 if !step.long_running && !is_starting && is_first {
-                    stalled.push(*run);
+                    stalled.push((*run, timeout_ms));
                 }
             }
         }
-        stalled.retain(|run| self.is_whole_run_stalled(*run, state, now));
+        stalled.retain(|(run, _after_ms)| self.is_whole_run_stalled(*run, state, now, wall));
         stalled
     }
 
+    /// How long a run may show no progress.
+    fn stall_timeout(
+        &self,
+        run: RunKey,
+        seen: &RunProgress,
+        state: &Workload,
+        now: Millis,
+        wall: WallMs,
+    ) -> Millis {
+        let (Some(job), Some((step, _tasks))) =
+            (state.job(run.task.step.job), state.step(run.task.step))
+        else {
+            return STALL_TIMEOUT_MS;
+        };
+        let age_ms = wall.since(job.due_ms(run.task.step.occurrence));
+        let age_ms = age_ms.since(now.since(seen.last_progress_ms));
+        let expected = self.run_times.estimate(job, step).get() / 100;
+        let per_percent = expected.max(seen.ms_per_percent(age_ms));
+        let known = Millis(per_percent.saturating_mul(STALL_PERCENTS));
+        let least = if seen.percent == 0 {
+            self.early_stalls
+                .first_percent_timeout(stall_key(run, step))
+        } else {
+            STALL_TIMEOUT_MS
+        };
+        least.max(known)
+    }
+
+    /// The progress of a placed run, if its worker lists it.
+    fn progress(&self, run: RunKey, state: &Workload) -> Option<&RunProgress> {
+        let place = state.task(run.task)?.placement.as_ref()?;
+        self.workers.get(&place.worker)?.running.get(&run)
+    }
+
     /// Whether all members of a gang have stalled, so that none was just waiting for another;
     /// always true for a single task.
-    fn is_whole_run_stalled(&self, run: RunKey, state: &Workload, now: Millis) -> bool {
+    fn is_whole_run_stalled(
+        &self,
+        run: RunKey,
+        state: &Workload,
+        now: Millis,
+        wall: WallMs,
+    ) -> bool {
         let Some((step, tasks)) = state.step(run.task.step) else {
             return false;
         };
         if !step.gang {
             return true;
         }
-        tasks.tasks.iter().zip(0_u32..).all(|(task, index)| {
+        let members = 0..u32::try_from(tasks.tasks.len()).unwrap_or_default();
+        members.into_iter().all(|index| {
             let key = RunKey {
                 task: TaskKey {
                     step: run.task.step,
@@ -111,12 +217,18 @@
                 },
                 run: run.run,
             };
-            let worker = task
-                .placement
-                .as_ref()
-                .and_then(|place| self.workers.get(&place.worker));
-            let seen = worker.and_then(|worker| worker.running.get(&key));
-            seen.is_some_and(|seen| now.since(seen.last_progress_ms) >= STALL_TIMEOUT_MS)
+            self.progress(key, state).is_some_and(|seen| {
+                let timeout_ms = self.stall_timeout(key, seen, state, now, wall);
+                now.since(seen.last_progress_ms) >= timeout_ms
+            })
         })
     }
 }
+
+/// The task by which the stops of a run are counted; the members of a gang share one.
+const fn stall_key(run: RunKey, step: &Step) -> TaskKey {
+    TaskKey {
+        index: if step.gang { 0 } else { run.task.index },
+        ..run.task
+    }
+}
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -72,10 +72,14 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunProgress {
     pub(super) first_seen_ms: Millis,
+    /// The completed share of its work when it was first seen, in percent.
+    pub(super) first_percent: u32,
+    /// Whether an earlier leader may have started it long before it was first seen.
+    pub(super) is_inherited: bool,
     pub(super) checkpoint: SmolStr,
     /// The completed share of its work, in percent.
     pub(super) percent: u32,
-    /// When `percent` last changed, or when the run was first seen.
+    /// When `percent` or `checkpoint` last changed, or when the run was first seen.
     pub(super) last_progress_ms: Millis,
 }
 
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -477,6 +477,25 @@
     assert_eq!(orders.stops.len(), stops);
 }
 
+/// Guards against a task that waits beside idle workers because its step stalled on each of them: a
+/// worker on which it stalled is better than none.
+#[test]
+fn stalled_task_restarts_on_the_only_worker() {
+    let (mut state, mut planner) = started_job(step(1, 1));
+    let mut stalled = report(1, 3);
+    stalled.running.push(running(0, 1));
+    exchange_report(&mut planner, &mut state, &stalled, 300);
+    stalled.sequence = Sequence(4);
+    exchange_report(&mut planner, &mut state, &stalled, 1_900);
+    plan(&mut planner, &mut state, 1_910);
+    let mut stopped = report(1, 5);
+    stopped.ended.push(ended(1, 0, 1, RunEnd::Stopped));
+    exchange_report(&mut planner, &mut state, &stopped, 2_200);
+    assert_eq!(state.workers_with_runs().count(), 0);
+    plan(&mut planner, &mut state, 2_210);
+    assert_eq!(state.workers_with_runs().count(), 1);
+}
+
 /// A report may arrive through another replica after the deregistration that followed it. Tasks
 /// that it listed as done used to be given up, and ran again.
 #[test]
