Review of the change: wire order, connections inside the process

The new call of the control group stands at the end, so that the numbers of the others stay the same on the wire. A connection inside the process is not counted: one that was aborted kept its place.

--- a/src/control/api.rs
+++ b/src/control/api.rs
@@ -43,6 +43,8 @@
 }
 
 /// The RPC service that the leader of the control group offers to entries.
+///
+/// Calls are numbered in this order on the wire, so new ones are added at the end.
 #[tarpc::service]
 pub trait ControlApi {
     /// Renews the entry's grant and returns state, orders and shares that changed.
@@ -65,10 +67,10 @@
     async fn cancel_jobs(keys: Vec<JobKey>) -> Result<Vec<JobView>>;
     /// Returns the status of the whole deployment, for operators.
     async fn status() -> Result<Status>;
-    /// Returns the addresses at which the group's replicas accept calls.
-    async fn members() -> Result<Vec<SocketAddr>>;
     /// Serves a call of a caller, worker or operator on the workload.
     async fn work(request: WorkRequest) -> Result<WorkAnswer>;
+    /// Returns the addresses at which the group's replicas accept calls.
+    async fn members() -> Result<Vec<SocketAddr>>;
 }
 
 /// Selects the jobs to list.
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -70,7 +70,6 @@
 pub struct ControlService {
     address: SocketAddr,
     server: ControlServer,
-    connections: Arc<Connections>,
     stop: watch::Sender<bool>,
     close: watch::Sender<bool>,
     leader_loop: JoinHandle<()>,
@@ -113,14 +112,11 @@
         };
         let leader_loop = LeaderLoop::new(handle, state_machine, options.scheduler, Clock::start());
         let leader_loop = tokio::spawn(leader_loop.run(receiver, stop.subscribe()));
-        let connections = Arc::new(Connections::new(CONNECTIONS_MAX));
-        let acceptor = accept(listener, server.clone(), Arc::clone(&connections));
-        let acceptor = tokio::spawn(acceptor);
+        let acceptor = tokio::spawn(accept(listener, server.clone()));
         info!(event = "control_listens", %address);
         Ok(Self {
             address,
             server,
-            connections,
             stop,
             close,
             leader_loop,
@@ -150,11 +146,11 @@
             + 'static,
         T::Error: Send + Sync,
     {
-        let connection = self.connections.add();
-        let (server, connections) = (self.server.clone(), Arc::clone(&self.connections));
+        let server = self.server.clone();
         let task = async move {
-            serve(transport, server, &connection).await;
-            connections.remove(&connection);
+            // It does not count towards the limit, which protects descriptors.
+            let uncounted = Connections::new(1).add();
+            serve(transport, server, &uncounted).await;
         };
         tokio::spawn(task).abort_handle()
     }
@@ -174,7 +170,8 @@
 }
 
 /// Accepts connections until the service closes, then waits for the open ones to finish.
-async fn accept(listener: TcpListener, server: ControlServer, connections: Arc<Connections>) {
+async fn accept(listener: TcpListener, server: ControlServer) {
+    let connections = Arc::new(Connections::new(CONNECTIONS_MAX));
     let mut serving = JoinSet::new();
     let mut close = server.close.clone();
     loop {
--- a/src/programs/daemon.rs
+++ b/src/programs/daemon.rs
@@ -77,8 +77,7 @@
     let stop = CancellationToken::new();
     runtime.block_on(async {
         stop_on_signal(&stop)?;
-        let (load, file) = (daemon.load, path.to_owned());
-        let settings = SettingsFeed::follow_file(settings, move || load(&file), path.to_owned())?;
+        let settings = SettingsFeed::follow_file(settings, daemon.load, path.to_owned())?;
         info!(event = "started", program = daemon.program);
         let served = (daemon.serve)(settings, metrics, stop).await;
         match &served {
--- a/src/programs/settings_feed.rs
+++ b/src/programs/settings_feed.rs
@@ -1,4 +1,4 @@
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use tokio::signal::unix::{SignalKind, signal};
@@ -48,7 +48,7 @@
     /// Returns an error if the signal handler cannot be installed.
     pub fn follow_file(
         settings: S,
-        load: impl Fn() -> settings::Result<S> + Send + 'static,
+        load: fn(&Path) -> settings::Result<S>,
         path: PathBuf,
     ) -> Result<Self> {
         let mut hangups = signal(SignalKind::hangup()).map_err(|cause| cause.to_string())?;
@@ -62,7 +62,7 @@
                     Some(()) = hangups.recv() => true,
                     _ = checks.tick() => false,
                 };
-                match load() {
+                match load(&path) {
                     Ok(settings) => {
                         last_error = None;
                         if publish(&sender, settings) || signalled {
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -36,9 +36,7 @@
     let path = folder.path().join("entry.toml");
     write_settings(&path, control);
     let settings = EntrySettings::load(&path).expect("the settings are valid");
-    let file = path.clone();
-    let load = move || EntrySettings::load(&file);
-    let feed = SettingsFeed::follow_file(settings, load, path.clone());
+    let feed = SettingsFeed::follow_file(settings, EntrySettings::load, path.clone());
     (folder, path, feed.expect("the signal can be handled"))
 }
 
