review: a job of many small tasks is never started, as the answer to its worker is too large

Cause: an answer to a report repeats the payload for each run to start, without a bound on its size.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -18,6 +18,7 @@
         "late-leave" => late_leave(record, trouble),
         "late-reopen" => late_reopen(record, trouble),
         "late-submission" => late_submission(record, trouble),
+        "small-tasks" => small_tasks(record, trouble),
         "broken-job" => broken_job(record, trouble),
         "other-writer" => other_writer(record, trouble),
         "large-jobs" => large_jobs(record, trouble),
@@ -473,3 +474,42 @@
         }
     }
 }
+
+/// The most bytes of a job's `spec`.
+const SPEC_MAX_BYTES: usize = 4_000;
+
+/// A job of many small tasks makes the answers to a worker larger than it takes.
+fn small_tasks(record: &Record, trouble: bool) -> Result {
+    let (system, _roles) = start(record, false, true)?;
+    let workers: Vec<Worker> = (1..=3)
+        .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
+        .collect();
+    sleep(ms(2_000));
+    let ordinary = "{\"spec\":\"work_ms=12000 cpu=4000 gpu=4\",\"steps\":[{\"count\":2,\"cpu\":4000,\
+                    \"mem_mb\":1024,\"gpu\":4,\"estimate_ms\":12000}]}";
+    if !submit(record, &system, "00000000000000e1", ordinary) {
+        return Err("the ordinary job was not accepted".to_owned());
+    }
+    sleep(ms(1_000));
+    let work = "work_ms=1000 cpu=20 gpu=0 ";
+    let spec = if trouble {
+        format!("{work}{}", "x".repeat(SPEC_MAX_BYTES - work.len()))
+    } else {
+        work.to_owned()
+    };
+    let body = format!(
+        "{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":1500,\"cpu\":20,\"mem_mb\":40,\"estimate_ms\":1000}}]}}"
+    );
+    let id = "00000000000000e2";
+    if !submit(record, &system, id, &body) {
+        return Err("the job of small tasks was not accepted".to_owned());
+    }
+    record.note("the traffic ends");
+    wait_for_idle_capacity(record, &[id.to_owned()]);
+    record.note(&format!(
+        "client: GET {id}: {:?}",
+        call(system.callers(0), "GET", id, "")
+    ));
+    finish(workers);
+    Ok(())
+}
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -13,6 +13,8 @@
 use crate::record::Record;
 use crate::system::{HEARTBEAT_MS, HOLD_MAX_MS};
 
+/// A larger answer does not acknowledge a heartbeat.
+const ANSWER_MAX_BYTES: usize = 4 * 1_024 * 1_024;
 const ANSWER_VALID: Duration = Duration::from_secs(1);
 const STOP: Duration = Duration::from_millis(300);
 const AFTER_END: Duration = Duration::from_millis(50);
@@ -270,19 +272,29 @@
         }
         let mut state = lock(&self.state);
         match answer {
+            Some(Ok((200..=299, text))) if text.len() > ANSWER_MAX_BYTES => {
+                self.record.note(&format!(
+                    "{} gets an answer of {} bytes, more than {ANSWER_MAX_BYTES}, and calls the next node",
+                    self.about.id,
+                    text.len()
+                ));
+                self.call_next(&mut state, client);
+            }
             Some(Ok((200..=299, text))) if sent.elapsed() <= ANSWER_VALID => {
                 let orders = Json::parse(&text).unwrap_or(Json::Null);
                 self.obey(&mut state, &orders, sent);
             }
-            _ => {
-                state.target = None;
-                state.at += 1;
-                *client = None;
-                state.next_beat = Some(Instant::now() + Duration::from_millis(100));
-            }
+            _ => self.call_next(&mut state, client),
         }
     }
 
+    fn call_next(&self, state: &mut State, client: &mut Option<Client>) {
+        state.target = None;
+        state.at += 1;
+        *client = None;
+        state.next_beat = Some(Instant::now() + Duration::from_millis(100));
+    }
+
     fn report(&self, state: &State) -> Json {
         let text = |text: &str| Json::Text(text.to_owned());
         let number = |number: u64| Json::Number(number as f64);
