review: a guarantee cannot be reclaimed from long-running work

Cause: runs of long-running steps are never stopped for urgent work, and nothing keeps them out of guaranteed accelerators.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -8,7 +8,10 @@
 
 use crate::http::{Client, Request};
 use crate::record::Record;
-use crate::system::{HEARTBEAT_MS, System, call, call_within, config, order};
+use crate::system::{
+    DEADLINE_MS, HEARTBEAT_MS, KEY, OTHER_KEY, PREFIX, System, URGENT_PREFIX, call, call_as,
+    config, order,
+};
 use crate::worker::{Description, Worker};
 
 type Result = std::result::Result<(), String>;
@@ -18,6 +21,7 @@
         "late-leave" => late_leave(record, trouble),
         "late-reopen" => late_reopen(record, trouble),
         "late-submission" => late_submission(record, trouble),
+        "lasting-work" => lasting_work(record, trouble),
         "small-tasks" => small_tasks(record, trouble),
         "broken-job" => broken_job(record, trouble),
         "other-writer" => other_writer(record, trouble),
@@ -35,11 +39,7 @@
 }
 
 /// Starts the system and returns it with the numbers of the leader and of the two followers.
-fn start(
-    record: &Record,
-    proxied: bool,
-    enforces_capacity: bool,
-) -> std::result::Result<(System, [u8; 3]), String> {
+fn start(record: &Record, proxied: bool) -> std::result::Result<(System, [u8; 3]), String> {
     let system = System::start(record, proxied).map_err(text)?;
     let leader = system
         .wait_for_leader(ms(15_000))
@@ -53,7 +53,7 @@
     // The configuration goes through the follower that will be cut off, which thereby has a
     // connection to the leader, as after any call of a worker or an operator.
     let first = [system.control(roles[1])];
-    let body = config(1, enforces_capacity);
+    let body = config(1);
     let status = order(record, &first, ("PUT", "/api/config", &body), ms(8_000));
     (status == Some(200))
         .then_some(())
@@ -90,7 +90,7 @@
 /// A worker leaves while the replica that it tells is cut off, comes back under its id, and is taken
 /// for gone when the cut heals.
 fn late_leave(record: &Record, trouble: bool) -> Result {
-    let (system, [leader, cut, other]) = start(record, true, true)?;
+    let (system, [leader, cut, other]) = start(record, true)?;
     let mut workers: Vec<Worker> = (1..=4)
         .map(|at| {
             let mut about = describe(&system, &format!("i-{at}"), "zone-a", 8);
@@ -150,7 +150,7 @@
 /// The withdrawal of an evacuation that a cut-off replica did not get through is carried out when the
 /// cut heals, after the next evacuation of that zone.
 fn late_reopen(record: &Record, trouble: bool) -> Result {
-    let (system, [leader, cut, other]) = start(record, true, true)?;
+    let (system, [leader, cut, other]) = start(record, true)?;
     let mut workers = Vec::new();
     for at in 1..=2 {
         workers.push(Worker::start(
@@ -225,7 +225,7 @@
 /// Large jobs come at once. The platform kills a process whose memory exceeds that of its machine, and
 /// starts it again.
 fn large_jobs(record: &Record, trouble: bool) -> Result {
-    let (mut system, _roles) = start(record, false, true)?;
+    let (mut system, _roles) = start(record, false)?;
     let mut worker = Worker::start(describe(&system, "i-1", "zone-a", 8), record);
     sleep(ms(1_500));
     let ordinary = "{\"spec\":\"work_ms=20000 cpu=4000 gpu=4\",\"steps\":[{\"count\":2,\"cpu\":4000,\
@@ -302,7 +302,7 @@
 
 /// A writer of another kind sends heartbeats that lack the address of a worker.
 fn other_writer(record: &Record, trouble: bool) -> Result {
-    let (system, _roles) = start(record, false, true)?;
+    let (system, _roles) = start(record, false)?;
     let workers: Vec<Worker> = (1..=3)
         .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
         .collect();
@@ -377,7 +377,7 @@
 /// A submission through an entry that is cut off is carried out when the cut heals, after the client
 /// was told that there is no such job to cancel.
 fn late_submission(record: &Record, trouble: bool) -> Result {
-    let (system, _roles) = start(record, true, true)?;
+    let (system, _roles) = start(record, true)?;
     let workers: Vec<Worker> = (1..=2)
         .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
         .collect();
@@ -394,7 +394,12 @@
         sleep(ms(300));
     }
     let id = "00000000000000c2";
-    let answer = call_within(system.callers(0), ("POST", id, body), 1_000);
+    let answer = call_as(
+        system.callers(0),
+        KEY,
+        ("POST", &format!("{PREFIX}{id}"), body),
+        1_000,
+    );
     record.note(&format!(
         "client: POST {id} at entry 0, waiting 1,000 ms: {answer:?}"
     ));
@@ -427,7 +432,7 @@
 
 /// One job fails on all workers, which then get no other work for a long time.
 fn broken_job(record: &Record, trouble: bool) -> Result {
-    let (system, _roles) = start(record, false, true)?;
+    let (system, _roles) = start(record, false)?;
     let workers: Vec<Worker> = (1..=3)
         .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
         .collect();
@@ -483,7 +488,7 @@
 
 /// A job of many small tasks makes the answers to a worker larger than it takes.
 fn small_tasks(record: &Record, trouble: bool) -> Result {
-    let (system, _roles) = start(record, false, true)?;
+    let (system, _roles) = start(record, false)?;
     let workers: Vec<Worker> = (1..=3)
         .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
         .collect();
@@ -510,3 +515,64 @@
     finish(workers);
     Ok(())
 }
+
+const RECLAIM_MS: u64 = 5_900;
+
+/// Work of another tenant that lasts takes all accelerators, and an urgent job within its tenant's
+/// guarantee finds none.
+fn lasting_work(record: &Record, trouble: bool) -> Result {
+    let (system, _roles) = start(record, false)?;
+    let workers: Vec<Worker> = (1..=3)
+        .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
+        .collect();
+    sleep(ms(2_000));
+    let entry = system.callers(0);
+    let lasts = if trouble {
+        ",\"long_running\":true"
+    } else {
+        ""
+    };
+    let body = format!(
+        "{{\"spec\":\"work_ms=100000 cpu=1000 gpu=1\",\"steps\":[{{\"count\":24,\"cpu\":1000,\"mem_mb\":1024,\
+         \"gpu\":1,\"estimate_ms\":100000{lasts}}}]}}"
+    );
+    let id = "00000000000000f1";
+    let path = format!("{PREFIX}{id}");
+    let answer = call_as(entry, OTHER_KEY, ("POST", &path, &body), DEADLINE_MS);
+    record.note(&format!(
+        "client of the other tenant: POST {id}: {answer:?}"
+    ));
+    sleep(ms(3_000));
+    let body = "{\"spec\":\"work_ms=2000 cpu=1000 gpu=2\",\"steps\":[{\"count\":4,\"cpu\":1000,\"mem_mb\":1024,\
+                \"gpu\":2,\"estimate_ms\":2000}]}";
+    let urgent = "00000000000000f2";
+    let path = format!("{URGENT_PREFIX}{urgent}");
+    let answer = call_as(entry, KEY, ("POST", &path, body), DEADLINE_MS);
+    record.note(&format!(
+        "client of the guaranteed tenant: POST {urgent}, urgent: {answer:?}"
+    ));
+    if !matches!(answer, Ok((200, _))) {
+        return Err("the urgent job was not accepted".to_owned());
+    }
+    let since_ms = record.now_ms();
+    sleep(ms(30_000));
+    let runs = record.runs();
+    let begun = runs
+        .iter()
+        .filter(|run| run.task.starts_with(urgent) && run.started_ms <= since_ms + RECLAIM_MS);
+    let begun = begun.count();
+    let later = runs
+        .iter()
+        .filter(|run| run.task.starts_with(urgent))
+        .count();
+    let answer = call_as(entry, KEY, ("GET", &path, ""), DEADLINE_MS);
+    record.note(&format!("client: GET {urgent}: {answer:?}"));
+    if begun < 4 {
+        record.broken(&format!(
+            "RECLAIM: {begun} of 4 tasks of the urgent job have begun {RECLAIM_MS} ms after its acknowledgement, \
+             and {later} after 30 s"
+        ));
+    }
+    finish(workers);
+    Ok(())
+}
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -19,9 +19,11 @@
 pub const HOST: &str = "nony24.example";
 pub const KEY: &str = "d4a3hwrr6x73d3zji9n7";
 pub const PREFIX: &str = "/lohu930/";
+pub const URGENT_PREFIX: &str = "/pufi791/";
+pub const OTHER_KEY: &str = "3hh2b9wu3fexd9dnn2ct";
 
 /// How long clients wait for an answer, as on the sites.
-const DEADLINE_MS: u64 = 3_000;
+pub const DEADLINE_MS: u64 = 3_000;
 const PEERS_PORT: u16 = 24_100;
 const ENTRIES_PORT: u16 = 24_101;
 const CONTROL_PORT: u16 = 24_102;
@@ -338,38 +340,48 @@
     None
 }
 
-/// A configuration with one queue and one tenant.
-pub fn config(version: u64, enforces_capacity: bool) -> String {
+/// A configuration with a queue of priority 1, an urgent one of priority 0, and two tenants. The first
+/// tenant is guaranteed 8 accelerators.
+pub fn config(version: u64) -> String {
+    let route = |name: &str, prefix: &str, priority: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"unsafe\",\
+             \"timeout_ms\":3000,\"target_duration_ms\":1500,\"priority\":{priority},\"service\":\"huvo11a\",\
+             \"max_attempts\":4,\"stretch\":3.0,\"public\":false}}"
+        )
+    };
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"path_prefix\":\"{PREFIX}\",\
-         \"kind\":\"unsafe\",\"timeout_ms\":3000,\"target_duration_ms\":1500,\"priority\":1,\
-         \"service\":\"huvo11a\",\"max_attempts\":4,\"stretch\":3.0,\"public\":false}}],\
-         \"services\":[{{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\
-         \"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\"enforces_capacity\":{enforces_capacity},\
-         \"standby\":false}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"kaje80\",\
-         \"api_keys\":[\"{KEY}\"],\"priority\":1,\"guaranteed\":{{\"gpu\":8}}}}]}}"
+        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"huvo11a\",\
+         \"health_path\":\"/health\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
+         \"cold_start_s\":0.0,\"cold_per_s\":0.0,\"enforces_capacity\":true,\"standby\":false}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"kaje80\",\"api_keys\":[\"{KEY}\"],\
+         \"priority\":1,\"guaranteed\":{{\"gpu\":8}}}},{{\"name\":\"lumo12\",\
+         \"api_keys\":[\"{OTHER_KEY}\"],\"priority\":1}}]}}",
+        route("r-1", PREFIX, 1),
+        route("r-2", URGENT_PREFIX, 0)
     )
 }
 
-/// Sends one request of a client to the entry.
+/// Sends one request of a client of the first tenant to an entry.
 pub fn call(
     address: SocketAddr,
     method: &str,
     id: &str,
     body: &str,
 ) -> std::io::Result<(u16, String)> {
-    call_within(address, (method, id, body), DEADLINE_MS)
+    let path = format!("{PREFIX}{id}");
+    call_as(address, KEY, (method, &path, body), DEADLINE_MS)
 }
 
-/// The same, for a client that waits this long.
-pub fn call_within(
+/// Sends one request with this key, for a client that waits this long.
+pub fn call_as(
     address: SocketAddr,
-    (method, id, body): (&str, &str, &str),
+    key: &str,
+    (method, path, body): (&str, &str, &str),
     deadline_ms: u64,
 ) -> std::io::Result<(u16, String)> {
-    let key = format!("Bearer {KEY}");
-    let path = format!("{PREFIX}{id}");
+    let key = format!("Bearer {key}");
     let deadline = deadline_ms.to_string();
     let headers = [
         ("Host", HOST),
@@ -378,7 +390,7 @@
     ];
     let request = Request {
         method,
-        path: &path,
+        path,
         headers: &headers,
         body,
     };
