review: one broken job that lasts keeps sound workers from all other work

Cause: every failed end counts against its worker, also where a step fails everywhere, and quarantined workers are left out also where no other is left.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -24,6 +24,7 @@
         "lasting-work" => lasting_work(record, trouble),
         "small-tasks" => small_tasks(record, trouble),
         "broken-job" => broken_job(record, trouble),
+        "failing-service" => failing_service(record, trouble),
         "other-writer" => other_writer(record, trouble),
         "large-jobs" => large_jobs(record, trouble),
         _ => Err(format!("there is no case {case}")),
@@ -68,6 +69,7 @@
         rack: "r1-1".to_owned(),
         cpu: 32_000,
         gpu,
+        slots: 8,
         control: system.controls(),
     }
 }
@@ -430,19 +432,33 @@
     Ok(())
 }
 
-/// One job fails on all workers, which then get no other work for a long time.
+/// The tasks of one job that lasts fail again and again, on all workers, and another job gets nothing.
 fn broken_job(record: &Record, trouble: bool) -> Result {
     let (system, _roles) = start(record, false)?;
     let workers: Vec<Worker> = (1..=3)
         .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
         .collect();
     sleep(ms(2_000));
-    let how = if trouble { "fails" } else { "works" };
+    let (how, count) = if trouble {
+        ("fails work_ms=300", 24)
+    } else {
+        ("work_ms=100000", 20)
+    };
     let broken = format!(
-        "{{\"spec\":\"{how} work_ms=300 cpu=500 gpu=1\",\"steps\":[{{\"count\":24,\"cpu\":500,\"mem_mb\":256,\
-         \"gpu\":1,\"estimate_ms\":300}}]}}"
+        "{{\"spec\":\"{how} cpu=500 gpu=1\",\"steps\":[{{\"count\":{count},\"cpu\":500,\"mem_mb\":256,\
+         \"gpu\":1,\"estimate_ms\":300,\"long_running\":true}}]}}"
+    );
+    let path = format!("{PREFIX}00000000000000d1");
+    let answer = call_as(
+        system.callers(0),
+        OTHER_KEY,
+        ("POST", &path, &broken),
+        DEADLINE_MS,
     );
-    if !submit(record, &system, "00000000000000d1", &broken) {
+    record.note(&format!(
+        "client of the other tenant: POST 00000000000000d1: {answer:?}"
+    ));
+    if !matches!(answer, Ok((200, _))) {
         return Err("the broken job was not accepted".to_owned());
     }
     sleep(ms(1_000));
@@ -453,7 +469,68 @@
     }
     record.note("the traffic ends");
     check_idle_capacity(record, &[("00000000000000d2".to_owned(), 1)]);
-    sleep(ms(12_000));
+    sleep(ms(50_000));
+    let runs = record.runs();
+    let busy_ms: u64 = runs
+        .iter()
+        .map(|run| run.ended_ms.unwrap_or(record.now_ms()) - run.started_ms)
+        .sum();
+    let has_run = runs
+        .iter()
+        .any(|run| run.task.starts_with("00000000000000d2"));
+    record.note(&format!(
+        "the sound job has been started: {has_run}; the 24 accelerators were in use for {} ms on average",
+        busy_ms / 24
+    ));
+    finish(workers);
+    Ok(())
+}
+
+/// For how long a task that lasts may have nothing running after its last run, and for how long on end
+/// there has to be room for it.
+const LASTING_REST_MS: u64 = 6_000 + 3_000;
+
+/// All tasks of a job that lasts fail once at the same time, and none is started again for a long time.
+fn failing_service(record: &Record, trouble: bool) -> Result {
+    let (system, _roles) = start(record, false)?;
+    let workers: Vec<Worker> = (1..=3)
+        .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
+        .collect();
+    sleep(ms(2_000));
+    let fails = if trouble {
+        "fails_first fails_ms=4000 "
+    } else {
+        ""
+    };
+    let body = format!(
+        "{{\"spec\":\"{fails}work_ms=100000 cpu=500 gpu=1\",\"steps\":[{{\"count\":24,\"cpu\":500,\
+         \"mem_mb\":256,\"gpu\":1,\"estimate_ms\":300,\"long_running\":true}}]}}"
+    );
+    if !submit(record, &system, "00000000000000d1", &body) {
+        return Err("the job was not accepted".to_owned());
+    }
+    sleep(ms(33_000));
+    let runs = record.runs();
+    let mut waits = Vec::new();
+    for failed in runs.iter().filter(|run| run.how == "failed") {
+        let ended_ms = failed.ended_ms.unwrap_or_default();
+        let next = runs
+            .iter()
+            .find(|run| run.task == failed.task && run.run > failed.run);
+        let again_ms = next.map_or_else(|| record.now_ms(), |next| next.started_ms);
+        waits.push(again_ms - ended_ms);
+    }
+    let late = waits.iter().filter(|wait| **wait > LASTING_REST_MS).count();
+    record.note(&format!(
+        "{} tasks failed and had nothing running for {waits:?} ms",
+        waits.len()
+    ));
+    if late > 0 {
+        record.broken(&format!(
+            "LOST: {late} tasks that last had nothing running for more than {LASTING_REST_MS} ms after they \
+             had failed, while no worker had anything else to do"
+        ));
+    }
     finish(workers);
     Ok(())
 }
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -28,6 +28,7 @@
     pub rack: String,
     pub cpu: u64,
     pub gpu: u64,
+    pub slots: u64,
     /// The nodes that it knows, the first one first.
     pub control: Vec<SocketAddr>,
 }
@@ -39,7 +40,7 @@
     work: Duration,
     cpu: u64,
     gpu: u64,
-    /// How it ends after its work: a task of a broken job fails.
+    /// How it ends after its work.
     how: &'static str,
     stop_at: Option<Instant>,
 }
@@ -342,7 +343,7 @@
             ("address".to_owned(), text("127.0.0.9:8080")),
             ("zone".to_owned(), text(&self.about.zone)),
             ("version".to_owned(), text("v1")),
-            ("batch_slots".to_owned(), number(8)),
+            ("batch_slots".to_owned(), number(self.about.slots)),
             ("phase".to_owned(), text(phase)),
             ("cold_remaining_ms".to_owned(), number(0)),
             ("free_capacity".to_owned(), capacity),
@@ -454,17 +455,21 @@
             ));
             return;
         }
+        let has_word = |word: &str| spec.split(' ').any(|part| part == word);
+        let (work_ms, how) = if run == 1 && has_word("fails_first") {
+            (amount("fails_ms="), "failed")
+        } else if has_word("fails") {
+            (amount("work_ms="), "failed")
+        } else {
+            (amount("work_ms="), "done")
+        };
         let running = Running {
             run,
             began: Instant::now(),
-            work: Duration::from_millis(amount("work_ms=").max(50)),
+            work: Duration::from_millis(work_ms.max(50)),
             cpu,
             gpu,
-            how: if spec.split(' ').any(|part| part == "fails") {
-                "failed"
-            } else {
-                "done"
-            },
+            how,
             stop_at: None,
         };
         state.running.insert(task.to_owned(), running);
