--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -26,7 +26,7 @@
         "broken-job" => broken_job(record, trouble),
         "failing-service" => failing_service(record, trouble),
         "other-writer" => other_writer(record, trouble),
-        "large-jobs" => large_jobs(record, trouble),
+        "large-bodies" => large_bodies(record, trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -216,17 +216,18 @@
 
 /// The memory of a core machine, as the settings file of the platform names it.
 const MEMORY_MB: u64 = 256;
-const LARGE_JOBS: u64 = 200;
-/// The most tasks that the project accepts in one job; the pages name no limit.
-const LARGE_JOB_TASKS: u64 = 20_000;
+const LARGE_BODIES: u64 = 900;
+/// With these, a body has 248,021 bytes; the configuration allows 262,144.
+const LARGE_STEPS: usize = 250;
+const IMAGE_BYTES: usize = 900;
 /// How often processes may end by themselves in a day, on half of the core.
 const ENDS_MAX: u32 = 3;
 const PLAY: Duration = ms(40_000);
 const RESTART_DELAY: Duration = ms(500);
 
-/// Large jobs come at once. The platform kills a process whose memory exceeds that of its machine, and
-/// starts it again.
-fn large_jobs(record: &Record, trouble: bool) -> Result {
+/// Jobs with large bodies of legal size come at once. The platform kills a process whose memory exceeds
+/// that of its machine, and starts it again.
+fn large_bodies(record: &Record, trouble: bool) -> Result {
     let (mut system, _roles) = start(record, false)?;
     let mut worker = Worker::start(describe(&system, "i-1", "zone-a", 8), record);
     sleep(ms(1_500));
@@ -236,17 +237,17 @@
         return Err("the ordinary job was not accepted".to_owned());
     }
     system.forget_bootstrap().map_err(text)?;
-    let tasks = if trouble { LARGE_JOB_TASKS } else { 16 };
+    let body = large_body(if trouble { LARGE_STEPS } else { 2 });
+    record.note(&format!(
+        "a body of the jobs to come has {} bytes",
+        body.len()
+    ));
     let callers = system.callers(0);
     let flood = record.clone();
     let until = Instant::now() + PLAY;
     let client = thread::spawn(move || {
         let (mut accepted, mut refused, mut unanswered) = (0, 0, 0);
-        for number in (0..LARGE_JOBS).take_while(|_number| Instant::now() < until) {
-            let body = format!(
-                "{{\"spec\":\"x\",\"steps\":[{{\"count\":{tasks},\"cpu\":64000,\"mem_mb\":1024,\
-                 \"gpu\":1,\"estimate_ms\":1000}}]}}"
-            );
+        for number in (0..LARGE_BODIES).take_while(|_number| Instant::now() < until) {
             match call(callers, "POST", &format!("{number:016x}"), &body) {
                 Ok((200, _)) => accepted += 1,
                 Ok(_) => refused += 1,
@@ -254,8 +255,7 @@
             }
         }
         flood.note(&format!(
-            "client: {LARGE_JOBS} jobs of {tasks} tasks: {accepted} accepted, {refused} refused, \
-             {unanswered} without an answer"
+            "client: of these jobs {accepted} were accepted, {refused} refused, {unanswered} not answered"
         ));
     });
     let mut ends = [0_u32; 3];
@@ -302,6 +302,21 @@
     Ok(())
 }
 
+/// A job of this many steps, none of which can ever run.
+fn large_body(steps: usize) -> String {
+    let step = |at: usize| {
+        format!(
+            "{{\"count\":1,\"cpu\":64000,\"mem_mb\":1024,\"gpu\":1,\"estimate_ms\":1000,\"image\":\"{at:0>IMAGE_BYTES$}\"}}"
+        )
+    };
+    let steps: Vec<String> = (0..steps).map(step).collect();
+    format!(
+        "{{\"spec\":\"{}\",\"steps\":[{}]}}",
+        "x".repeat(SPEC_MAX_BYTES),
+        steps.join(",")
+    )
+}
+
 /// A writer of another kind sends heartbeats that lack the address of a worker.
 fn other_writer(record: &Record, trouble: bool) -> Result {
     let (system, _roles) = start(record, false)?;
