review: a gang is started once more after a failure that a cut-off worker could not report

Cause: a silent member of a gang is taken for ended, without a failure, long before its lease is over.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,7 +6,7 @@
   echo "build the deploy file's programs, then run review/build-2.sh"
   exit 2
 fi
-target/review-2/standin late-reopen review/9/record.txt
+target/review-2/standin unheard-failure review/9/record.txt
 result=$?
 [ "$result" -le 1 ] || exit 2
 exit "$result"
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -23,6 +23,7 @@
         "late-submission" => late_submission(record, trouble),
         "lasting-work" => lasting_work(record, trouble),
         "small-tasks" => small_tasks(record, trouble),
+        "unheard-failure" => unheard_failure(record, trouble),
         "broken-job" => broken_job(record, trouble),
         "failing-service" => failing_service(record, trouble),
         "other-writer" => other_writer(record, trouble),
@@ -39,8 +40,19 @@
     cause.to_string()
 }
 
-/// Starts the system and returns it with the numbers of the leader and of the two followers.
+/// How often a task may fail, where a case does not say otherwise.
+const ATTEMPTS: u32 = 4;
+
 fn start(record: &Record, proxied: bool) -> std::result::Result<(System, [u8; 3]), String> {
+    start_with(record, proxied, ATTEMPTS)
+}
+
+/// Starts the system and returns it with the numbers of the leader and of the two followers.
+fn start_with(
+    record: &Record,
+    proxied: bool,
+    attempts: u32,
+) -> std::result::Result<(System, [u8; 3]), String> {
     let system = System::start(record, proxied).map_err(text)?;
     let leader = system
         .wait_for_leader(ms(15_000))
@@ -54,7 +66,7 @@
     // The configuration goes through the follower that will be cut off, which thereby has a
     // connection to the leader, as after any call of a worker or an operator.
     let first = [system.control(roles[1])];
-    let body = config(1);
+    let body = config(1, attempts);
     let status = order(record, &first, ("PUT", "/api/config", &body), ms(8_000));
     (status == Some(200))
         .then_some(())
@@ -668,3 +680,73 @@
     finish(workers);
     Ok(())
 }
+
+/// The attempts of `timetable-build`, whose jobs are gangs, on the site.
+const GANG_ATTEMPTS: u32 = 2;
+
+/// The last attempt of a gang fails on a worker that is cut off, and the gang is started once more.
+fn unheard_failure(record: &Record, trouble: bool) -> Result {
+    let (system, _roles) = start_with(record, false, GANG_ATTEMPTS)?;
+    let workers: Vec<Worker> = (1..=4)
+        .map(|at| Worker::start(describe(&system, &format!("i-{at}"), "zone-a", 8), record))
+        .collect();
+    sleep(ms(2_000));
+    let body = "{\"spec\":\"first_fails fails_ms=2500 work_ms=60000 cpu=4000 gpu=8 members=2\",\"steps\":[{\"count\":2,\
+                \"cpu\":4000,\"mem_mb\":1024,\"gpu\":8,\"estimate_ms\":4000,\"all_or_nothing\":true}]}";
+    let id = "00000000000000a7";
+    if !submit(record, &system, id, body) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let task = format!("{id}.0.0.0");
+    let until = Instant::now() + ms(20_000);
+    let second = loop {
+        let runs = record.runs();
+        if let Some(seen) = runs.iter().find(|seen| seen.task == task && seen.run == 2) {
+            break seen.clone();
+        }
+        if Instant::now() >= until {
+            return Err("the second attempt did not start".to_owned());
+        }
+        sleep(ms(20));
+    };
+    sleep(ms(1_200));
+    let worker = workers
+        .iter()
+        .find(|worker| worker.about.id == second.worker);
+    let worker = worker.ok_or("the worker of the second attempt is not known")?;
+    if trouble {
+        record.note(&format!(
+            "{} is cut off from all machines of the system",
+            second.worker
+        ));
+        worker.set_cut_off(true);
+    }
+    sleep(ms(4_300));
+    if trouble {
+        record.note(&format!("{} reaches the machines again", second.worker));
+        worker.set_cut_off(false);
+    }
+    sleep(ms(5_000));
+    let answer = call(system.callers(0), "GET", id, "");
+    record.note(&format!("client: GET {id}: {answer:?}"));
+    let failures = record.acknowledged_failures();
+    let runs = record.runs();
+    for start in runs.iter().filter(|seen| seen.task == task) {
+        let earlier = runs.iter().filter(|seen| {
+            seen.task == task
+                && failures.contains(&(task.clone(), seen.run))
+                && seen
+                    .ended_ms
+                    .is_some_and(|ended_ms| ended_ms < start.started_ms)
+        });
+        let failed = earlier.count();
+        if failed >= GANG_ATTEMPTS as usize {
+            record.broken(&format!(
+                "BUDGET: run {} of {task} starts after {failed} runs have ended failed, of {GANG_ATTEMPTS} that it may",
+                start.run
+            ));
+        }
+    }
+    finish(workers);
+    Ok(())
+}
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -1,6 +1,6 @@
 //! What was sent, answered and run, in the order in which the stand-ins saw it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -16,8 +16,17 @@
     pub how: String,
 }
 
+/// A run of a gang, as its members know of each other.
+#[derive(Debug, Default)]
+struct Gang {
+    present: BTreeSet<String>,
+    ended: Option<&'static str>,
+}
+
 #[derive(Debug, Default)]
 struct Seen {
+    gangs: BTreeMap<(String, u64), Gang>,
+    acknowledged_failures: Vec<(String, u64)>,
     lines: Vec<String>,
     runs: Vec<SeenRun>,
     numbers: BTreeMap<(String, String, u64), usize>,
@@ -105,6 +114,43 @@
         }
     }
 
+    /// Notes that a member of a gang's run is there, and returns how many are.
+    pub fn member_present(&self, task: &str, run: u64) -> usize {
+        let mut seen = self.lock();
+        let gang = seen.gangs.entry((step_of(task), run)).or_default();
+        gang.present.insert(task.to_owned());
+        gang.present.len()
+    }
+
+    /// Notes how the first member of a gang's run has ended.
+    pub fn member_ended(&self, task: &str, run: u64, how: &'static str) {
+        let mut seen = self.lock();
+        let gang = seen.gangs.entry((step_of(task), run)).or_default();
+        gang.ended.get_or_insert(how);
+    }
+
+    pub fn gang_end(&self, task: &str, run: u64) -> Option<&'static str> {
+        let seen = self.lock();
+        seen.gangs
+            .get(&(step_of(task), run))
+            .and_then(|gang| gang.ended)
+    }
+
+    /// Notes that an end `failed` was acknowledged to its worker, under a lease that has not lapsed
+    /// since.
+    pub fn failure_acknowledged(&self, task: &str, run: u64) {
+        self.note(&format!(
+            "the end `failed` of {task} run {run} is acknowledged"
+        ));
+        self.lock()
+            .acknowledged_failures
+            .push((task.to_owned(), run));
+    }
+
+    pub fn acknowledged_failures(&self) -> Vec<(String, u64)> {
+        self.lock().acknowledged_failures.clone()
+    }
+
     pub fn runs(&self) -> Vec<SeenRun> {
         self.lock().runs.clone()
     }
@@ -117,3 +163,9 @@
         }
     }
 }
+
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.')
+        .map_or(task, |(step, _index)| step)
+        .to_owned()
+}
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -341,13 +341,13 @@
 }
 
 /// A configuration with a queue of priority 1, an urgent one of priority 0, and two tenants. The first
-/// tenant is guaranteed 8 accelerators.
-pub fn config(version: u64) -> String {
+/// tenant is guaranteed 8 accelerators. A job fails with a task that has failed `attempts` times.
+pub fn config(version: u64, attempts: u32) -> String {
     let route = |name: &str, prefix: &str, priority: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"unsafe\",\
              \"timeout_ms\":3000,\"target_duration_ms\":1500,\"priority\":{priority},\"service\":\"huvo11a\",\
-             \"max_attempts\":4,\"stretch\":3.0,\"public\":false}}"
+             \"max_attempts\":{attempts},\"stretch\":3.0,\"public\":false}}"
         )
     };
     format!(
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -18,6 +18,8 @@
 const ANSWER_VALID: Duration = Duration::from_secs(1);
 const STOP: Duration = Duration::from_millis(300);
 const AFTER_END: Duration = Duration::from_millis(50);
+/// How long a member of a gang waits for the others, `gang_timeout_ms`.
+const GANG_WAIT: Duration = Duration::from_secs(3);
 const TICK: Duration = Duration::from_millis(10);
 
 /// What a worker is and has.
@@ -42,6 +44,10 @@
     gpu: u64,
     /// How it ends after its work.
     how: &'static str,
+    /// The number of members of its gang; 0 for a single task.
+    members: usize,
+    /// Since when all members of its gang are there.
+    works_since: Option<Instant>,
     stop_at: Option<Instant>,
 }
 
@@ -67,6 +73,7 @@
     born: u64,
     state: Arc<Mutex<State>>,
     over: Arc<AtomicBool>,
+    cut_off: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
     record: Record,
 }
@@ -77,6 +84,7 @@
     born: u64,
     state: Arc<Mutex<State>>,
     over: Arc<AtomicBool>,
+    cut_off: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -98,6 +106,7 @@
                 ..State::default()
             })),
             over: Arc::new(AtomicBool::new(false)),
+            cut_off: Arc::new(AtomicBool::new(false)),
             record: record.clone(),
         };
         record.note(&format!("{} begins a life, born {born}", about.id));
@@ -111,6 +120,7 @@
             born,
             state: life.state,
             over: life.over,
+            cut_off: life.cut_off,
             threads,
             record: record.clone(),
         }
@@ -125,6 +135,12 @@
         state.next_beat = Some(Instant::now());
     }
 
+    /// Cuts the worker off from all machines of the system, or ends that. What it sends meanwhile is
+    /// not delivered, and it hears nothing.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.store(cut_off, Ordering::SeqCst);
+    }
+
     /// Sends its deregistration to these nodes in turn until one acknowledges it, then exits.
     pub fn leave(mut self, nodes: &[SocketAddr]) {
         let path = format!("/api/instances/{}", self.about.id);
@@ -200,13 +216,32 @@
         }
         let has_lapsed = state.lease.is_some_and(|lease| now >= lease);
         let mut ends: Vec<(String, &'static str)> = Vec::new();
-        for (task, running) in &state.running {
+        for (task, running) in &mut state.running {
+            let gang_end = if running.members > 0 {
+                self.record.gang_end(task, running.run)
+            } else {
+                running.works_since = Some(running.began);
+                None
+            };
+            if running.works_since.is_none()
+                && self.record.member_present(task, running.run) >= running.members
+            {
+                running.works_since = Some(now);
+            }
+            let is_over = running
+                .works_since
+                .is_some_and(|since| now >= since + running.work);
+            let is_alone = running.works_since.is_none() && now >= running.began + GANG_WAIT;
             if has_lapsed {
                 ends.push((task.clone(), "lapsed"));
+            } else if let Some(how) = gang_end {
+                ends.push((task.clone(), if how == "done" { "done" } else { "broken" }));
             } else if running.stop_at.is_some_and(|at| now >= at) {
                 ends.push((task.clone(), "stopped"));
-            } else if now >= running.began + running.work {
+            } else if is_over {
                 ends.push((task.clone(), running.how));
+            } else if is_alone {
+                ends.push((task.clone(), "alone"));
             }
         }
         for (task, how) in ends {
@@ -218,6 +253,9 @@
         let Some(running) = state.running.remove(task) else {
             return;
         };
+        if running.members > 0 {
+            self.record.member_ended(task, running.run, how);
+        }
         state.last_end += 1;
         let number = state.last_end;
         state
@@ -265,6 +303,12 @@
             body: &body,
         };
         let sent = Instant::now();
+        if self.cut_off.load(Ordering::SeqCst) {
+            thread::sleep(ANSWER_VALID);
+            let mut state = lock(&self.state);
+            self.call_next(&mut state, client);
+            return;
+        }
         let answer = client
             .as_mut()
             .map(|client| client.send(&request, ANSWER_VALID));
@@ -304,8 +348,10 @@
             .iter()
             .filter(|(_, running)| running.stop_at.is_none());
         let running = running.map(|(task, running)| {
-            let share =
-                running.began.elapsed().as_secs_f64() / running.work.as_secs_f64().max(0.001);
+            let share = running
+                .works_since
+                .map_or(0.0, |since| since.elapsed().as_secs_f64())
+                / running.work.as_secs_f64().max(0.001);
             let percent = (share * 100.0).min(99.0) as u64;
             Json::Array(vec![
                 text(task),
@@ -384,7 +430,13 @@
             return;
         }
         state.token = token;
+        let has_lapsed = state.lease.is_some_and(|lease| Instant::now() >= lease);
         if let Some(acknowledged) = orders.get("acked_seq").and_then(Json::number) {
+            for (number, task, run, how) in &state.ended {
+                if *number <= acknowledged && *how == "failed" && !has_lapsed {
+                    self.record.failure_acknowledged(task, *run);
+                }
+            }
             state.ended.retain(|(number, ..)| *number > acknowledged);
         }
         for order in orders.get("stop").map(Json::items).unwrap_or_default() {
@@ -458,6 +510,8 @@
         let has_word = |word: &str| spec.split(' ').any(|part| part == word);
         let (work_ms, how) = if run == 1 && has_word("fails_first") {
             (amount("fails_ms="), "failed")
+        } else if has_word("first_fails") && task.ends_with(".0") {
+            (amount("fails_ms="), "failed")
         } else if has_word("fails") {
             (amount("work_ms="), "failed")
         } else {
@@ -470,6 +524,8 @@
             cpu,
             gpu,
             how,
+            members: usize::try_from(amount("members=")).unwrap_or(0),
+            works_since: None,
             stop_at: None,
         };
         state.running.insert(task.to_owned(), running);
