planner: a gang on its last attempt waits for ends that were only presumed

Callers saw a gang with two attempts started a third time (BUDGET). A member on a silent worker is presumed ended once another member has ended; that end was recorded as broken, and the gang placed again at once, though the silent member may be the one that failed and its worker lists that under its first lease when it is back.

A gang is held only while the failures that were heard and the presumed ends are all attempts that it has, until the worker lists the end or the lease is over.

lost_work counted the transitions of a lost member; it counts the runs that they end now, still exactly one, as the record comes with them. The simulation checks attempts in all of its tests.

--- a/src/control/state_machine.rs
+++ b/src/control/state_machine.rs
@@ -54,7 +54,11 @@
     /// Decodes a state from a snapshot; none if the bytes are not a valid snapshot.
     #[must_use]
     pub fn restore(bytes: &[u8]) -> Option<Self> {
-        let mut state_machine: Self = postcard::from_bytes(bytes).ok()?;
+        let decoded = postcard::from_bytes(bytes).or_else(|_fault| {
+            let completed = [bytes, &Workload::MISSING_TAIL].concat();
+            postcard::from_bytes(&completed)
+        });
+        let mut state_machine: Self = decoded.ok()?;
         state_machine.workload.rebuild_index();
         Some(state_machine)
     }
--- a/src/control/workload_batch.rs
+++ b/src/control/workload_batch.rs
@@ -119,7 +119,10 @@
             .iter()
             .filter_map(|transition| match transition {
                 Transition::Placed { places, .. } => Some(places),
-                Transition::Due { .. } | Transition::Ended { .. } => None,
+                Transition::Due { .. }
+                | Transition::Ended { .. }
+                | Transition::Unheard { .. }
+                | Transition::Heard { .. } => None,
             });
         let workers = placed.flatten().map(|(_index, place)| place.worker.clone());
         workers.collect()
--- a/src/control/workload_log.rs
+++ b/src/control/workload_log.rs
@@ -55,7 +55,10 @@
                 Transition::Ended { run, .. } => {
                     self.ended.insert(run.task.step.job);
                 }
-                Transition::Placed { .. } | Transition::Due { .. } => {}
+                Transition::Placed { .. }
+                | Transition::Due { .. }
+                | Transition::Unheard { .. }
+                | Transition::Heard { .. } => {}
             }
         }
     }
--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -10,7 +10,7 @@
 use super::reports::LEASE_SLACK_MS;
 use super::worker::{RunProgress, Worker, on_slow_clock, stop_end};
 use crate::units::{Millis, WallMs, WorkerId};
-use crate::workload::{RunEnd, RunKey, StepKey, TaskKey, Transition, Workload};
+use crate::workload::{Placement, RunEnd, RunKey, StepKey, TaskKey, Transition, Workload};
 
 /// The planner stops an incomplete gang after this percentage of the time that its workers would
 /// wait for missing members.
@@ -103,17 +103,18 @@
         self.presence.forget_ended(state);
         self.checkpoints
             .retain(|gang| is_latest_of_open_gang(gang, state));
-        let mut over: Vec<(WorkerId, RunKey, RunEnd)> = Vec::new();
+        let mut over: Vec<(Placement, RunKey, RunEnd)> = Vec::new();
         for ((step, run), ended_ms) in &self.presence.ended_ms {
             let Some((_step, tasks)) = state.step(*step) else {
                 continue;
             };
             let has_worked = self.presence.has_worked(&(*step, *run));
             for (task, index) in tasks.tasks.iter().zip(0_u32..) {
-                let worker = task.placement.as_ref().map(|place| &place.worker);
-                let Some(worker) = worker.filter(|_worker| task.run == *run && !task.done) else {
+                let place = task.placement.as_ref();
+                let Some(place) = place.filter(|_place| task.run == *run && !task.done) else {
                     continue;
                 };
+                let worker = &place.worker;
                 let key = RunKey {
                     task: TaskKey { step: *step, index },
                     run: *run,
@@ -129,15 +130,18 @@
                     (wait_end_ms.map(|ms| ms.max(broken_ms)), RunEnd::Alone)
                 };
                 if until_ms.is_some_and(|until_ms| now > until_ms) {
-                    over.push((worker.clone(), key, end));
+                    over.push((place.clone(), key, end));
                 }
             }
         }
         let over = over.into_iter();
-        over.map(|(worker, run, end)| {
-            info!(event = "member_presumed_ended", run = %run, worker = %worker, why = %end);
-            self.record_worker_fault(&worker, WorkerFault::BrokeGang, now);
-            self.end_lost_run(&worker, run, end)
+        over.flat_map(|(place, run, end)| {
+            info!(event = "member_presumed_ended", run = %run, worker = %place.worker, why = %end);
+            self.record_worker_fault(&place.worker, WorkerFault::BrokeGang, now);
+            let ended = self.end_lost_run(&place.worker, run, end);
+            let may_count = !self.is_out_of_reach(&place, now);
+            let unheard = may_count.then_some(Transition::Unheard { run, place });
+            std::iter::once(ended).chain(unheard)
         })
         .collect()
     }
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -23,6 +23,7 @@
 mod speeds;
 mod stalled;
 mod team_quota;
+mod unheard_ends;
 mod urgent_racks;
 mod worker;
 
--- a/src/workload/planner/plan.rs
+++ b/src/workload/planner/plan.rs
@@ -209,6 +209,9 @@
     else {
         return 0;
     };
+    if step.gang && Planner::may_have_no_attempt_left(state, pending.key) {
+        return 0;
+    }
     let wanted = tasks.pending_tasks();
     let allowed = quotas.allowed_tasks(job, step, wanted, state);
     if step.gang && allowed < wanted {
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -120,6 +120,7 @@
         for end in &report.ended {
             self.handle_end(report, end, &earlier, state, now, transitions);
         }
+        Self::hear_ends(report, state, transitions);
     }
 
     /// Handles one reported end. Only the end of a current run placed on this worker, or a late
@@ -318,7 +319,8 @@
             .cloned()
             .collect();
         self.forget_old_faults(now);
-        let mut transitions = self.end_unreachable_members(state, now);
+        let mut transitions = self.settle_unheard_ends(state, now);
+        transitions.extend(self.end_unreachable_members(state, now));
         for worker in silent {
             warn!(event = "worker_lease_over", worker = %worker);
             self.record_worker_fault(&worker, WorkerFault::Silent, now);
@@ -343,7 +345,7 @@
 }
 
 /// How long reports that a worker sent before its deregistration may still arrive.
-const DEREGISTER_GRACE_MS: Millis = Millis(1_000);
+pub(super) const DEREGISTER_GRACE_MS: Millis = Millis(1_000);
 /// How long after its last report a worker's runs are kept even without a lease: two report
 /// intervals and a lost answer.
 const REPORT_TIMEOUT_MS: Millis = Millis(3_000);
--- a/src/workload/run.rs
+++ b/src/workload/run.rs
@@ -130,4 +130,16 @@
         /// The saved checkpoint; empty if there is none.
         saved: SmolStr,
     },
+    /// The run's end was presumed: its worker has not listed it, and may still do so.
+    Unheard {
+        /// The run.
+        run: RunKey,
+        /// Where it was placed.
+        place: Placement,
+    },
+    /// The end of a run of which it was presumed is known now, or can't count any more.
+    Heard {
+        /// The run.
+        run: RunKey,
+    },
 }
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -29,6 +29,9 @@
     pub(super) last_number: JobNumber,
     /// Workers that have deregistered, with the incarnation that did and the time.
     departed: BTreeMap<WorkerId, (WorkerIncarnation, WallMs)>,
+    /// Runs whose end is only presumed, with their last placement. It is the last field, so that
+    /// [`Workload::MISSING_TAIL`] completes a snapshot from before it.
+    unheard_ends: BTreeMap<RunKey, Placement>,
     #[serde(skip)]
     pub(super) index: Index,
 }
@@ -92,6 +95,9 @@
 }
 
 impl Workload {
+    /// What snapshots of versions that did not record unheard ends lack at their end: an empty map.
+    pub(crate) const MISSING_TAIL: [u8; 1] = [0];
+
     /// Applies a command. The same commands in the same order give the same state on every replica.
     pub fn apply(&mut self, command: &WorkloadCommand, now: WallMs) -> WorkloadReply {
         match command {
@@ -166,6 +172,11 @@
         !self.closed_zones.contains(zone)
     }
 
+    /// Runs whose end is only presumed, each with its last placement.
+    pub fn unheard_ends(&self) -> impl Iterator<Item = (RunKey, &Placement)> {
+        self.unheard_ends.iter().map(|(run, place)| (*run, place))
+    }
+
     /// Whether this incarnation of a worker, or a later one, has deregistered.
     #[must_use]
     pub fn has_departed(&self, worker: &WorkerId, incarnation: WorkerIncarnation) -> bool {
@@ -319,7 +330,16 @@
                 }
             }
             Transition::Placed { step, run, places } => self.apply_placements(*step, *run, places),
-            Transition::Ended { run, end, saved } => self.apply_end(*run, *end, saved, now),
+            Transition::Ended { run, end, saved } => {
+                self.unheard_ends.remove(run);
+                self.apply_end(*run, *end, saved, now);
+            }
+            Transition::Unheard { run, place } => {
+                self.unheard_ends.insert(*run, place.clone());
+            }
+            Transition::Heard { run } => {
+                self.unheard_ends.remove(run);
+            }
         }
     }
 
--- a/tests/lost_work.rs
+++ b/tests/lost_work.rs
@@ -221,6 +221,12 @@
     assert_eq!(leader.gang_checkpoint(), expected);
 }
 
+/// The number of runs that these transitions end.
+fn ends(transitions: &[Transition]) -> usize {
+    let is_end = |transition: &&Transition| matches!(transition, Transition::Ended { .. });
+    transitions.iter().filter(is_end).count()
+}
+
 /// The worker of the other member is lost; the checkpoint that it reported last is older.
 #[test]
 fn lost_member_does_not_replace_the_newest_checkpoint() {
@@ -228,7 +234,7 @@
     let end = ended(0, 1, RunEnd::Stopped, "new");
     leader.exchange(end_report(holders[0], end), 500);
     let lost = leader.planner.expire_leases(&leader.state, Millis(LOST_MS));
-    assert_eq!(lost.len(), 1);
+    assert_eq!(ends(&lost), 1);
     leader.commit(lost);
     assert_eq!(leader.gang_checkpoint(), "new");
 }
@@ -242,7 +248,7 @@
     stopped.draining = true;
     leader.exchange(stopped, 500);
     let lost = leader.planner.expire_leases(&leader.state, Millis(LOST_MS));
-    assert_eq!(lost.len(), 1);
+    assert_eq!(ends(&lost), 1);
     leader.commit(lost);
     let later = Millis(LOST_MS + 10);
     assert_eq!(leader.planner.expire_leases(&leader.state, later), []);
@@ -276,7 +282,7 @@
     leader.exchange(end_report(holders[1], broken), 600);
     if is_lost {
         let lost = leader.planner.expire_leases(&leader.state, Millis(LOST_MS));
-        assert_eq!(lost.len(), 1);
+        assert_eq!(ends(&lost), 1);
         leader.commit(lost);
     } else {
         leader.exchange(stopped.clone(), 700);
--- a/tests/support/planner_session.rs
+++ b/tests/support/planner_session.rs
@@ -175,6 +175,12 @@
         checkpoint: &str,
     ) -> WorkerOrders {
         let mut report = self.next_report(worker);
+        report.ended = self.listed_ends(worker, end, checkpoint);
+        self.exchange(&report, now_ms)
+    }
+
+    /// How a worker lists the ends of its placed runs.
+    pub fn listed_ends(&self, worker: u32, end: RunEnd, checkpoint: &str) -> Vec<ReportedEnd> {
         let placed = self.placed_on(worker).into_iter();
         let ended = placed.zip(1..).map(|(run, number)| ReportedEnd {
             number,
@@ -183,8 +189,7 @@
             end,
             checkpoint: checkpoint.into(),
         });
-        report.ended = ended.collect();
-        self.exchange(&report, now_ms)
+        ended.collect()
     }
 
     /// How the planner ends the only run placed on a worker at `now_ms`, if it does.
--- a/tests/support/simulated_worker.rs
+++ b/tests/support/simulated_worker.rs
@@ -60,6 +60,9 @@
     pub highest_refused_run: BTreeMap<TaskName, u32>,
     pub ended: Vec<ReportedEnd>,
     pub last_end_number: u64,
+    /// The ends `failed` that are not acknowledged, with their number and time, as long as the lease
+    /// under which they ended lasts.
+    pub failures: Vec<(u64, TaskName, u64)>,
 }
 
 impl SimulatedWorker {
@@ -92,6 +95,7 @@
             highest_refused_run: BTreeMap::new(),
             ended: Vec::new(),
             last_end_number: 0,
+            failures: Vec::new(),
         }
     }
 
@@ -168,6 +172,7 @@
         self.is_running = false;
         self.runs.clear();
         self.ended.clear();
+        self.failures.clear();
         self.highest_refused_run.clear();
         self.term = Term::ZERO;
         self.report_sent_ms = None;
--- a/tests/support/workload_simulation.rs
+++ b/tests/support/workload_simulation.rs
@@ -22,6 +22,8 @@
 use rand::{RngExt, SeedableRng};
 
 const TICK_MS: u64 = 10;
+/// The attempts that the queues of the declaration grant.
+const ATTEMPTS_MAX: usize = 3;
 /// Workers drop answers that arrive later than this, by their own clocks.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 /// How much slower a worker's clock may run than the leader's, in parts per thousand.
@@ -72,6 +74,10 @@
     pub task_spread_percent: u64,
     /// How many times as long a gang takes that wants one rack and is spread over several.
     pub far_factor: u64,
+    /// Jobs of which the first task of each step always fails.
+    pub failing_jobs: BTreeSet<JobId>,
+    /// How long a run works that fails.
+    pub failure_delay_ms: u64,
     /// Whether workers list the starts that they refuse.
     pub lists_refusals: bool,
     options: PlannerOptions,
@@ -85,6 +91,10 @@
     acknowledged: BTreeSet<TaskName>,
     /// Tasks that were started although a worker that still holds its lease has ended them.
     restarted: BTreeSet<TaskName>,
+    /// When each task was started last.
+    started_ms: BTreeMap<TaskName, u64>,
+    /// When the runs of a task failed whose ends were acknowledged in time to count.
+    failed_ms: BTreeMap<TaskName, Vec<u64>>,
     rng: StdRng,
 }
 
@@ -109,6 +119,8 @@
             job_durations_ms: BTreeMap::new(),
             task_spread_percent: 0,
             far_factor: 1,
+            failing_jobs: BTreeSet::new(),
+            failure_delay_ms: 100,
             lists_refusals: false,
             options,
             term: 1,
@@ -120,6 +132,8 @@
             answers: Vec::new(),
             acknowledged: BTreeSet::new(),
             restarted: BTreeSet::new(),
+            started_ms: BTreeMap::new(),
+            failed_ms: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
         };
         let declare = WorkloadCommand::Declare(Arc::new(declaration()));
@@ -311,6 +325,9 @@
         let Some(lease) = orders.lease_ms else {
             return;
         };
+        if self.now_ms > worker.lease_until_ms {
+            worker.failures.clear();
+        }
         let lease_until_ms = sent + on_slow_clock(lease.get());
         worker.lease_until_ms = worker.lease_until_ms.max(lease_until_ms);
         for end in &worker.ended {
@@ -325,6 +342,12 @@
             }
         }
         worker.ended.retain(|end| end.number > orders.acknowledged);
+        let (acknowledged, left) = std::mem::take(&mut worker.failures)
+            .into_iter()
+            .partition(|(number, ..)| *number <= orders.acknowledged);
+        worker.failures = left;
+        self.check_attempts(acknowledged);
+        let worker = &mut self.workers[at];
         for (task, run) in orders.stops {
             let highest = worker.highest_refused_run.entry(task.clone()).or_default();
             *highest = run.max(*highest);
@@ -372,6 +395,7 @@
         }
         let has_own = self.job_durations_ms.contains_key(&start.task.job);
         let duration_ms = has_own.then(|| self.duration_of(&start.task));
+        self.started_ms.insert(start.task.clone(), self.now_ms);
         let worker = &mut self.workers[at];
         self.starts += 1;
         worker.runs.insert(
@@ -401,6 +425,22 @@
         );
     }
 
+    /// Checks that no task was started after its last attempt, given further failures that count.
+    fn check_attempts(&mut self, failures: Vec<(u64, TaskName, u64)>) {
+        for (_number, task, ended_ms) in failures {
+            let failed_ms = self.failed_ms.entry(task.clone()).or_default();
+            failed_ms.push(ended_ms);
+            failed_ms.sort_unstable();
+            let last_ms = failed_ms.get(ATTEMPTS_MAX - 1);
+            let started_ms = self.started_ms.get(&task);
+            assert!(
+                last_ms.is_none_or(|last| started_ms.is_none_or(|started| started <= last)),
+                "seed {}: {task} was started at {started_ms:?} after the failures at {failed_ms:?}",
+                self.seed
+            );
+        }
+    }
+
     /// Whether all members of the task's gang run; none makes progress before that.
     fn is_gang_present(&self, task: &TaskName, run: u32) -> bool {
         let Some(key) = self.state.task_key(task) else {
@@ -497,6 +537,7 @@
             let succeeded = !present && self.has_gang_succeeded(&task, run);
             let duration_ms = self.duration_of(&task);
             let gained_ms = TICK_MS * self.speed_percent_of(at, &task, run) / 100;
+            let fails = task.index == 0 && self.failing_jobs.contains(&task.job);
             let worker = &mut self.workers[at];
             let Some(run) = worker.runs.get_mut(&task) else {
                 continue;
@@ -505,7 +546,9 @@
                 Some(RunEnd::Lapsed)
             } else if run.stop_at_ms.is_some_and(|stop| self.now_ms >= stop) {
                 Some(RunEnd::Stopped)
-            } else if worker.fails_all_runs && self.now_ms > run.started_ms + 100 {
+            } else if (worker.fails_all_runs || fails)
+                && self.now_ms > run.started_ms + self.failure_delay_ms
+            {
                 Some(RunEnd::Failed)
             } else if present {
                 run.progress_ms += gained_ms;
@@ -528,6 +571,10 @@
                 }
                 self.stopped += u32::from(end == RunEnd::Stopped);
                 worker.end(&task, end);
+                if end == RunEnd::Failed {
+                    let number = worker.last_end_number;
+                    worker.failures.push((number, task, self.now_ms));
+                }
                 worker.next_report_ms = worker.next_report_ms.min(self.now_ms + 50);
             }
         }
