planner: keep what a worker's next life may start of its former one

The answer to the last report of a former life may take effect in the next one, which then starts the runs in it; the planner ended them on the first report of the next life and placed them elsewhere.

A run whose start was ordered and that the former life has not listed is kept until the next life lists its end, or until a report that was sent after all such answers had become void does not list it, or until the lease is over. Returned workers get no new runs while such an answer may arrive, as its acknowledgement would make them forget ends.

The soak's workers send a real clock.

--- a/src/workload/messages.rs
+++ b/src/workload/messages.rs
@@ -144,6 +144,8 @@
     pub labels: Vec<SmolStr>,
     /// The total resources available to tasks, including those in use.
     pub capacity: Resources,
+    /// The worker's own clock when it sent the report, from any start; `None` if it has none.
+    pub clock_ms: Option<Millis>,
     /// Whether the worker is shutting down and takes no new tasks.
     pub draining: bool,
     /// The minimum time for which a draining worker remains available.
--- a/src/workload/planner/candidates.rs
+++ b/src/workload/planner/candidates.rs
@@ -106,6 +106,10 @@
         let usable = self.workers.iter().filter(|(_id, worker)| {
             !worker.draining
                 && worker.deregistered_ms.is_none()
+                && !worker
+                    .former_life
+                    .as_ref()
+                    .is_some_and(|former| former.may_hear_answers(now))
                 && !worker.has_unknown_runs
                 && state.is_zone_open(&worker.zone)
                 && self.is_reachable(worker, now)
--- a/src/workload/planner/mod.rs
+++ b/src/workload/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod drain;
+mod former_life;
 mod gang_checkpoints;
 mod gang_presence;
 mod gang_room;
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -126,6 +126,9 @@
         for (id, worker) in &mut self.workers {
             let is_unavailable = worker.draining || !state.is_zone_open(&worker.zone);
             for (run, incarnation) in state.runs_placed_on(id) {
+                if worker.former_runs.contains_key(&run) {
+                    continue;
+                }
                 if incarnation < worker.incarnation {
                     transitions.push((run, RunEnd::Withdrawn));
                     continue;
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 use tracing::{info, warn};
 
+use super::former_life::FormerRun;
 use super::reliability::WorkerFault;
 use super::run_forecast::ProgressMark;
 use super::worker::{RunProgress, UnreportedRun, Worker, on_slow_clock};
@@ -58,8 +59,15 @@
                 service = %report.service, zone = %report.zone, room = %report.capacity);
             // What is recorded here is the silence before this report.
             self.record_worker_fault(&report.worker, WorkerFault::Restarted, now);
-            self.end_runs_before(report.incarnation, &report.worker, state, &mut transitions);
+            let former_runs = self.former_runs(report, state);
+            let former_life = self.former_life(report, !former_runs.is_empty(), now);
+            self.end_runs_before(report, &former_runs, state, &mut transitions);
+            let lease_until = former_life
+                .as_ref()
+                .map_or(lease_until, |former| former.lease_until_ms.max(lease_until));
             let mut worker = Worker::new(report, lease_until);
+            worker.former_runs = former_runs;
+            worker.former_life = former_life;
             let placed = state.runs_placed_on(&report.worker);
             let of_incarnation =
                 placed.filter(|(_run, incarnation)| *incarnation == report.incarnation);
@@ -120,6 +128,7 @@
         for end in &report.ended {
             self.handle_end(report, end, &earlier, state, now, transitions);
         }
+        self.follow_former_runs(report, state, now, transitions);
         Self::hear_ends(report, state, transitions);
     }
 
@@ -138,8 +147,10 @@
             return;
         };
         let run = RunKey { task, run: end.run };
+        let worker = self.workers.get(&report.worker);
+        let is_former = worker.is_some_and(|worker| worker.former_runs.contains_key(&run));
         let is_here = |(placed, incarnation): (RunKey, WorkerIncarnation)| {
-            placed == run && incarnation == report.incarnation
+            placed == run && (incarnation == report.incarnation || is_former)
         };
         let is_here = state.runs_placed_on(&report.worker).any(is_here);
         let is_late = state
@@ -151,11 +162,12 @@
         if !is_here && !is_late && !is_late_failure {
             return;
         }
-        let worker = self.workers.get(&report.worker);
         let unreported = worker.and_then(|worker| worker.unreported.get(&run));
         let may_be_stopping =
             unreported.is_some_and(|run| run.may_be_stopping(now, self.options.stop_ms));
-        if end.end == RunEnd::Refused && may_be_stopping {
+        // Another answer to the former life may still order the start.
+        let may_start = is_former && worker.is_some_and(|worker| worker.former_life.is_some());
+        if end.end == RunEnd::Refused && (may_be_stopping || may_start) {
             info!(event = "refusal_ignored", job = %end.task.job, task = %end.task, run = end.run,
                 worker = %report.worker, report = %report.sequence);
             return;
@@ -241,21 +253,23 @@
         }
     }
 
-    /// Ends the runs of a worker's earlier incarnations, none of which survives its restart.
+    /// Ends the runs of a worker's earlier incarnations, none of which survives its restart, but for
+    /// those that the new one may start.
     fn end_runs_before(
         &mut self,
-        incarnation: WorkerIncarnation,
-        worker: &WorkerId,
+        report: &WorkerReport,
+        former_runs: &BTreeMap<RunKey, FormerRun>,
         state: &Workload,
         transitions: &mut Vec<Transition>,
     ) {
         let lost: Vec<RunKey> = state
-            .runs_placed_on(worker)
-            .filter(|(_run, placed_on)| *placed_on < incarnation)
+            .runs_placed_on(&report.worker)
+            .filter(|(_run, placed_on)| *placed_on < report.incarnation)
             .map(|(run, _placed_on)| run)
+            .filter(|run| !former_runs.contains_key(run))
             .collect();
         for run in lost {
-            transitions.push(self.end_lost_run(worker, run, RunEnd::Lapsed));
+            transitions.push(self.end_lost_run(&report.worker, run, RunEnd::Lapsed));
         }
     }
 
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 
+use super::former_life::{FormerLife, FormerRun};
 use super::run_forecast::ProgressMark;
 use super::speeds::WorkerSpeed;
 use crate::units::{Millis, Sequence, ServiceName, ZoneId};
@@ -18,7 +19,7 @@
 pub(super) const STOP_SLACK_MS: Millis = Millis(1_000);
 
 /// Workers drop an answer that arrives this long after they have sent the report.
-const ANSWER_VALID_MS: Millis = Millis(1_000);
+pub(super) const ANSWER_VALID_MS: Millis = Millis(1_000);
 /// How much slower than the leader's a worker's clock may run, in percent, as the platform
 /// specifies for leases.
 const CLOCK_MARGIN_PERCENT: u64 = 3;
@@ -54,6 +55,10 @@
     pub(super) running: BTreeMap<RunKey, RunProgress>,
     /// The possible state of placed runs that the last report does not list.
     pub(super) unreported: BTreeMap<RunKey, UnreportedRun>,
+    /// Runs placed on former lives of the worker that this one may start, or has started.
+    pub(super) former_runs: BTreeMap<RunKey, FormerRun>,
+    /// The former life, until a report shows what this one has started of it.
+    pub(super) former_life: Option<FormerLife>,
     /// Whether the last report lists a run that is not placed on this worker.
     pub(super) has_unknown_runs: bool,
     /// Failures since the last task that succeeded.
@@ -182,6 +187,8 @@
             lease_until_ms,
             running: BTreeMap::new(),
             unreported: BTreeMap::new(),
+            former_runs: BTreeMap::new(),
+            former_life: None,
             has_unknown_runs: false,
             failures: 0,
             quarantined_until_ms: Millis::ZERO,
--- a/tests/hung_members.rs
+++ b/tests/hung_members.rs
@@ -121,6 +121,7 @@
                 rack: Some("r1".into()),
                 labels: vec!["a".into(), "r1".into()],
                 capacity: resources(8, 8),
+                clock_ms: None,
                 draining: false,
                 remaining_ms: None,
                 running: running.collect(),
--- a/tests/late_calls.rs
+++ b/tests/late_calls.rs
@@ -105,6 +105,7 @@
         rack: None,
         labels: Vec::new(),
         capacity: resources(8, 8),
+        clock_ms: None,
         draining,
         remaining_ms: None,
         running: Vec::new(),
--- a/tests/lost_work.rs
+++ b/tests/lost_work.rs
@@ -134,6 +134,7 @@
         rack: Some("r1".into()),
         labels: vec!["a".into(), "r1".into()],
         capacity: resources(8, 8),
+        clock_ms: None,
         draining: false,
         remaining_ms: None,
         running: Vec::new(),
--- a/tests/support/interference_site.rs
+++ b/tests/support/interference_site.rs
@@ -298,6 +298,7 @@
             rack: Some("r1".into()),
             labels: vec!["a".into(), "r1".into()],
             capacity: resources(16, 8),
+            clock_ms: None,
             draining: false,
             remaining_ms: None,
             running: running.collect(),
--- a/tests/support/simulated_worker.rs
+++ b/tests/support/simulated_worker.rs
@@ -121,6 +121,7 @@
             rack: Some(self.rack.as_str().into()),
             labels: self.labels.clone(),
             capacity: resources(8, 8),
+            clock_ms: Some(Millis(self.incarnation * 1_000_000 + now_ms)),
             draining: self.draining,
             remaining_ms: self
                 .leaves_at_ms
