planner: a deregistration ends nothing of a worker that does not drain or still reports

Workers announce that they drain before they leave, so a deregistration is ignored for a life that does not. Where the next life drains as well, its reports show that it has not left: its runs end with their leases then.

Tests: deregistration_of_a_former_life_is_ignored and draining_worker_that_reports_has_not_left (case reports) fail without the change to reports.rs.

--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -299,11 +299,19 @@
     /// Handles a worker's deregistration, by which time all of its runs have ended. Reports that it
     /// sent earlier may still arrive through other replicas and tell how they ended.
     ///
-    /// Returns the command that tells later leaders; `None` if the worker is not known.
+    /// A deregistration names no life. Workers announce that they drain before they leave, so one of a
+    /// life that does not is late, and meant for a former one.
+    ///
+    /// Returns the command that tells later leaders; `None` if the worker is not known, or does not
+    /// drain.
     pub fn worker_left(&mut self, id: &WorkerId, now: Millis) -> Option<WorkloadCommand> {
-        info!(event = "worker_left", worker = %id);
         let worker = self.workers.get_mut(id)?;
-        worker.draining = true;
+        let life = worker.incarnation;
+        if !worker.draining {
+            info!(event = "worker_left_ignored", worker = %id, life = %life);
+            return None;
+        }
+        info!(event = "worker_left", worker = %id, life = %life);
         worker.deregistered_ms.get_or_insert(now);
         self.dirty = true;
         Some(WorkloadCommand::Depart {
@@ -322,8 +330,11 @@
                 let worker = self.workers.get(*id);
                 // A worker that still reports lists its ends itself, even if no answer reaches it.
                 let until = worker.map_or(inherited, |worker| {
-                    if let Some(deregistered_ms) = worker.deregistered_ms {
-                        return deregistered_ms.saturating_add(DEREGISTER_GRACE_MS);
+                    // A draining worker that reports after its deregistration may be in its next life.
+                    let left_ms = worker.deregistered_ms;
+                    let left_ms = left_ms.filter(|left| worker.last_report_ms <= *left);
+                    if let Some(left_ms) = left_ms {
+                        return left_ms.saturating_add(DEREGISTER_GRACE_MS);
                     }
                     let report_timeout = worker.last_report_ms.saturating_add(REPORT_TIMEOUT_MS);
                     worker.lease_until_ms.max(report_timeout)
--- a/tests/unreliable_workers.rs
+++ b/tests/unreliable_workers.rs
@@ -156,6 +156,7 @@
     let mut session = PlannerSession::new(options(), gang(4));
     session.all_idle(0..3, 10);
     let worker = planner_session::worker_id(0);
+    session.draining(0, 20);
     session.planner.worker_left(&worker, Millis(500));
     session.restarted(0, 1_000);
     assert!(placed_on(&mut session, gang(2), 1_100).contains(&0));
