planner: bound the starts in one answer to a worker

A job of 1,500 small tasks with a payload of 4,000 bytes was never started (LOST): the answer to its worker repeated the payload for each task, 6,055,955 bytes, and workers drop answers of over 4 MiB (PROTOCOL.md: "is at most 4 MiB").

An answer holds starts with at most 512 KiB of payloads and checkpoints, six times of which stay under 4 MiB, the most urgent first, and at least one. The worker reports again after 50 ms for the rest. What is not ordered stays placed, and does not count as an attempt to start it.

Reports of workers that have not returned skip the check for runs of a former life.

--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -131,6 +131,9 @@
         let Some(worker) = self.workers.get_mut(&report.worker) else {
             return;
         };
+        if worker.former_life.is_none() && worker.former_runs.is_empty() {
+            return;
+        }
         worker.former_runs.retain(|run, _seen| {
             let task = state.task(run.task);
             task.is_some_and(|task| task.run == run.run && task.placement.is_some())
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -16,6 +16,12 @@
 /// earlier leader, and need not say so.
 const START_ATTEMPTS_MAX: u32 = 3;
 
+/// The most bytes of payloads and checkpoints that one answer holds. Workers drop answers of over 4
+/// MiB, and JSON may take six bytes for one.
+const START_BYTES_MAX: usize = 512 * 1024;
+/// How soon a worker reports again whose answer lacks starts for want of room.
+const MORE_STARTS_AFTER_MS: Millis = Millis(50);
+
 impl Planner {
     /// Answers a report whose transitions are committed. `held_ms` is how long the answer was held
     /// back for an order.
@@ -41,11 +47,14 @@
             interval_ms
         };
         worker.lease_until_ms = worker.lease_until_ms.max(lease_until);
-        let placed: Vec<RunKey> = state
+        let mut placed: Vec<RunKey> = state
             .runs_placed_on(&report.worker)
             .filter(|(_run, incarnation)| *incarnation == report.incarnation)
             .map(|(run, _incarnation)| run)
             .collect();
+        let priority = |run: &RunKey| state.job(run.task.step.job).map(|job| job.policy.priority);
+        placed.sort_by_cached_key(priority);
+        let mut start_bytes = 0;
         let may_start = !worker.draining && state.is_zone_open(&worker.zone);
         let mut orders = WorkerOrders {
             lease_ms: Some(self.options.lease_ms),
@@ -78,6 +87,13 @@
             let start = start_order(state, *run).filter(|_start| wanted);
             let sequence = report.sequence;
             let next = if let Some(start) = start {
+                let bytes = start.payload.len() + start.checkpoint.len();
+                if start_bytes + bytes > START_BYTES_MAX && !orders.starts.is_empty() {
+                    // It is ordered in the answer to the next report.
+                    orders.report_after_ms = MORE_STARTS_AFTER_MS;
+                    continue;
+                }
+                start_bytes += bytes;
                 orders.starts.push(start);
                 UnreportedRun::StartOrdered {
                     sequence,
