--- a/tests/large_orders.rs
+++ b/tests/large_orders.rs
@@ -17,7 +17,7 @@
 use rstest::rstest;
 
 use planner_session::PlannerSession;
-use workload_fixtures::job;
+use workload_fixtures::{job, step};
 
 /// The largest payload that the platform accepts.
 const PAYLOAD_BYTES: usize = 4_000;
@@ -29,14 +29,13 @@
 /// A job of many small tasks that all fit on one worker.
 fn large_job(tasks: u32, gang: bool) -> JobSpec {
     let step = Step {
-        tasks,
         gang,
         demand: Resources {
             cpu_millicores: 1,
             ..Resources::ZERO
         },
         estimate_ms: Millis(60_000),
-        ..Step::default()
+        ..step(tasks, 0)
     };
     JobSpec {
         payload: "\u{1}".repeat(PAYLOAD_BYTES).into(),
