--- a/tests/workload_histories.rs
+++ b/tests/workload_histories.rs
@@ -123,3 +123,79 @@
         });
     }
 }
+
+/// Random jobs, some of which always fail, under all faults together with workers that restart, take
+/// the answers to their former lives and are cut off soon after. No task runs twice, exceeds its
+/// attempts or is lost, and nothing of them is kept for ever.
+fn play_returns_among_faults(seed: u64) {
+    const WORKERS: usize = 10;
+    let options = PlannerOptions {
+        lease_ms: Millis(10_000),
+        ..planner_fixtures::options()
+    };
+    let mut simulation = Simulation::with_options(WORKERS, seed, options);
+    simulation.answers_cross_lives = true;
+    simulation.lists_refusals = seed.is_multiple_of(2);
+    simulation.failure_delay_ms = 100 + 100 * (seed % 9);
+    simulation.run_duration_ms = 1_000 + 500 * (seed % 7);
+    simulation.network_faults = NetworkFaults {
+        lost_percent: 3,
+        delayed_percent: 40,
+        refused_percent: if seed.is_multiple_of(3) { 15 } else { 0 },
+    };
+    for _round in 0..20 {
+        let spec = random_job(&mut simulation);
+        let (queue, team) = if simulation.pick(3) == 0 {
+            ("/urgent/", "judges")
+        } else {
+            ("/batch/", "clubs")
+        };
+        let id = simulation.submit(queue, team, spec);
+        if simulation.pick(4) == 0 {
+            simulation.failing_jobs.insert(id);
+        }
+        inject_fault(&mut simulation);
+        let delay_ms = 10 * simulation.pick(40) as u64;
+        simulation.run(delay_ms);
+        let at = simulation.pick(WORKERS);
+        simulation.workers[at].crash();
+        let dark_ms = 50 + 50 * simulation.pick(14) as u64;
+        simulation.run(dark_ms);
+        let now_ms = simulation.now_ms;
+        simulation.workers[at].restart(now_ms);
+        let touch_ms = 50 * simulation.pick(50) as u64;
+        simulation.run(touch_ms);
+        simulation.workers[at].disconnected = true;
+        let cut_ms = 500 * simulation.pick(12) as u64;
+        simulation.run(cut_ms);
+        simulation.workers[at].reconnect();
+    }
+    clear_faults(&mut simulation);
+    simulation.check_snapshot();
+    simulation.run_until(400_000, "all jobs end", |simulation| {
+        simulation.state.open_jobs().next().is_none()
+    });
+    simulation.run(6_000);
+    assert_eq!(
+        simulation.state.workers_with_runs().count(),
+        0,
+        "seed {seed}"
+    );
+    assert_eq!(simulation.state.unheard_ends().count(), 0, "seed {seed}");
+}
+
+#[test]
+fn returns_among_other_faults() {
+    for seed in 0..30 {
+        play_returns_among_faults(seed);
+    }
+}
+
+/// By hand: `cargo test --release --test workload_histories many -- --ignored`.
+#[test]
+#[ignore = "takes minutes"]
+fn many_returns_among_other_faults() {
+    for seed in 1_000..6_000 {
+        play_returns_among_faults(seed);
+    }
+}
