planner: the end of a run that a worker's next life holds is to be heard from that life

Trace: w9 restarts, and its second life starts run 3 by an answer to the first one at 28,630 ms, which fails at 29,340; the report that lists this at 29,700 is in a batch that is refused, and w9 is cut off. At 33,250 ms the member is presumed ended; its placement names the first life, which a second one has replaced, so no unheard end was recorded, and run 4 starts at 33,560. At 35,820 the failure of run 3 is listed again and acknowledged.

The record names the life that may hold the run now.

Ends acknowledged under their lease are checked as before.

--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -12,7 +12,7 @@
 use super::Planner;
 use super::worker::{ANSWER_VALID_MS, UnreportedRun, Worker, on_slow_clock};
 use crate::units::Millis;
-use crate::workload::{RunEnd, RunKey, Transition, WorkerReport, Workload};
+use crate::workload::{Placement, RunEnd, RunKey, Transition, WorkerReport, Workload};
 
 /// What is known of a run that was placed on a former life of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -118,6 +118,19 @@
         })
     }
 
+    /// Where a run is that was placed on `place`: the present life of the worker may hold it, and is then
+    /// the one that lists its end.
+    pub(super) fn holder_of(&self, run: RunKey, place: Placement) -> Placement {
+        let worker = self.workers.get(&place.worker);
+        match worker.filter(|worker| worker.former_runs.contains_key(&run)) {
+            Some(worker) => Placement {
+                incarnation: worker.incarnation,
+                ..place
+            },
+            None => place,
+        }
+    }
+
     /// Follows the runs of former lives in a report, and ends those that do not run and can't start any
     /// more. Those that were started are stopped like all runs that are not placed on this life; they
     /// end when the worker lists their ends.
--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -139,6 +139,7 @@
             info!(event = "member_presumed_ended", run = %run, worker = %place.worker, why = %end);
             self.record_worker_fault(&place.worker, WorkerFault::BrokeGang, now);
             let ended = self.end_lost_run(&place.worker, run, end);
+            let place = self.holder_of(run, place);
             let may_count = !self.is_out_of_reach(&place, now);
             let unheard = may_count.then_some(Transition::Unheard { run, place });
             std::iter::once(ended).chain(unheard)
--- a/tests/support/simulated_worker.rs
+++ b/tests/support/simulated_worker.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses some of these")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use marjoramknot::units::{Millis, Sequence, Term, WorkerId};
 use marjoramknot::workload::{
@@ -63,6 +63,9 @@
     /// The ends `failed` that are not acknowledged, with their number and time, as long as the lease
     /// under which they ended lasts.
     pub failures: Vec<(u64, TaskName, u64)>,
+    /// The numbers of the ends under a lease that still lasts. The others count as not taken note of,
+    /// also if they are acknowledged.
+    pub leased_ends: BTreeSet<u64>,
 }
 
 impl SimulatedWorker {
@@ -96,6 +99,7 @@
             ended: Vec::new(),
             last_end_number: 0,
             failures: Vec::new(),
+            leased_ends: BTreeSet::new(),
         }
     }
 
@@ -150,6 +154,7 @@
 
     pub fn add_end(&mut self, task: &TaskName, run: u32, end: RunEnd) {
         self.last_end_number += 1;
+        self.leased_ends.insert(self.last_end_number);
         let highest = self.highest_refused_run.entry(task.clone()).or_default();
         *highest = run.max(*highest);
         self.ended.push(ReportedEnd {
@@ -161,6 +166,12 @@
         });
     }
 
+    /// Forgets which ends still count, as the lease under which they ended is over.
+    pub fn lapse(&mut self) {
+        self.failures.clear();
+        self.leased_ends.clear();
+    }
+
     /// Ends a partition in either direction.
     pub fn reconnect(&mut self) {
         self.disconnected = false;
@@ -173,7 +184,7 @@
         self.is_running = false;
         self.runs.clear();
         self.ended.clear();
-        self.failures.clear();
+        self.lapse();
         self.highest_refused_run.clear();
         self.term = Term::ZERO;
         self.report_sent_ms = None;
