log which life's report an order answers, and what the next life lists

The hypotheses of the double runs differ in which report a start order answered, and in what the worker's next life runs of it: no log line told either. No decision is changed.

--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use http::StatusCode;
-use metrics::{gauge, histogram};
+use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use super::{Result, TelemetryError};
@@ -92,6 +92,16 @@
         .record(Millis(core_ms).duration());
 }
 
+/// Counts a run that a worker lists although it is not placed on its present life.
+pub fn record_unplaced_run() {
+    counter!("unplaced_runs_listed").increment(1);
+}
+
+/// Counts a run that a worker has started by an order to its former life.
+pub fn record_former_run_started() {
+    counter!("former_runs_started").increment(1);
+}
+
 /// Records status and duration of a response that a listener sent.
 pub fn record_response(listener: &'static str, status: StatusCode, took: Millis) {
     let class = match status.as_u16() {
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,8 +5,9 @@
 
 pub use self::log::{LogGuard, LogLevel, init_logging};
 pub use self::metrics::{
-    Metrics, init_metrics, record_connections, record_control_outage, record_job_completion,
-    record_lost_work, record_queue_wait, record_request, record_response,
+    Metrics, init_metrics, record_connections, record_control_outage, record_former_run_started,
+    record_job_completion, record_lost_work, record_queue_wait, record_request, record_response,
+    record_unplaced_run,
 };
 
 use thiserror::Error;
--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -10,7 +10,9 @@
 use tracing::info;
 
 use super::Planner;
+use super::reports::LossCause;
 use super::worker::{ANSWER_VALID_MS, UnreportedRun, Worker, on_slow_clock};
+use crate::telemetry::record_former_run_started;
 use crate::units::Millis;
 use crate::workload::{Placement, RunEnd, RunKey, Transition, WorkerReport, Workload};
 
@@ -159,8 +161,10 @@
             });
             let former = run.and_then(|run| worker.former_runs.get_mut(&run));
             if let Some(former) = former.filter(|former| **former == FormerRun::Unlisted) {
-                info!(event = "former_run_started", run = ?run, task = %listed.task,
-                    worker = %report.worker, life = %report.incarnation);
+                info!(event = "former_run_started", job = %listed.task.job, task = %listed.task,
+                    run = listed.run, worker = %report.worker, life = %report.incarnation,
+                    report = %report.sequence);
+                record_former_run_started();
                 *former = FormerRun::Started;
             }
         }
@@ -179,7 +183,8 @@
             |(run, seen): (&RunKey, &FormerRun)| (*seen == FormerRun::Unlisted).then_some(*run);
         let lost: Vec<RunKey> = worker.former_runs.iter().filter_map(unlisted).collect();
         for run in lost {
-            let end = self.end_lost_run(&report.worker, run, RunEnd::Lapsed);
+            let why = LossCause::NotStarted;
+            let end = self.end_lost_run(&report.worker, run, RunEnd::Lapsed, why, state);
             transitions.push(end);
         }
     }
--- a/src/workload/planner/gang_presence.rs
+++ b/src/workload/planner/gang_presence.rs
@@ -7,7 +7,7 @@
 
 use super::Planner;
 use super::reliability::WorkerFault;
-use super::reports::LEASE_SLACK_MS;
+use super::reports::{LEASE_SLACK_MS, LossCause};
 use super::worker::{RunProgress, Worker, on_slow_clock, stop_end};
 use crate::units::{Millis, WallMs, WorkerId};
 use crate::workload::{Placement, RunEnd, RunKey, StepKey, TaskKey, Transition, Workload};
@@ -138,7 +138,8 @@
         over.flat_map(|(place, run, end)| {
             info!(event = "member_presumed_ended", run = %run, worker = %place.worker, why = %end);
             self.record_worker_fault(&place.worker, WorkerFault::BrokeGang, now);
-            let ended = self.end_lost_run(&place.worker, run, end);
+            let why = LossCause::Member;
+            let ended = self.end_lost_run(&place.worker, run, end, why, state);
             let place = self.holder_of(run, place);
             let may_count = !self.is_out_of_reach(&place, now);
             let unheard = may_count.then_some(Transition::Unheard { run, place });
--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -2,6 +2,7 @@
 //! and stops.
 
 use smol_str::SmolStr;
+use tracing::info;
 
 use super::Planner;
 use super::idle_reports::report_after_held;
@@ -94,6 +95,9 @@
                     continue;
                 }
                 start_bytes += bytes;
+                info!(event = "run_ordered", job = %start.task.job, task = %start.task, run = run.run,
+                    worker = %report.worker, life = %report.incarnation, report = %sequence,
+                    attempt = attempts + 1, held_ms = held_ms.get());
                 orders.starts.push(start);
                 UnreportedRun::StartOrdered {
                     sequence,
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use derive_more::Display;
 use smol_str::SmolStr;
 use tracing::{info, warn};
 
@@ -8,13 +9,30 @@
 use super::run_forecast::ProgressMark;
 use super::worker::{RunProgress, UnreportedRun, Worker, on_slow_clock};
 use super::{Planner, ReportOutcome};
-use crate::telemetry::record_lost_work;
-use crate::units::{Millis, WorkerId};
+use crate::telemetry::{record_lost_work, record_unplaced_run};
+use crate::units::{Millis, Sequence, WorkerId};
 use crate::workload::{
     ReportedEnd, RunEnd, RunKey, StepKey, Transition, WorkerIncarnation, WorkerReport, Workload,
     WorkloadCommand,
 };
 
+/// Why a run that no report lists as ended counts as lost.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) enum LossCause {
+    /// Its worker has restarted, and the next life can't start it.
+    #[display("restarted")]
+    Restarted,
+    /// The next life of its worker has not started it, and can't any more.
+    #[display("not_started")]
+    NotStarted,
+    /// Its worker's lease is over, or its worker has deregistered.
+    #[display("silent")]
+    Silent,
+    /// It belongs to a gang that has begun to end, and its worker is silent.
+    #[display("member")]
+    Member,
+}
+
 /// Added to the end of a lease, or of a member's wait, for the resolution of the clocks.
 pub(super) const LEASE_SLACK_MS: Millis = Millis(20);
 
@@ -55,11 +73,10 @@
             return ReportOutcome::default();
         }
         if worker.is_none_or(|worker| worker.incarnation < report.incarnation) {
-            info!(event = "worker_heard", worker = %report.worker, life = %report.incarnation,
-                service = %report.service, zone = %report.zone, room = %report.capacity);
+            let former_runs = self.former_runs(report, state);
+            self.log_new_life(report, former_runs.len(), now);
             // What is recorded here is the silence before this report.
             self.record_worker_fault(&report.worker, WorkerFault::Restarted, now);
-            let former_runs = self.former_runs(report, state);
             let former_life = self.former_life(report, !former_runs.is_empty(), now);
             self.end_runs_before(report, &former_runs, state, &mut transitions);
             let lease_until = former_life
@@ -88,6 +105,18 @@
         }
     }
 
+    /// Logs the first report of a worker's life, with what is known of its former one.
+    fn log_new_life(&self, report: &WorkerReport, former_runs: usize, now: Millis) {
+        let former = self.workers.get(&report.worker);
+        let former_life = former.map(|former| former.incarnation).unwrap_or_default();
+        let former_report = former.map_or(Sequence::ZERO, |former| former.sequence);
+        let silent_ms = former.map_or(0, |former| now.since(former.last_report_ms).get());
+        info!(event = "worker_heard", worker = %report.worker, life = %report.incarnation,
+            service = %report.service, zone = %report.zone, room = %report.capacity,
+            report = %report.sequence, former_life = %former_life, former_report = %former_report,
+            silent_ms, former_runs);
+    }
+
     fn apply_report(
         &mut self,
         report: &WorkerReport,
@@ -112,6 +141,7 @@
         let earlier = std::mem::take(&mut worker.running);
         worker.running = reported_runs(report, state, (&earlier, &worker.unreported), now);
         worker.has_unknown_runs = worker.running.len() < report.running.len();
+        log_unplaced_runs(worker, report, state);
         for (run, seen) in &worker.running {
             let before = worker.unreported.insert(*run, UnreportedRun::WasRunning);
             let has_progressed = seen.percent > seen.first_percent;
@@ -269,17 +299,27 @@
             .filter(|run| !former_runs.contains_key(run))
             .collect();
         for run in lost {
-            transitions.push(self.end_lost_run(&report.worker, run, RunEnd::Lapsed));
+            let why = LossCause::Restarted;
+            transitions.push(self.end_lost_run(&report.worker, run, RunEnd::Lapsed, why, state));
         }
     }
 
+    /// Ends a run that its worker does not list as ended.
     pub(super) fn end_lost_run(
         &mut self,
         worker: &WorkerId,
         run: RunKey,
         end: RunEnd,
+        why: LossCause,
+        state: &Workload,
     ) -> Transition {
-        info!(event = "run_lost", run = %run, worker = %worker, end = %end);
+        let known = self.workers.get(worker);
+        let life = known.map(|worker| worker.incarnation).unwrap_or_default();
+        let was_listed = known.is_some_and(|worker| worker.running.contains_key(&run));
+        if let Some(task) = state.task_name(run.task) {
+            info!(event = "run_lost", job = %task.job, task = %task, run = run.run, worker = %worker,
+                life = %life, end = %end, why = %why, was_listed);
+        }
         self.stopping.insert(run);
         self.dirty = true;
         let saved = self.checkpoints.for_lost_member(run);
@@ -354,7 +394,8 @@
                 .map(|(run, _incarnation)| run)
                 .collect();
             for run in runs {
-                transitions.push(self.end_lost_run(&worker, run, RunEnd::Lapsed));
+                let why = LossCause::Silent;
+                transitions.push(self.end_lost_run(&worker, run, RunEnd::Lapsed, why, state));
             }
             if let Some(worker) = self.workers.get_mut(&worker) {
                 // What was ordered stays known: these runs must not look as if they had never
@@ -389,6 +430,37 @@
         .is_some_and(|(step, _tasks)| step.gang && !step.long_running)
 }
 
+/// Logs the runs that a worker lists although they are not placed on its present life, each once.
+fn log_unplaced_runs(worker: &mut Worker, report: &WorkerReport, state: &Workload) {
+    let earlier = std::mem::take(&mut worker.unplaced);
+    if !worker.has_unknown_runs {
+        return;
+    }
+    for listed in &report.running {
+        let task = state.task_key(&listed.task);
+        let run = task.map(|task| RunKey {
+            task,
+            run: listed.run,
+        });
+        if run.is_some_and(|run| worker.running.contains_key(&run)) {
+            continue;
+        }
+        let key = (listed.task.clone(), listed.run);
+        if !earlier.contains(&key) {
+            let task = task.and_then(|task| state.task(task));
+            let place = task.and_then(|task| task.placement.as_ref());
+            info!(event = "unplaced_run_listed", job = %listed.task.job, task = %listed.task,
+                run = listed.run, worker = %report.worker, life = %report.incarnation,
+                report = %report.sequence, percent = listed.percent,
+                newest_run = task.map_or(0, |task| task.run),
+                placed_on = place.map_or("none", |place| place.worker.as_str()),
+                placed_life = place.map_or(0, |place| place.incarnation.0));
+            record_unplaced_run();
+        }
+        worker.unplaced.insert(key);
+    }
+}
+
 /// Selects the reported runs that are placed on this incarnation of the worker.
 fn reported_runs(
     report: &WorkerReport,
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use smol_str::SmolStr;
 
@@ -6,7 +6,7 @@
 use super::run_forecast::ProgressMark;
 use super::speeds::WorkerSpeed;
 use crate::units::{Millis, Sequence, ServiceName, ZoneId};
-use crate::workload::{Resources, RunKey, WorkerIncarnation, WorkerReport};
+use crate::workload::{Resources, RunKey, TaskName, WorkerIncarnation, WorkerReport};
 
 /// Consecutive failures after which a worker is quarantined.
 const QUARANTINE_FAILURES: u32 = 2;
@@ -61,6 +61,9 @@
     pub(super) former_life: Option<FormerLife>,
     /// Whether the last report lists a run that is not placed on this worker.
     pub(super) has_unknown_runs: bool,
+    /// The tasks and run numbers that the last report lists although they are not placed on this
+    /// life of the worker.
+    pub(super) unplaced: BTreeSet<(TaskName, u32)>,
     /// Failures since the last task that succeeded.
     pub(super) failures: u32,
     pub(super) quarantined_until_ms: Millis,
@@ -190,6 +193,7 @@
             former_runs: BTreeMap::new(),
             former_life: None,
             has_unknown_runs: false,
+            unplaced: BTreeSet::new(),
             failures: 0,
             quarantined_until_ms: Millis::ZERO,
             speed: WorkerSpeed::default(),
