Keep former runs until a steady clock and the receipt agree

The runs that a worker's next life may still start were given up on the first report that its own clock put 1 s after the first one. A clock that jumps ahead, or that only the first report lacked, did so at once, while the answer with the order was on its way. Without any clock the time of receipt was taken, which proves nothing, as a report may be late.

Both must have passed now: 1 s by the worker's clock since its first report with one, and by the leader's the time for which the last answer to the former life is valid. Without a clock the lease decides. With a steady clock the second holds whenever the first does, unless reports were late, so nothing is kept for longer.

--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -32,8 +32,8 @@
     reason = "each is a time, and a field carries its unit"
 )]
 pub(super) struct FormerLife {
-    /// The worker's clock at the first report of the present life that this leader received.
-    first_clock_ms: Millis,
+    /// The worker's clock at the first report of the present life that this leader received with one.
+    first_clock_ms: Option<Millis>,
     /// When the last answer to a report of a former life is void.
     answers_void_ms: Millis,
     /// When a lease that such an answer grants is over at the latest.
@@ -49,17 +49,18 @@
 
     /// Whether a report was sent after all answers to former lives had become void. The reports that
     /// they answer were sent before the present life began, and so before its first report.
-    fn is_over(&self, clock_ms: Millis, now: Millis) -> bool {
-        clock_ms.since(self.first_clock_ms) >= on_slow_clock(ANSWER_VALID_MS)
-            || now > self.lease_until_ms
+    ///
+    /// The time of receipt proves nothing alone, as the report may be late, and neither does the
+    /// worker's clock, as it may have jumped.
+    fn is_over(&self, clock_ms: Option<Millis>, now: Millis) -> bool {
+        let clocks = clock_ms.zip(self.first_clock_ms);
+        let was_sent_later = clocks.is_some_and(|(clock_ms, first_ms)| {
+            clock_ms.since(first_ms) >= on_slow_clock(ANSWER_VALID_MS)
+        });
+        (was_sent_later && !self.may_hear_answers(now)) || now > self.lease_until_ms
     }
 }
 
-/// The worker's clock when it sent a report; the time of receipt if the report has none.
-fn clock_of(report: &WorkerReport, now: Millis) -> Millis {
-    report.clock_ms.unwrap_or(now)
-}
-
 impl Worker {
     /// Whether the next life of this worker may start a run: the order to start it was given, and the
     /// worker has not listed it since.
@@ -102,7 +103,6 @@
         &self,
         report: &WorkerReport,
         has_former_runs: bool,
-        now: Millis,
     ) -> Option<FormerLife> {
         let former = self.workers.get(&report.worker);
         if former.is_none() && !has_former_runs {
@@ -113,7 +113,7 @@
         let last_report_ms = former.map_or(Millis::ZERO, |former| former.last_report_ms);
         let valid_ms = on_slow_clock(ANSWER_VALID_MS);
         Some(FormerLife {
-            first_clock_ms: clock_of(report, now),
+            first_clock_ms: report.clock_ms,
             // An earlier leader gave its last answers before this one was elected.
             answers_void_ms: last_report_ms.max(self.elected_ms).saturating_add(valid_ms),
             lease_until_ms: lease_end.saturating_add(valid_ms),
@@ -168,10 +168,10 @@
                 *former = FormerRun::Started;
             }
         }
-        let clock_ms = clock_of(report, now);
-        let ends = worker
-            .former_life
-            .take_if(|life| life.is_over(clock_ms, now));
+        let ends = worker.former_life.take_if(|life| {
+            life.first_clock_ms = life.first_clock_ms.or(report.clock_ms);
+            life.is_over(report.clock_ms, now)
+        });
         if ends.is_some() {
             info!(event = "former_life_over", worker = %report.worker, life = %report.incarnation);
             self.dirty = true;
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -88,7 +88,7 @@
             self.log_new_life(report, former_runs.len(), now);
             // What is recorded here is the silence before this report.
             self.record_worker_fault(&report.worker, WorkerFault::Restarted, now);
-            let former_life = self.former_life(report, !former_runs.is_empty(), now);
+            let former_life = self.former_life(report, !former_runs.is_empty());
             self.end_runs_before(report, &former_runs, state, &mut transitions);
             let lease_until = former_life
                 .as_ref()
--- a/tests/returned_workers.rs
+++ b/tests/returned_workers.rs
@@ -198,6 +198,143 @@
     }
 }
 
+/// What else may be odd about a worker that returns.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Oddity {
+    /// It restarts up to three times at once.
+    Restarts,
+    /// Its clock jumps ahead after its first reports, or is missing from some.
+    Clock,
+    /// The wall clock of its machine was set back, so it seems to be an earlier life.
+    EarlierBirth,
+    /// The deregistration of the former life is late, and the next one drains as well.
+    LateDeregistration,
+    /// Any of these.
+    Any,
+}
+
+/// Histories of short and long tasks, on workers that restart while orders are on their way, are odd in
+/// one way or several, and are cut off in one direction or both.
+fn play_odd(seed: u64, oddity: Oddity) {
+    const KINDS: [Oddity; 4] = [
+        Oddity::Restarts,
+        Oddity::Clock,
+        Oddity::EarlierBirth,
+        Oddity::LateDeregistration,
+    ];
+    let mut simulation = Simulation::with_options(8, seed, options());
+    simulation.answers_cross_lives = true;
+    simulation.lists_refusals = seed.is_multiple_of(2);
+    simulation.network_faults.delayed_percent = 50;
+    simulation.network_faults.refused_percent = if seed.is_multiple_of(3) { 10 } else { 0 };
+    simulation.run_duration_ms = [200, 600, 4_000, 14_000][simulation.pick(4)];
+    simulation.duration_spread_ms = 300;
+    simulation.run(300);
+    for _round in 0..10 {
+        let kind = match oddity {
+            Oddity::Any => KINDS[simulation.pick(KINDS.len())],
+            other => other,
+        };
+        for _job in 0..2 {
+            let tasks = u32::try_from(simulation.pick(6)).expect("in range") + 1;
+            let spec = Step {
+                gang: simulation.pick(4) == 0,
+                ..step(tasks, [2, 4][simulation.pick(2)])
+            };
+            simulation.submit("/batch/", "clubs", job(vec![spec]));
+        }
+        let mut at = simulation.pick(8);
+        for _tick in 0..60 {
+            simulation.run(10);
+            if let Some(awaiting) = simulation.awaits_start(50) {
+                at = awaiting;
+                break;
+            }
+        }
+        if kind == Oddity::LateDeregistration {
+            simulation.workers[at].draining = true;
+            let drain_ms = 50 * simulation.pick(20) as u64;
+            simulation.run(drain_ms);
+        }
+        let restarts = if kind == Oddity::Restarts { 3 } else { 1 };
+        for _restart in 0..restarts {
+            let before_ms = 10 * simulation.pick(20) as u64;
+            simulation.run(before_ms);
+            if simulation.workers[at].is_running {
+                simulation.workers[at].crash();
+            }
+            let dark_ms = 10 + 10 * simulation.pick(20) as u64;
+            simulation.run(dark_ms);
+            let now_ms = simulation.now_ms;
+            if kind == Oddity::EarlierBirth {
+                simulation.workers[at].restart_with_earlier_birth(now_ms);
+            } else {
+                simulation.workers[at].restart(now_ms);
+            }
+            if kind == Oddity::Clock {
+                simulation.workers[at].tells_clock = simulation.pick(2) == 0;
+            }
+        }
+        let touch_ms = 10 * simulation.pick(60) as u64;
+        simulation.run(touch_ms);
+        match kind {
+            Oddity::Clock => {
+                simulation.workers[at].tells_clock = simulation.pick(3) > 0;
+                simulation.workers[at].clock_jump_ms += 1_000 * simulation.pick(3) as u64;
+            }
+            Oddity::LateDeregistration => {
+                let work_ms = 100 * simulation.pick(30) as u64;
+                simulation.run(work_ms);
+                simulation.workers[at].draining = simulation.pick(2) == 0;
+                let drain_ms = 50 * simulation.pick(20) as u64;
+                simulation.run(drain_ms);
+                simulation.deregister(at);
+            }
+            _ => {}
+        }
+        if simulation.pick(3) == 0 {
+            simulation.change_leader();
+        }
+        let cut_ms = 500 * simulation.pick(24) as u64;
+        match simulation.pick(3) {
+            0 => simulation.workers[at].disconnected = true,
+            1 => simulation.workers[at].loses_reports = true,
+            _ => {}
+        }
+        simulation.run(cut_ms);
+        simulation.workers[at].reconnect();
+        simulation.workers[at].draining = false;
+        simulation.workers[at].tells_clock = true;
+    }
+    simulation.network_faults.delayed_percent = 0;
+    simulation.network_faults.refused_percent = 0;
+    simulation.run_until(400_000, "all jobs end", |simulation| {
+        simulation.state.open_jobs().next().is_none()
+    });
+}
+
+/// Guards against tasks that run twice, or after an acknowledged end, on workers whose next lives are
+/// hard to tell from the former ones.
+#[rstest]
+fn odd_returns_start_nothing_twice(
+    #[values(Oddity::Restarts, Oddity::Clock, Oddity::EarlierBirth)] oddity: Oddity,
+) {
+    for seed in 0..40 {
+        play_odd(seed, oddity);
+    }
+}
+
+/// By hand, like the ones above.
+#[rstest]
+#[ignore = "takes minutes"]
+fn many_odd_returns_start_nothing_twice(
+    #[values(Oddity::Restarts, Oddity::Clock, Oddity::EarlierBirth)] oddity: Oddity,
+) {
+    for seed in 1_000..3_000 {
+        play_odd(seed, oddity);
+    }
+}
+
 /// One task that was ordered to start on a worker, which then restarts.
 struct Returned {
     session: PlannerSession,
@@ -252,6 +389,45 @@
     assert_eq!(returned.is_kept(), is_kept);
 }
 
+/// A clock that jumps, or that reports lack, does not make the answers void.
+#[rstest]
+#[case::jumps_ahead(Some(0), Some(60_000))]
+#[case::is_missing_first(None, Some(0))]
+#[case::is_missing_later(Some(0), None)]
+#[case::is_missing(None, None)]
+#[case::jumps_back(Some(60_000), Some(0))]
+fn odd_clock_does_not_void_answers(#[case] first_ms: Option<u64>, #[case] later_ms: Option<u64>) {
+    let mut returned = Returned::new();
+    returned.session.idle(returned.worker, 200);
+    let clock = |age_ms: u64| Millis(SECOND_CLOCK_MS + age_ms);
+    let mut first = returned.second_life(0);
+    first.clock_ms = first_ms.map(clock);
+    returned.session.exchange(&first, 300);
+    let mut later = returned.second_life(0);
+    later.clock_ms = later_ms.map(clock);
+    returned.session.exchange(&later, 200 + ANSWER_MS - 1);
+    assert!(returned.is_kept());
+}
+
+/// Without a clock no report proves that it was sent after the answers were void: the lease decides.
+#[test]
+fn run_on_a_worker_without_a_clock_waits_for_the_lease() {
+    let mut returned = Returned::new();
+    returned.session.idle(returned.worker, 200);
+    let lease_end_ms = 200 + on_slow_clock(LEASE_MS) + 20 + ANSWER_MS;
+    let mut at_ms = 300;
+    while at_ms <= lease_end_ms {
+        let mut report = returned.second_life(0);
+        report.clock_ms = None;
+        returned.session.exchange(&report, at_ms);
+        assert!(returned.is_kept(), "given up at {at_ms} ms");
+        at_ms += 200;
+    }
+    let report = returned.second_life(0);
+    returned.session.exchange(&report, lease_end_ms + 1);
+    assert!(!returned.is_kept());
+}
+
 /// A run that the former life had listed is not ordered again, so it is lost with that life.
 #[test]
 fn listed_run_is_lost_at_once() {
--- a/tests/support/simulated_worker.rs
+++ b/tests/support/simulated_worker.rs
@@ -30,7 +30,14 @@
 )]
 pub struct SimulatedWorker {
     pub id: WorkerId,
+    /// The number of its present life.
     pub incarnation: u64,
+    /// When its present life began, by the wall clock of its machine.
+    pub born: u64,
+    /// Whether its reports carry its clock.
+    pub tells_clock: bool,
+    /// By how much its clock has jumped ahead.
+    pub clock_jump_ms: u64,
     pub zone: &'static str,
     pub rack: String,
     pub draining: bool,
@@ -73,6 +80,9 @@
         Self {
             id: format!("w{number}").parse().expect("a valid id"),
             incarnation: 1,
+            born: 1_000,
+            tells_clock: true,
+            clock_jump_ms: 0,
             zone: if number.is_multiple_of(2) {
                 "senec"
             } else {
@@ -118,14 +128,14 @@
         });
         WorkerReport {
             worker: self.id.clone(),
-            incarnation: WorkerIncarnation(self.incarnation),
+            incarnation: WorkerIncarnation(self.born),
             sequence: Sequence(self.sequence),
             service: "ponds".parse().expect("a valid id"),
             zone: self.zone.parse().expect("a valid id"),
             rack: Some(self.rack.as_str().into()),
             labels: self.labels.clone(),
             capacity: resources(8, 8),
-            clock_ms: Some(Millis(self.incarnation * 1_000_000 + now_ms)),
+            clock_ms: self.clock(now_ms),
             draining: self.draining,
             remaining_ms: self
                 .leaves_at_ms
@@ -135,6 +145,11 @@
         }
     }
 
+    fn clock(&self, now_ms: u64) -> Option<Millis> {
+        let clock_ms = self.incarnation * 1_000_000 + now_ms + self.clock_jump_ms;
+        self.tells_clock.then_some(Millis(clock_ms))
+    }
+
     fn percent_of(&self, work: &SimulatedRun, run_duration_ms: u64) -> u32 {
         if self.invents_percents {
             let invented = [0, 100, 3, u32::MAX, 41, 0, 250, 99];
@@ -190,12 +205,20 @@
         self.report_sent_ms = None;
     }
 
+    /// Restarts after the wall clock of the machine was set back.
+    pub fn restart_with_earlier_birth(&mut self, now_ms: u64) {
+        let born = self.born;
+        self.restart(now_ms);
+        self.born = born - 1;
+    }
+
     pub fn restart(&mut self, now_ms: u64) {
         self.is_running = true;
         self.reconnect();
         self.draining = false;
         self.leaves_at_ms = None;
         self.incarnation += 1;
+        self.born += 1;
         self.sequence = 0;
         self.last_end_number = 0;
         self.next_report_ms = now_ms + 20;
--- a/tests/support/workload_simulation.rs
+++ b/tests/support/workload_simulation.rs
@@ -54,6 +54,8 @@
 #[derive(Clone)]
 struct PendingReport {
     at: usize,
+    /// The worker's life that sent it.
+    life: u64,
     report: WorkerReport,
     sent_ms: u64,
     received_ms: u64,
@@ -196,6 +198,13 @@
         Some(job.phase)
     }
 
+    /// A deregistration of a worker arrives, of whichever of its lives.
+    pub fn deregister(&mut self, at: usize) {
+        let id = self.workers[at].id.clone();
+        let departs = self.planner.worker_left(&id, Millis(self.now_ms));
+        self.commands.extend(departs);
+    }
+
     /// Replaces the leader. Commands that are being committed take effect or are lost, with equal
     /// probability.
     pub fn change_leader(&mut self) {
@@ -281,6 +290,7 @@
             return;
         }
         worker.report_sent_ms = Some(self.now_ms);
+        let life = worker.incarnation;
         let report = worker.report(self.run_duration_ms, self.now_ms);
         let is_lost = worker.disconnected || worker.loses_reports;
         if is_lost || self.with_probability(self.network_faults.lost_percent) {
@@ -295,6 +305,7 @@
         self.transitions.extend(reported.transitions);
         let pending = PendingReport {
             at,
+            life,
             report,
             sent_ms: self.now_ms,
             received_ms: self.now_ms,
@@ -309,6 +320,7 @@
     fn answer(&mut self, pending: PendingReport) {
         let PendingReport {
             at,
+            life,
             report,
             sent_ms,
             received_ms,
@@ -326,7 +338,7 @@
             self.answers.push(PendingOrders {
                 due_ms: self.now_ms + delay,
                 at,
-                incarnation: report.incarnation.0,
+                incarnation: life,
                 sequence: report.sequence.get(),
                 sent_ms,
                 orders,
