Ignore late deregistrations of workers that have returned lately

A deregistration names no life. One of a former life that arrives while the next one drains as well, and after the last report of that one before a cut, ended its runs 1 s later, although they held their lease.

For a worker of which this leader has heard another life, or that the state remembers as departed, a deregistration is ignored within a minute of the return, and the runs wait for the lease; reports are taken to be on their way for no longer elsewhere, too. Workers that leave for the first time, or long after a return, are released after 1 s as before.

--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -93,7 +93,9 @@
             let lease_until = former_life
                 .as_ref()
                 .map_or(lease_until, |former| former.lease_until_ms.max(lease_until));
+            let has_returned = former_life.is_some() || state.is_departed(&report.worker);
             let mut worker = Worker::new(report, lease_until);
+            worker.returned_ms = has_returned.then_some(now);
             worker.former_runs = former_runs;
             worker.former_life = former_life;
             let placed = state.runs_placed_on(&report.worker);
@@ -351,15 +353,19 @@
     /// sent earlier may still arrive through other replicas and tell how they ended.
     ///
     /// A deregistration names no life. Workers announce that they drain before they leave, so one of a
-    /// life that does not is late, and meant for a former one.
+    /// life that does not is late, and meant for a former one. That may also hold for one that does, as
+    /// long as a deregistration of the former life may be on its way; its runs then wait for the lease.
     ///
-    /// Returns the command that tells later leaders; `None` if the worker is not known, or does not
-    /// drain.
+    /// Returns the command that tells later leaders; `None` if the worker is not known, does not drain
+    /// or has returned lately.
     pub fn worker_left(&mut self, id: &WorkerId, now: Millis) -> Option<WorkloadCommand> {
         let worker = self.workers.get_mut(id)?;
         let life = worker.incarnation;
-        if !worker.draining {
-            info!(event = "worker_left_ignored", worker = %id, life = %life);
+        let has_returned = worker
+            .returned_ms
+            .is_some_and(|returned| now.since(returned) < WORKER_RETENTION_MS);
+        if !worker.draining || has_returned {
+            info!(event = "worker_left_ignored", worker = %id, life = %life, has_returned);
             return None;
         }
         info!(event = "worker_left", worker = %id, life = %life);
@@ -426,7 +432,8 @@
 /// How long after its last report a worker's runs are kept even without a lease: two report
 /// intervals and a lost answer.
 const REPORT_TIMEOUT_MS: Millis = Millis(3_000);
-/// How long a worker without a lease is remembered, along with its failures.
+/// How long a worker without a lease is remembered, along with its failures. No message of a former life
+/// is on its way for longer.
 const WORKER_RETENTION_MS: Millis = Millis(60_000);
 
 /// Whether the tasks of a step run as a gang.
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -45,6 +45,8 @@
     pub(super) available_until_ms: Option<Millis>,
     /// When the worker deregistered.
     pub(super) deregistered_ms: Option<Millis>,
+    /// When the present life was first heard, if the worker has had another one.
+    pub(super) returned_ms: Option<Millis>,
     pub(super) last_report_ms: Millis,
     /// Until when the answer to its last report may be held back.
     pub(super) held_until_ms: Millis,
@@ -185,6 +187,7 @@
             draining: false,
             available_until_ms: None,
             deregistered_ms: None,
+            returned_ms: None,
             last_report_ms: Millis::ZERO,
             held_until_ms: Millis::ZERO,
             lease_until_ms,
--- a/src/workload/state.rs
+++ b/src/workload/state.rs
@@ -184,6 +184,12 @@
         departed.is_some_and(|(departed, _at)| *departed >= incarnation)
     }
 
+    /// Whether any life of a worker is remembered as departed.
+    #[must_use]
+    pub fn is_departed(&self, worker: &WorkerId) -> bool {
+        self.departed.contains_key(worker)
+    }
+
     /// Looks up a job by number.
     #[must_use]
     pub fn job(&self, number: JobNumber) -> Option<&Job> {
--- a/tests/returned_workers.rs
+++ b/tests/returned_workers.rs
@@ -317,7 +317,14 @@
 /// hard to tell from the former ones.
 #[rstest]
 fn odd_returns_start_nothing_twice(
-    #[values(Oddity::Restarts, Oddity::Clock, Oddity::EarlierBirth)] oddity: Oddity,
+    #[values(
+        Oddity::Restarts,
+        Oddity::Clock,
+        Oddity::EarlierBirth,
+        Oddity::LateDeregistration,
+        Oddity::Any
+    )]
+    oddity: Oddity,
 ) {
     for seed in 0..40 {
         play_odd(seed, oddity);
@@ -328,7 +335,14 @@
 #[rstest]
 #[ignore = "takes minutes"]
 fn many_odd_returns_start_nothing_twice(
-    #[values(Oddity::Restarts, Oddity::Clock, Oddity::EarlierBirth)] oddity: Oddity,
+    #[values(
+        Oddity::Restarts,
+        Oddity::Clock,
+        Oddity::EarlierBirth,
+        Oddity::LateDeregistration,
+        Oddity::Any
+    )]
+    oddity: Oddity,
 ) {
     for seed in 1_000..3_000 {
         play_odd(seed, oddity);
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -577,6 +577,32 @@
     assert_eq!(planner.expire_leases(&state, Millis(1_901)).len(), ends);
 }
 
+/// A deregistration of the former life that arrives after the last report of a next life that drains
+/// too must not end the runs of that life before its lease, as long as it may be on its way.
+#[rstest]
+#[case::soon(5_000, 0)]
+#[case::long_after(65_000, 1)]
+fn late_deregistration_ends_no_run_of_a_returned_worker(#[case] left_ms: u64, #[case] ends: usize) {
+    let (mut state, mut planner) = one_job(step(1, 1));
+    let mut of_former_life = report(1, 1);
+    of_former_life.draining = true;
+    exchange_report(&mut planner, &mut state, &of_former_life, 10);
+    let life = |sequence: u64| WorkerReport {
+        incarnation: WorkerIncarnation(2),
+        ..report(1, sequence)
+    };
+    exchange_report(&mut planner, &mut state, &life(1), 500);
+    exchange_report(&mut planner, &mut state, &life(2), left_ms - 600);
+    plan(&mut planner, &mut state, left_ms - 590);
+    exchange_report(&mut planner, &mut state, &life(3), left_ms - 500);
+    let mut draining = draining(4);
+    draining.incarnation = WorkerIncarnation(2);
+    exchange_report(&mut planner, &mut state, &draining, left_ms - 100);
+    planner.worker_left(&draining.worker, Millis(left_ms));
+    let over_ms = Millis(left_ms + 1_001);
+    assert_eq!(planner.expire_leases(&state, over_ms).len(), ends);
+}
+
 /// A report of the worker of the only run, which runs while the worker drains.
 fn draining(sequence: u64) -> WorkerReport {
     let mut report = report(1, sequence);
