give no orders to a report whose sender has hung up

What callers saw: a task waits up to a second longer than need be after its worker has restarted. A worker whose process ends closes its connection; the leader still answered its held report with a start, to nobody.

Cause: the loop looked only at its own state when it answered a report, not at whether anyone waits for the answer. The planner counted the start as ordered, so the worker's next life might have it, and kept the run until answers to the former life were void. It also counted as one of three attempts to start it.

Change: an answer that nobody waits for is dropped before orders are made. What is dropped has not been sent, so no life of the worker can get it; a sender that hangs up later is counted with as before.

report_connections: closed_connection_gets_no_orders failed before (the run was still placed on the former life after the first report of the next one) and passes now.

--- a/src/control/workload_loop.rs
+++ b/src/control/workload_loop.rs
@@ -457,6 +457,10 @@
                 received_ms,
                 reply,
             }) => {
+                if reply.is_closed() {
+                    // Nobody gets the answer. Its orders would count as given.
+                    return;
+                }
                 let answer = if self.may_act() {
                     let orders = self.orders(&report, received_ms);
                     Ok(WorkAnswer::Orders(Box::new(orders)))
