--- a/tests/support/worker_connection.rs
+++ b/tests/support/worker_connection.rs
@@ -100,3 +100,12 @@
         (status, serde_json::from_slice(&body).unwrap_or_default())
     }
 }
+
+/// Whether an answer holds anything that takes effect in a worker.
+pub fn has_orders((status, answer): &(u16, Value)) -> bool {
+    let is_empty = |name: &str| answer[name].is_null();
+    let is_void = ["hold_ms", "start", "stop", "rate", "acked_seq"]
+        .into_iter()
+        .all(is_empty);
+    (200..300).contains(status) && !is_void
+}
