give no orders in answers that workers drop

What callers saw: nothing yet, but for tasks that wait. While changes take over a second, as on a disk that hangs, the leader answers reports that workers gave up long ago, and counts what it answers as given: a start is one of three attempts, after which the run is stopped and placed anew, and the lease lasts until then.

Cause: the age of a report was used only for the next interval.

Change: an answer to a report that was received 1 s ago holds no orders, no lease and no acknowledgement, as that to an outdated report; the worker's next report is answered with all of it.

report_answers: answer_after_its_time_holds_no_orders failed before (lease and acknowledgement 1.2 s after the report) and passes now.

--- a/src/control/held_reports.rs
+++ b/src/control/held_reports.rs
@@ -10,8 +10,11 @@
 use crate::units::{Millis, WorkerId};
 use crate::workload::WorkerReport;
 
-/// How long a report is held. A worker drops an answer that takes a second, and the answer may pass
-/// through another replica.
+/// Workers drop an answer that arrives this long after they have sent the report.
+pub(super) const ANSWER_VALID_MS: Millis = Millis(1_000);
+
+/// How long a report is held. It is less than [`ANSWER_VALID_MS`], as the answer may pass through
+/// another replica.
 pub(super) const REPORT_HOLD_MS: Millis = Millis(600);
 
 /// A report whose answer is held back.
--- a/src/control/workload_loop.rs
+++ b/src/control/workload_loop.rs
@@ -14,7 +14,7 @@
 use tracing::{info, warn};
 
 use super::call_expiry::CallClock;
-use super::held_reports::{HeldReport, HeldReports, REPORT_HOLD_MS};
+use super::held_reports::{ANSWER_VALID_MS, HeldReport, HeldReports, REPORT_HOLD_MS};
 use super::planning_load::PlanningLoad;
 use super::workload_batch::{
     AnswerSender, Batch, FinishedBatch, InFlightBatch, PendingAnswer, PendingCall, WorkloadHandle,
@@ -478,6 +478,10 @@
         };
         let planner = &mut leader.planner;
         let held_ms = self.clock.now().since(received_ms);
+        if held_ms >= ANSWER_VALID_MS {
+            // The worker drops the answer, and its orders would count as given.
+            return WorkerOrders::default();
+        }
         self.state_machine.read(|state_machine| {
             planner.orders_for_report(report, received_ms, held_ms, state_machine.workload())
         })
--- a/tests/report_answers.rs
+++ b/tests/report_answers.rs
@@ -9,16 +9,16 @@
 mod workload_fixtures;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use control_net::{FakeReplica, Network, SharedLog};
+use control_net::{FakeReplica, Network, SharedLog, slow_service};
 use holding_relay::HoldingRelay;
 use marjoramknot::control::{CallExpiry, Client, ControlApiClient, ControlError, StateMachine};
 use marjoramknot::units::{Millis, Sequence, Term, WorkerId};
 use marjoramknot::workload::{
-    QueueOperation, QueueRequest, WorkAnswer, WorkRequest, WorkerIncarnation, WorkerOrders,
-    WorkerReport, Workload,
+    QueueOperation, QueueRequest, ReportedEnd, RunEnd, WorkAnswer, WorkRequest, WorkerIncarnation,
+    WorkerOrders, WorkerReport, Workload,
 };
 use rstest::rstest;
 use tarpc::{client, context};
@@ -28,6 +28,8 @@
 
 /// Long enough for what was sent to be received and handled.
 const DELIVERY: Duration = Duration::from_millis(150);
+/// How long a report's sender accepts its answer.
+const ANSWER_VALID: Duration = Duration::from_secs(1);
 /// Longer than a leader holds a report.
 const HOLD: Duration = Duration::from_millis(800);
 
@@ -265,3 +267,49 @@
     let answer = held.await.expect("the call ends");
     assert_matches!(answer, Ok(Err(ControlError::NotLeader { .. })));
 }
+
+/// Guards against orders, a lease and acknowledgements in an answer that its worker drops: each counts
+/// as an attempt to start its run, and only the next life of the worker could take it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_after_its_time_holds_no_orders() {
+    let (_service, connection) = slow_service(Duration::from_millis(1_200)).await;
+    let call = async |request| {
+        let mut context = context::current();
+        context.deadline = Instant::now() + Duration::from_secs(10);
+        let expires = CallExpiry(Millis::MAX);
+        let answer = connection.work(context, expires, request).await;
+        answer.expect("the replica answers").expect("it leads")
+    };
+    let report_orders = async |report| {
+        let sent = Instant::now();
+        let answer = call(WorkRequest::Report(Box::new(report))).await;
+        let orders = assert_matches!(answer, WorkAnswer::Orders(orders) => orders);
+        (*orders, sent.elapsed())
+    };
+    call(WorkRequest::Declare(Arc::new(declaration()))).await;
+    call(submission(2)).await;
+    let mut sequence = 0;
+    let start = loop {
+        sequence += 1;
+        let (orders, _took) = report_orders(report(1, sequence, 1_000 * sequence)).await;
+        if let Some(start) = orders.starts.into_iter().next() {
+            break start;
+        }
+    };
+    sequence += 1;
+    let mut ended = report(1, sequence, 1_000 * sequence);
+    ended.ended.push(ReportedEnd {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        end: RunEnd::Done,
+        checkpoint: "".into(),
+    });
+    let (late, took) = report_orders(ended.clone()).await;
+    assert!(took > ANSWER_VALID, "{took:?}");
+    assert_eq!(late, WorkerOrders::default());
+    ended.sequence = Sequence(sequence + 1);
+    let (repeated, took) = report_orders(ended).await;
+    assert!(took < ANSWER_VALID, "{took:?}");
+    assert_eq!(repeated.acknowledged, 1);
+}
