planner: a deregistration before the announced end is of a former life

What callers may see: a task runs twice. A worker's deregistration names no life. One that was held up on its way, or in a replica that was paused, was taken for one of the next life if that drained as well; if that life was then cut off, its runs were ended after 1 s and started elsewhere, although it holds a lease.

Cause: worker_left asked only whether the present life drains. A report that arrives afterwards shows that it has not left, but a worker that is cut off sends none.

Change: while it drains, a worker announces the least time that it stays. A deregistration that comes more than a second before that, the most by which the announcing report can have been late, is ignored. The last second of a next life that drains remains: nothing in the call tells it from a former one.

late_calls: deregistration_of_a_former_life_ends_no_runs (control service and client) failed before: 2.5 s into a lease of 6 s the run was given up. It passes now. workload_runs: draining_worker_has_not_left_before_its_time is new. Three tests there let a worker leave 10 ms after it had announced to stay for 5 s; it announces 0.5 s now, so that they still test a deregistration that counts.

--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -352,20 +352,24 @@
     /// Handles a worker's deregistration, by which time all of its runs have ended. Reports that it
     /// sent earlier may still arrive through other replicas and tell how they ended.
     ///
-    /// A deregistration names no life. Workers announce that they drain before they leave, so one of a
-    /// life that does not is late, and meant for a former one. That may also hold for one that does, as
-    /// long as a deregistration of the former life may be on its way; its runs then wait for the lease.
+    /// A deregistration names no life. Workers announce that they drain, and how long they stay at
+    /// least, before they leave. So one that comes while the worker does not drain, or well before the
+    /// announced end, is late and meant for a former life. So may be one for a worker that has returned
+    /// lately; its runs then wait for the lease.
     ///
-    /// Returns the command that tells later leaders; `None` if the worker is not known, does not drain
-    /// or has returned lately.
+    /// Returns the command that tells later leaders; `None` if the worker is not known, does not leave
+    /// yet or has returned lately.
     pub fn worker_left(&mut self, id: &WorkerId, now: Millis) -> Option<WorkloadCommand> {
         let worker = self.workers.get_mut(id)?;
         let life = worker.incarnation;
         let has_returned = worker
             .returned_ms
             .is_some_and(|returned| now.since(returned) < WORKER_RETENTION_MS);
-        if !worker.draining || has_returned {
-            info!(event = "worker_left_ignored", worker = %id, life = %life, has_returned);
+        // The report that announced the end may itself have been late.
+        let announced = worker.available_until_ms.unwrap_or_default();
+        let stays = now.saturating_add(REPORT_DELAY_MAX_MS) < announced;
+        if !worker.draining || stays || has_returned {
+            info!(event = "worker_left_ignored", worker = %id, life = %life, stays, has_returned);
             return None;
         }
         info!(event = "worker_left", worker = %id, life = %life);
@@ -427,6 +431,8 @@
     }
 }
 
+/// How late a report may be that is carried on by another replica.
+const REPORT_DELAY_MAX_MS: Millis = Millis(1_000);
 /// How long reports that a worker sent before its deregistration may still arrive.
 pub(super) const DEREGISTER_GRACE_MS: Millis = Millis(1_000);
 /// How long after its last report a worker's runs are kept even without a lease: two report
--- a/tests/late_calls.rs
+++ b/tests/late_calls.rs
@@ -15,10 +15,10 @@
 use control_net::{FakeReplica, SharedLog};
 use holding_relay::HoldingRelay;
 use marjoramknot::control::{Client, ControlError, StateMachine};
-use marjoramknot::units::{Millis, Sequence};
+use marjoramknot::units::{Millis, Sequence, WorkerId};
 use marjoramknot::workload::{
-    QueueOperation, QueueRequest, WorkAnswer, WorkRequest, WorkerIncarnation, WorkerReport,
-    Workload,
+    QueueOperation, QueueRequest, ReportedRun, WorkAnswer, WorkRequest, WorkerIncarnation,
+    WorkerReport, Workload,
 };
 use notes::{INITIAL_NOTE, deadline_note, note};
 use rstest::rstest;
@@ -28,6 +28,9 @@
 /// Long enough for what the relay delivers to be carried out.
 const DELIVERY: Duration = Duration::from_millis(500);
 
+/// Well inside the lease that the worker's last report got.
+const LEASE_PART: Duration = Duration::from_millis(2_500);
+
 /// A replica that leads, a client that reaches it at all times, and one whose link can be cut.
 struct Group {
     leader: FakeReplica,
@@ -137,7 +140,7 @@
 async fn late_deregistration_has_no_effect() {
     let group = Group::start().await;
     done(&group.near, draining_report(1, true)).await;
-    let worker: marjoramknot::units::WorkerId = "w1".parse().expect("a valid id");
+    let worker: WorkerId = "w1".parse().expect("a valid id");
     let leave = WorkRequest::Deregister {
         worker: worker.clone(),
     };
@@ -185,3 +188,50 @@
     let zone = "senec".parse().expect("a valid id");
     assert!(!group.state(|state| state.is_zone_open(&zone)));
 }
+
+/// Guards against a task that runs twice: a deregistration of a worker's former life was held up before
+/// a replica read it, and names no life. The next life drains as well, runs the task and is cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn deregistration_of_a_former_life_ends_no_runs() {
+    let group = Group::start().await;
+    let report = |sequence, draining| {
+        let WorkRequest::Report(mut report) = draining_report(2, draining) else {
+            unreachable!("it is a report");
+        };
+        report.sequence = Sequence(sequence);
+        report
+    };
+    let accepted = group.near.work(submission()).await;
+    assert_matches!(accepted, Ok(WorkAnswer::Done));
+    let mut sequence = 0;
+    let start = loop {
+        sequence += 1;
+        let request = WorkRequest::Report(report(sequence, false));
+        let answer = group.near.work(request).await;
+        let orders = assert_matches!(answer, Ok(WorkAnswer::Orders(orders)) => orders);
+        if let Some(start) = orders.starts.into_iter().next() {
+            break start;
+        }
+    };
+    for draining in [false, true] {
+        sequence += 1;
+        let mut report = report(sequence, draining);
+        report.remaining_ms = draining.then_some(Millis(2_000));
+        report.running.push(ReportedRun {
+            task: start.task.clone(),
+            run: start.run,
+            checkpoint: "".into(),
+            percent: 10,
+            reading: None,
+        });
+        done(&group.near, WorkRequest::Report(report)).await;
+    }
+    let worker: WorkerId = "w1".parse().expect("a valid id");
+    let leave = WorkRequest::Deregister {
+        worker: worker.clone(),
+    };
+    done(&group.near, leave).await;
+    sleep(LEASE_PART).await;
+    let runs = group.state(|state| state.runs_placed_on(&worker).count());
+    assert_eq!(runs, 1, "the worker may hold its lease");
+}
--- a/tests/workload_runs.rs
+++ b/tests/workload_runs.rs
@@ -603,11 +603,24 @@
     assert_eq!(planner.expire_leases(&state, over_ms).len(), ends);
 }
 
+/// The same before the time for which the worker has announced to stay, also if it is not heard again.
+#[rstest]
+#[case::announced_later(5_000, 0)]
+#[case::announced_soon(1_000, 1)]
+fn draining_worker_has_not_left_before_its_time(#[case] remaining_ms: u64, #[case] ends: usize) {
+    let (mut state, mut planner) = started_job(step(1, 1));
+    let mut report = draining(3);
+    report.remaining_ms = Some(Millis(remaining_ms));
+    exchange_report(&mut planner, &mut state, &report, 790);
+    planner.worker_left(&report.worker, Millis(800));
+    assert_eq!(planner.expire_leases(&state, Millis(1_901)).len(), ends);
+}
+
 /// A report of the worker of the only run, which runs while the worker drains.
 fn draining(sequence: u64) -> WorkerReport {
     let mut report = report(1, sequence);
     report.draining = true;
-    report.remaining_ms = Some(Millis(5_000));
+    report.remaining_ms = Some(Millis(500));
     report.running.push(running(0, 1));
     report
 }
