docs: the paths on which an answer reaches a worker's next life

What each path can carry, what bounds it and which test shows it; what remains open. The comment on a new leader's bound said that earlier answers were given before its election: they were decided on before it, and may be written later.

--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -114,7 +114,8 @@
         let valid_ms = on_slow_clock(ANSWER_VALID_MS);
         Some(FormerLife {
             first_clock_ms: report.clock_ms,
-            // An earlier leader gave its last answers before this one was elected.
+            // An earlier leader decided on its last answers before this one was elected, and the
+            // reports that they answer had been read before that.
             answers_void_ms: last_report_ms.max(self.elected_ms).saturating_add(valid_ms),
             lease_until_ms: lease_end.saturating_add(valid_ms),
         })
