planner: grant a lease of under 2 s whole with start orders

What callers would see: with lease_ms from 601 to 1,200, an order that was held for an idle worker's report came with a lease that was over on its receipt, so the run lapsed or never started.

Cause: the change for lives that are not heard halved such leases, and an answer may be held for 600 ms of it.

Change: the lease is only shortened where it is 2 s or more; below that it is granted whole, and the planner reckons with the second for which answers are valid. Leases from 2 s up are granted as before this commit.

lease_of_a_held_start_order_is_not_over failed before for leases of 700, 1,000 and 1,200 ms (found in review), and passes now; returned_workers and workload_runs pass.

--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -39,11 +39,17 @@
 impl Planner {
     /// The lease in an answer whose runs the worker's next life may start instead. That life counts it
     /// from the receipt of the answer, up to `ANSWER_VALID_MS` after the report was sent.
+    ///
+    /// A lease of less than twice that is granted whole, as an answer may be held for most of it;
+    /// [`Self::lease_end`] is later in return.
     pub(super) fn start_lease_ms(&self) -> Millis {
         let lease_ms = self.options.lease_ms;
-        lease_ms
-            .since(ANSWER_VALID_MS)
-            .max(Millis(lease_ms.get() / 2))
+        let shorter_ms = lease_ms.since(ANSWER_VALID_MS);
+        if shorter_ms < ANSWER_VALID_MS {
+            lease_ms
+        } else {
+            shorter_ms
+        }
     }
 
     /// The latest time until which a lease granted for a report received at `now` may last, whichever
--- a/tests/returned_workers.rs
+++ b/tests/returned_workers.rs
@@ -558,3 +558,26 @@
     assert_eq!(report(&mut session, ANSWER_MS), 1);
     assert_eq!(session.state.allocated_on(&worker_id(0)).accelerators, 8);
 }
+
+/// The lease counts from the sending of the report, which may have been held for an order.
+#[rstest]
+fn lease_of_a_held_start_order_is_not_over(#[values(700, 1_000, 1_200, 2_000)] lease_ms: u64) {
+    const HOLD_MS: u64 = 600;
+    let options = PlannerOptions {
+        lease_ms: Millis(lease_ms),
+        ..options()
+    };
+    let mut returned = Returned::with_options(options);
+    let session = &mut returned.session;
+    let report = session.next_report(returned.worker);
+    let (received, held) = (Millis(200), Millis(HOLD_MS));
+    session
+        .planner
+        .handle_report(&report, &session.state, received);
+    let orders = session
+        .planner
+        .orders_for_report(&report, received, held, &session.state);
+    assert_eq!(orders.starts.len(), 1);
+    let granted_ms = orders.lease_ms.expect("a lease").get();
+    assert!(granted_ms > HOLD_MS, "{granted_ms} ms");
+}
