--- a/tests/returned_workers.rs
+++ b/tests/returned_workers.rs
@@ -12,7 +12,7 @@
 #[path = "support/workload_simulation.rs"]
 mod workload_simulation;
 
-use marjoramknot::units::Millis;
+use marjoramknot::units::{Millis, WallMs};
 use marjoramknot::workload::{PlannerOptions, ReportedRun, RunEnd, Step, WorkerReport};
 use rstest::rstest;
 
@@ -442,6 +442,22 @@
     assert!(!returned.is_kept());
 }
 
+/// The reports of both lives were held up and arrive together, so that the order has just been given:
+/// the clock of the second life alone does not show that its answer is void.
+#[test]
+fn ordered_run_is_kept_while_its_order_is_young() {
+    let mut returned = Returned::new();
+    assert_eq!(
+        returned.session.idle(returned.worker, 5_000).starts.len(),
+        1
+    );
+    let first = returned.second_life(0);
+    returned.session.exchange(&first, 5_010);
+    let later = returned.second_life(ANSWER_MS);
+    returned.session.exchange(&later, 5_020);
+    assert!(returned.is_kept());
+}
+
 /// A run that the former life had listed is not ordered again, so it is lost with that life.
 #[test]
 fn listed_run_is_lost_at_once() {
@@ -581,3 +597,37 @@
     let granted_ms = orders.lease_ms.expect("a lease").get();
     assert!(granted_ms > HOLD_MS, "{granted_ms} ms");
 }
+
+/// The former life's deregistration is held up until the next life drains, which has 2 s left and is then
+/// cut off under a lease.
+#[rstest]
+fn late_deregistration_ends_nothing_of_a_draining_life(
+    #[values(false, true)] changes_leader: bool,
+) {
+    let mut session = PlannerSession::new(options(), job(vec![step(1, 8)]));
+    let mut first_life = session.next_report(0);
+    first_life.draining = true;
+    session.exchange(&first_life, 10);
+    let report = |session: &mut PlannerSession, now_ms, draining| {
+        let mut report = session.next_report_of_life(0, 2);
+        report.clock_ms = Some(Millis(SECOND_CLOCK_MS + now_ms));
+        report.draining = draining;
+        report.remaining_ms = draining.then_some(Millis(2_000));
+        report.running = session.listed_runs(0, 1);
+        session.exchange(&report, now_ms);
+        session.plan(now_ms + 5);
+    };
+    report(&mut session, 2_000, false);
+    report(&mut session, 2_100, false);
+    assert_eq!(session.placed_on(0).len(), 1);
+    report(&mut session, 2_200, true);
+    let left = session.planner.worker_left(&worker_id(0), Millis(2_250));
+    if changes_leader {
+        if let Some(left) = left {
+            session.state.apply(&left, WallMs(1_002_250));
+        }
+        session.change_leader(2_300);
+        report(&mut session, 2_400, true);
+    }
+    assert_eq!(session.lost(0, 2_200 + LEASE_MS - 1_000), None);
+}
