planner: stops that follow from a report are ordered in a function of their own

No decision is changed: the stops are added after the lease of the answer is chosen, and neither depends on the other.

--- a/src/workload/planner/orders.rs
+++ b/src/workload/planner/orders.rs
@@ -121,6 +121,25 @@
             };
             worker.unreported.insert(*run, next);
         }
+        if !orders.starts.is_empty() || worker.former_life.is_some() {
+            orders.lease_ms = Some(start_lease_ms);
+            let renewal_ms = Millis(start_lease_ms.get() / 2);
+            orders.report_after_ms = orders.report_after_ms.min(renewal_ms);
+        }
+        self.add_stops(&mut orders, report, &placed, state);
+        self.add_rates(&mut orders, report, state, received_ms);
+        orders
+    }
+
+    /// Adds stops of the runs that a worker lists although they are not placed on its present life, or
+    /// are no longer wanted there.
+    fn add_stops(
+        &self,
+        orders: &mut WorkerOrders,
+        report: &WorkerReport,
+        placed: &[RunKey],
+        state: &Workload,
+    ) {
         for reported in &report.running {
             let task = state.task_key(&reported.task);
             let run = task.map(|task| RunKey {
@@ -134,13 +153,6 @@
                 orders.stops.push((reported.task.clone(), reported.run));
             }
         }
-        if !orders.starts.is_empty() || worker.former_life.is_some() {
-            orders.lease_ms = Some(start_lease_ms);
-            let renewal_ms = Millis(start_lease_ms.get() / 2);
-            orders.report_after_ms = orders.report_after_ms.min(renewal_ms);
-        }
-        self.add_rates(&mut orders, report, state, received_ms);
-        orders
     }
 
     /// Withdraws runs that are placed but no longer wanted and cannot have started.
