--- a/tests/returned_workers.rs
+++ b/tests/returned_workers.rs
@@ -331,6 +331,13 @@
     }
 }
 
+/// Guards against a late deregistration that ends the runs of a returned worker with a new leader, which
+/// knows of no former life.
+#[test]
+fn late_deregistration_with_a_new_leader_starts_nothing_twice() {
+    play_odd(1_005, Oddity::Any);
+}
+
 /// By hand, like the ones above.
 #[rstest]
 #[ignore = "takes minutes"]
