--- a/src/control/held_reports.rs
+++ b/src/control/held_reports.rs
@@ -10,10 +10,7 @@
 use crate::units::{Millis, WorkerId};
 use crate::workload::WorkerReport;
 
-/// Workers drop an answer that arrives this long after they have sent the report.
-pub(super) const ANSWER_VALID_MS: Millis = Millis(1_000);
-
-/// How long a report is held. It is less than [`ANSWER_VALID_MS`], as the answer may pass through
+/// How long a report is held. It is less than [`ANSWER_VALID_MS`](crate::workload::ANSWER_VALID_MS), as the answer may pass through
 /// another replica.
 pub(super) const REPORT_HOLD_MS: Millis = Millis(600);
 
--- a/src/control/workload_loop.rs
+++ b/src/control/workload_loop.rs
@@ -14,7 +14,7 @@
 use tracing::{info, warn};
 
 use super::call_expiry::CallClock;
-use super::held_reports::{ANSWER_VALID_MS, HeldReport, HeldReports, REPORT_HOLD_MS};
+use super::held_reports::{HeldReport, HeldReports, REPORT_HOLD_MS};
 use super::planning_load::PlanningLoad;
 use super::workload_batch::{
     AnswerSender, Batch, FinishedBatch, InFlightBatch, PendingAnswer, PendingCall, WorkloadHandle,
@@ -27,8 +27,8 @@
 use crate::replica::{Handle, Leadership, ProposeError};
 use crate::units::{Millis, Term, WorkerId};
 use crate::workload::{
-    Declaration, Planner, PlannerOptions, QueueRequest, WorkAnswer, WorkRequest, WorkerOrders,
-    WorkerReport, WorkloadCommand, WorkloadReply,
+    ANSWER_VALID_MS, Declaration, Planner, PlannerOptions, QueueRequest, WorkAnswer, WorkRequest,
+    WorkerOrders, WorkerReport, WorkloadCommand, WorkloadReply,
 };
 
 /// How often the loop checks whether a periodic planning pass is due.
--- a/src/workload/messages.rs
+++ b/src/workload/messages.rs
@@ -10,6 +10,9 @@
 };
 use crate::units::{Millis, Sequence, ServiceName, Term, WorkerId, ZoneId};
 
+/// Workers drop an answer that arrives this long after they have sent the report.
+pub const ANSWER_VALID_MS: Millis = Millis(1_000);
+
 /// Requests of entries and control replicas to the leader about the workload.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkRequest {
--- a/src/workload/mod.rs
+++ b/src/workload/mod.rs
@@ -22,8 +22,8 @@
 };
 pub use job::{Job, Occurrence, Phase, StepState, TaskState};
 pub use messages::{
-    CallerAnswer, QueueOperation, QueueRequest, RateOrder, ReportedEnd, ReportedRun, RunReading,
-    StartOrder, WorkAnswer, WorkRequest, WorkerOrders, WorkerReport,
+    ANSWER_VALID_MS, CallerAnswer, QueueOperation, QueueRequest, RateOrder, ReportedEnd,
+    ReportedRun, RunReading, StartOrder, WorkAnswer, WorkRequest, WorkerOrders, WorkerReport,
 };
 pub use planner::{Planner, PlannerOptions, ReportOutcome};
 pub use resources::{ResourceLimits, Resources};
--- a/src/workload/planner/former_life.rs
+++ b/src/workload/planner/former_life.rs
@@ -11,10 +11,12 @@
 
 use super::Planner;
 use super::reports::LossCause;
-use super::worker::{ANSWER_VALID_MS, UnreportedRun, Worker, on_slow_clock};
+use super::worker::{UnreportedRun, Worker, on_slow_clock};
 use crate::telemetry::record_former_run_started;
 use crate::units::Millis;
-use crate::workload::{Placement, RunEnd, RunKey, Transition, WorkerReport, Workload};
+use crate::workload::{
+    ANSWER_VALID_MS, Placement, RunEnd, RunKey, Transition, WorkerReport, Workload,
+};
 
 /// What is known of a run that was placed on a former life of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/workload/planner/reports.rs
+++ b/src/workload/planner/reports.rs
@@ -7,13 +7,13 @@
 use super::former_life::FormerRun;
 use super::reliability::WorkerFault;
 use super::run_forecast::ProgressMark;
-use super::worker::{ANSWER_VALID_MS, RunProgress, UnreportedRun, Worker, on_slow_clock};
+use super::worker::{RunProgress, UnreportedRun, Worker, on_slow_clock};
 use super::{Planner, ReportOutcome};
 use crate::telemetry::{record_lost_work, record_unplaced_run};
 use crate::units::{Millis, Sequence, WorkerId};
 use crate::workload::{
-    ReportedEnd, RunEnd, RunKey, StepKey, Transition, WorkerIncarnation, WorkerReport, Workload,
-    WorkloadCommand,
+    ANSWER_VALID_MS, ReportedEnd, RunEnd, RunKey, StepKey, Transition, WorkerIncarnation,
+    WorkerReport, Workload, WorkloadCommand,
 };
 
 /// Why a run that no report lists as ended counts as lost.
--- a/src/workload/planner/worker.rs
+++ b/src/workload/planner/worker.rs
@@ -6,7 +6,9 @@
 use super::run_forecast::ProgressMark;
 use super::speeds::WorkerSpeed;
 use crate::units::{Millis, Sequence, ServiceName, ZoneId};
-use crate::workload::{Resources, RunKey, TaskName, WorkerIncarnation, WorkerReport};
+use crate::workload::{
+    ANSWER_VALID_MS, Resources, RunKey, TaskName, WorkerIncarnation, WorkerReport,
+};
 
 /// Consecutive failures after which a worker is quarantined.
 const QUARANTINE_FAILURES: u32 = 2;
@@ -18,8 +20,6 @@
 /// Added to the stop time before a run that the worker does not report counts as ended.
 pub(super) const STOP_SLACK_MS: Millis = Millis(1_000);
 
-/// Workers drop an answer that arrives this long after they have sent the report.
-pub(super) const ANSWER_VALID_MS: Millis = Millis(1_000);
 /// How much slower than the leader's a worker's clock may run, in percent, as the platform
 /// specifies for leases.
 const CLOCK_MARGIN_PERCENT: u64 = 3;
