tests: a next life's clock alone does not void an answer of a deposed leader

It now demands both: that the run is kept on such a report, and that it is given up on one after the answer is void.

--- a/tests/report_answers.rs
+++ b/tests/report_answers.rs
@@ -33,6 +33,8 @@
 /// Bounds the wait for a condition, which is checked again after each interval.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Longer than a leader reckons with an answer to a former life.
+const ANSWER_VOID: Duration = Duration::from_millis(1_100);
 /// Longer than a leader holds a report.
 const HOLD: Duration = Duration::from_millis(800);
 
@@ -239,6 +241,13 @@
     drop(hold_or_answer(&next_life, report(2, 1, 0)).await);
     assert_eq!(former_runs(&second), 1, "either order may have arrived");
     drop(hold_or_answer(&next_life, report(2, 2, LATER_CLOCK_MS)).await);
+    assert_eq!(
+        former_runs(&second),
+        1,
+        "the clock of the next life proves nothing"
+    );
+    sleep(ANSWER_VOID).await;
+    drop(hold_or_answer(&next_life, report(2, 3, LATER_CLOCK_MS)).await);
     sleep(DELIVERY).await;
     assert_eq!(former_runs(&second), 0, "the next life can't have it");
 }
